--- /dev/null
+++ b/cmd/rosemarywalk/main.go
@@ -0,0 +1,58 @@
+// Command rosemarywalk is the dispatcher: the host process, the callers' and
+// the operators' command line.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// The exit codes of the command.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// cli is the command line.
+type cli struct {
+	Serve    serveCmd    `cmd:"" help:"Run an entry host until it is told to stop (SIGTERM)."`
+	Demo     demoCmd     `cmd:"" help:"Run a job on hosts and stand-ins inside this process, and print what happened."`
+	Submit   submitCmd   `cmd:"" help:"Submit a job from a JSON file and print its answer."`
+	Look     lookCmd     `cmd:"" help:"Print the outcome of a ticket's job."`
+	Cancel   cancelCmd   `cmd:"" help:"Cancel a ticket's job."`
+	Explain  explainCmd  `cmd:"" help:"Print what became of a ticket's job, task by task."`
+	Hosts    hostsCmd    `cmd:"" help:"List the hosts that are alive, with their load."`
+	Config   configCmd   `cmd:"" help:"Check, book and read back the configuration document."`
+	Settings settingsCmd `cmd:"" help:"Print a settings file with every key, its meaning and its default."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run parses and carries out one command line, and returns the exit code.
+func run(args []string) int {
+	var c cli
+	parser, err := kong.New(&c,
+		kong.Name("rosemarywalk"),
+		kong.Description("A dispatcher for sub-second tasks. Exit codes: 0 done, 1 failed, 2 wrong use."),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosemarywalk:", err)
+		fmt.Fprintln(os.Stderr, "Run rosemarywalk --help for the commands.")
+		return exitUsage
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitDone
+}
--- /dev/null
+++ b/cmd/rosemarywalk/operator.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rosemarywalk/core/document"
+	"rosemarywalk/core/finding"
+	"rosemarywalk/io/operator"
+)
+
+// operatorTimeout bounds one call to a host.
+const operatorTimeout = 30 * time.Second
+
+// operatorFlags are common to the operators' commands.
+type operatorFlags struct {
+	Host string `help:"Operators' URL of any host." default:"http://127.0.0.1:7200"`
+}
+
+func (f operatorFlags) call(method, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(method, f.Host+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Annotate(err, "build request")
+	}
+	client := http.Client{Timeout: operatorTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, errors.Annotate(err, "ask host")
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return response.StatusCode, raw, errors.Annotate(err, "read answer")
+}
+
+func (f operatorFlags) statuses() ([]operator.Status, error) {
+	_, raw, err := f.call(http.MethodGet, "/hosts", nil)
+	if err != nil {
+		return nil, err
+	}
+	var statuses []operator.Status
+	err = json.Unmarshal(raw, &statuses)
+	return statuses, errors.Annotate(err, "read answer")
+}
+
+func table() *tabwriter.Writer { return tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0) }
+
+// hostsCmd lists hosts.
+type hostsCmd struct{ operatorFlags }
+
+// Run prints one host a line.
+func (c *hostsCmd) Run() error {
+	statuses, err := c.statuses()
+	if err != nil {
+		return err
+	}
+	out := table()
+	fmt.Fprintln(out, "ADDRESS\tDOMAIN\tRUNNING\tWAITING\tOUT\tSERVERS\tUSABLE\tLISTING\tREVISION\tERROR")
+	for _, s := range statuses {
+		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Address, s.Domain, s.Running, s.Waiting,
+			s.Outstanding, s.Servers, s.Usable, s.Listing, s.Revision, s.Error)
+	}
+	return out.Flush()
+}
+
+// configCmd groups the document's commands.
+type configCmd struct {
+	Check   configCheckCmd   `cmd:"" help:"Check a document and print every finding."`
+	Book    configBookCmd    `cmd:"" help:"Book the sections of a document at their active dates."`
+	Show    configShowCmd    `cmd:"" help:"Print the newest accepted sections."`
+	Inforce configInforceCmd `cmd:"" help:"Print which versions are in force at every host, and where they differ."`
+	History configHistoryCmd `cmd:"" help:"Print every version of the sections."`
+}
+
+// configCheckCmd checks a document.
+type configCheckCmd struct {
+	File string `arg:"" help:"INI document."`
+}
+
+// Run prints the findings; none is a pass.
+func (c *configCheckCmd) Run() error {
+	raw, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	sections, findings := document.Parse(c.File, raw)
+	if len(findings) > 0 {
+		return findings
+	}
+	fmt.Printf("%s: %d sections, no findings\n", c.File, len(sections))
+	return nil
+}
+
+// configBookCmd books a document.
+type configBookCmd struct {
+	operatorFlags
+	File   string `arg:"" help:"INI document."`
+	Team   string `help:"Book only this team's section."`
+	Author string `help:"Who books." default:"operator"`
+}
+
+// bookAnswer is what a host answers to a booking.
+type bookAnswer struct {
+	Booked []struct {
+		Team    string    `json:"team"`
+		Version int       `json:"version"`
+		Active  time.Time `json:"active"`
+		Change  string    `json:"change"`
+	} `json:"booked"`
+	Findings finding.List       `json:"findings"`
+	Conflict *document.Conflict `json:"conflict"`
+	Error    string             `json:"error"`
+}
+
+// Run prints what was booked, and what was not.
+func (c *configBookCmd) Run() error {
+	raw, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	query := url.Values{
+		"file":   {c.File},
+		"team":   {c.Team},
+		"author": {c.Author},
+	}
+	_, answer, err := c.call(http.MethodPost, "/config?"+query.Encode(), raw)
+	if err != nil {
+		return err
+	}
+	var body bookAnswer
+	if err := json.Unmarshal(answer, &body); err != nil {
+		return errors.Annotate(err, "read answer")
+	}
+	for _, b := range body.Booked {
+		fmt.Printf("[%s] version %d, active %s, change %s\n", b.Team, b.Version, b.Active.Format(time.RFC3339), b.Change)
+	}
+	switch {
+	case len(body.Findings) > 0:
+		return body.Findings
+	case body.Conflict != nil:
+		return *body.Conflict
+	case body.Error != "":
+		return errors.New(body.Error)
+	}
+	return nil
+}
+
+// configShowCmd shows the document.
+type configShowCmd struct {
+	operatorFlags
+	Team string `help:"Only this team's section."`
+}
+
+// Run prints the document.
+func (c *configShowCmd) Run() error {
+	_, raw, err := c.call(http.MethodGet, "/config?team="+url.QueryEscape(c.Team), nil)
+	if err != nil {
+		return err
+	}
+	fmt.Print(string(raw))
+	return nil
+}
+
+// configInforceCmd shows what is in force.
+type configInforceCmd struct{ operatorFlags }
+
+// Run prints a line for each section and host, and fails where hosts differ.
+func (c *configInforceCmd) Run() error {
+	statuses, err := c.statuses()
+	if err != nil {
+		return err
+	}
+	out := table()
+	fmt.Fprintln(out, "SECTION\tVERSION\tHOST\tDOMAIN\tSINCE")
+	versions := map[string]map[int]int{}
+	for _, s := range statuses {
+		if s.Error != "" {
+			fmt.Fprintf(out, "?\t?\t%s\t%s\t%s\n", s.Address, s.Domain, s.Error)
+		}
+		for _, f := range s.InForce {
+			fmt.Fprintf(out, "%s\t%d\t%s\t%s\t%s\n", f.Team, f.Entry.Version, s.Address, s.Domain, f.Since.Format(time.RFC3339))
+			if versions[f.Team] == nil {
+				versions[f.Team] = map[int]int{}
+			}
+			versions[f.Team][f.Entry.Version]++
+		}
+	}
+	if err := out.Flush(); err != nil {
+		return errors.Annotate(err, "print table")
+	}
+	return differences(versions, len(statuses))
+}
+
+func differences(versions map[string]map[int]int, hosts int) error {
+	var findings finding.List
+	for team, counts := range versions {
+		sum := 0
+		for _, n := range counts {
+			sum += n
+		}
+		if len(counts) > 1 || sum < hosts {
+			findings = append(findings, finding.Finding{
+				Section: team,
+				Text:    fmt.Sprintf("hosts differ: %v (hosts by version), %d hosts asked", counts, hosts),
+			})
+		}
+	}
+	return findings.Err()
+}
+
+// configHistoryCmd shows all versions.
+type configHistoryCmd struct {
+	operatorFlags
+	Team string `help:"Only this team's section."`
+}
+
+// Run prints one version a line.
+func (c *configHistoryCmd) Run() error {
+	_, raw, err := c.call(http.MethodGet, "/config/history?team="+url.QueryEscape(c.Team), nil)
+	if err != nil {
+		return err
+	}
+	var records []document.Record
+	if err := json.Unmarshal(raw, &records); err != nil {
+		return errors.Annotate(err, "read answer")
+	}
+	out := table()
+	fmt.Fprintln(out, "SECTION\tVERSION\tBOOKED\tACTIVE\tAUTHOR\tCHANGE")
+	for _, r := range records {
+		for _, e := range r.Entries {
+			fmt.Fprintf(out, "%s\t%d\t%s\t%s\t%s\t%s\n", r.Team, e.Version, e.Booked.Format(time.RFC3339),
+				e.Active.Format(time.RFC3339), e.Author, e.Change)
+		}
+	}
+	return out.Flush()
+}
--- /dev/null
+++ b/core/finding/doc.go
@@ -0,0 +1,2 @@
+// Package finding collects what is wrong with an input, each with its place.
+package finding
--- /dev/null
+++ b/core/member/model.go
@@ -0,0 +1,273 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Host is one host as its heartbeats describe it.
+type Host struct {
+	Incarnation string
+	Address     string // peer address, as host:port
+	Domain      string // failure domain
+	Count       int    // heartbeat counter
+}
+
+// Limits sets the pace of heartbeats and how long silence is tolerated.
+type Limits struct {
+	Dead   time.Duration // silence after which a host counts as dead
+	Forget time.Duration // silence after which a host is no longer listed
+	Known  int           // entries that ride on one heartbeat
+}
+
+// Msg is something that a host learned of the fleet.
+type Msg interface{ memberMsg() }
+
+// BeatMsg is a heartbeat that arrived.
+type BeatMsg struct {
+	From     Host
+	Known    []Host
+	Stopping bool
+}
+
+// SeedMsg names peer addresses that may be hosts.
+type SeedMsg struct{ Addresses []string }
+
+// TickMsg is one heartbeat period.
+type TickMsg struct{}
+
+func (BeatMsg) memberMsg() {}
+func (SeedMsg) memberMsg() {}
+func (TickMsg) memberMsg() {}
+
+// Cmd is something for the caller of Update to do.
+type Cmd interface{ memberCmd() }
+
+// SendCmd asks to send a heartbeat to an address.
+type SendCmd struct {
+	Address string
+	Known   []Host
+}
+
+// LiveCmd says that the set of live hosts changed.
+type LiveCmd struct{ Hosts []Host }
+
+func (SendCmd) memberCmd() {}
+func (LiveCmd) memberCmd() {}
+
+// peer is one address and the host last heard of there.
+type peer struct {
+	host     Host
+	heard    time.Time
+	alive    bool
+	stopping bool
+}
+
+// Model is one host's view of the fleet.
+type Model struct {
+	self   Host
+	limits Limits
+	rng    *rand.Rand
+	peers  map[string]*peer
+	turn   int // of the entries that ride along
+}
+
+// New returns a view that knows only the host itself; rng must be seeded.
+func New(self Host, limits Limits, rng *rand.Rand) *Model {
+	return &Model{
+		self:   self,
+		limits: limits,
+		rng:    rng,
+		peers:  map[string]*peer{},
+	}
+}
+
+// Self returns the host's own entry with its current counter.
+func (m *Model) Self() Host { return m.self }
+
+// Update takes one message and returns what has to be done about it.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case BeatMsg:
+		return m.beat(now, msg)
+	case SeedMsg:
+		m.seed(now, msg.Addresses)
+	case TickMsg:
+		return m.tick(now)
+	}
+	return nil
+}
+
+func (m *Model) seed(now time.Time, addresses []string) {
+	for _, a := range addresses {
+		if a != m.self.Address && m.peers[a] == nil {
+			m.peers[a] = &peer{
+				host:  Host{Address: a},
+				heard: now,
+			}
+		}
+	}
+}
+
+func (m *Model) beat(now time.Time, msg BeatMsg) []Cmd {
+	changed := m.direct(now, msg)
+	for _, h := range msg.Known {
+		changed = m.indirect(now, h) || changed
+	}
+	if !changed {
+		return nil
+	}
+	return []Cmd{LiveCmd{Hosts: m.Live()}}
+}
+
+// direct takes what a host says of itself; a new incarnation replaces the old.
+func (m *Model) direct(now time.Time, msg BeatMsg) bool {
+	if msg.From.Address == m.self.Address {
+		return false
+	}
+	p := m.peers[msg.From.Address]
+	if p == nil {
+		p = &peer{}
+		m.peers[msg.From.Address] = p
+	}
+	same := p.host.Incarnation == msg.From.Incarnation
+	if same && msg.From.Count <= p.host.Count {
+		return false
+	}
+	changed := !same || !p.alive || p.stopping != msg.Stopping
+	p.host, p.heard, p.alive, p.stopping = msg.From, now, true, msg.Stopping
+	return changed
+}
+
+// indirect takes what a third host says; it can't replace a live incarnation.
+func (m *Model) indirect(now time.Time, h Host) bool {
+	if h.Address == m.self.Address {
+		return false
+	}
+	p := m.peers[h.Address]
+	switch {
+	case p == nil:
+		m.peers[h.Address] = &peer{
+			host:  h,
+			heard: now,
+			alive: true,
+		}
+		return true
+	case p.host.Incarnation == h.Incarnation && h.Count > p.host.Count:
+		changed := !p.alive
+		p.host, p.heard, p.alive = h, now, true
+		return changed
+	case p.host.Incarnation != h.Incarnation && !p.alive:
+		p.host, p.heard, p.alive, p.stopping = h, now, true, false
+		return true
+	}
+	return false
+}
+
+func (m *Model) tick(now time.Time) []Cmd {
+	m.self.Count++
+	changed := m.expire(now)
+	var cmds []Cmd
+	for _, address := range m.targets() {
+		cmds = append(cmds, SendCmd{
+			Address: address,
+			Known:   m.known(address),
+		})
+	}
+	if changed {
+		cmds = append(cmds, LiveCmd{Hosts: m.Live()})
+	}
+	return cmds
+}
+
+func (m *Model) expire(now time.Time) bool {
+	changed := false
+	for address, p := range m.peers {
+		silence := now.Sub(p.heard)
+		if p.alive && silence >= m.limits.Dead {
+			p.alive = false
+			changed = true
+		}
+		if !p.alive && silence >= m.limits.Forget && p.host.Incarnation != "" {
+			delete(m.peers, address)
+		}
+	}
+	return changed
+}
+
+// targets returns own-domain hosts, unknown seeds, and one host a foreign domain.
+func (m *Model) targets() []string {
+	var targets []string
+	foreign := map[string][]string{}
+	for _, p := range m.sorted() {
+		switch p.host.Domain {
+		case m.self.Domain, "":
+			targets = append(targets, p.host.Address)
+		default:
+			foreign[p.host.Domain] = append(foreign[p.host.Domain], p.host.Address)
+		}
+	}
+	domains := make([]string, 0, len(foreign))
+	for domain := range foreign {
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains)
+	for _, domain := range domains {
+		hosts := foreign[domain]
+		targets = append(targets, hosts[m.rng.IntN(len(hosts))])
+	}
+	return targets
+}
+
+func (m *Model) sorted() []*peer {
+	peers := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.host.Address, b.host.Address) })
+	return peers
+}
+
+// known returns the next few live entries in turn, without the receiver.
+func (m *Model) known(receiver string) []Host {
+	live := m.Live()
+	var known []Host
+	for range min(m.limits.Known, len(live)) {
+		h := live[m.turn%len(live)]
+		m.turn++
+		if h.Address != receiver && h.Address != m.self.Address {
+			known = append(known, h)
+		}
+	}
+	return known
+}
+
+// Live returns the hosts that count as alive, this one included, by address.
+func (m *Model) Live() []Host {
+	live := []Host{m.self}
+	for _, p := range m.peers {
+		if p.alive {
+			live = append(live, p.host)
+		}
+	}
+	slices.SortFunc(live, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
+	return live
+}
+
+// Heirs returns live hosts that aren't stopping, own failure domain first.
+func (m *Model) Heirs() []Host {
+	var own, foreign []Host
+	for _, p := range m.sorted() {
+		if !p.alive || p.stopping {
+			continue
+		}
+		if p.host.Domain == m.self.Domain {
+			own = append(own, p.host)
+		} else {
+			foreign = append(foreign, p.host)
+		}
+	}
+	return append(own, foreign...)
+}
--- /dev/null
+++ b/core/outline/doc.go
@@ -0,0 +1,2 @@
+// Package outline reads INI text and keeps the line of every section and key.
+package outline
--- /dev/null
+++ b/core/place/model.go
@@ -0,0 +1,371 @@
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/queue"
+	"rosemarywalk/core/retry"
+	"rosemarywalk/core/ticket"
+)
+
+// Limits bounds what one Model takes on.
+type Limits struct {
+	Waiting    int     // tasks that may wait
+	RetryRatio float64 // retries earned by each first try
+	RetryMost  float64 // retries that may be saved up
+	Health     health.Limits
+	PerTask    time.Duration // how much later each task ranks its job
+}
+
+// jobState is what the Model keeps of a job until all its tasks are settled.
+type jobState struct {
+	need    Size
+	team    string
+	open    int  // tasks that are waiting or sent
+	revoked bool // no task of it may start any more
+}
+
+// Model is the state of one service at one host.
+type Model struct {
+	policy      Policy
+	limits      Limits
+	rng         *rand.Rand
+	queue       *queue.Queue
+	budget      *retry.Budget
+	servers     []*backend
+	byID        map[string]*backend
+	jobs        map[ticket.ID]*jobState
+	teams       map[string]int // open tasks by team
+	quotas      map[string]int
+	hosts       int
+	capacity    int
+	outstanding int
+	took        time.Duration // mean time of a send, moving average
+}
+
+// New returns a Model without servers; rng breaks ties and must be seeded.
+func New(policy Policy, limits Limits, rng *rand.Rand) *Model {
+	return &Model{
+		policy:   policy,
+		limits:   limits,
+		rng:      rng,
+		queue:    queue.New(limits.PerTask),
+		budget:   retry.New(limits.RetryRatio, limits.RetryMost),
+		byID:     map[string]*backend{},
+		jobs:     map[ticket.ID]*jobState{},
+		teams:    map[string]int{},
+		hosts:    1,
+		capacity: 1,
+	}
+}
+
+// Waiting returns how many tasks wait in the queue.
+func (m *Model) Waiting() int { return m.queue.Len() }
+
+// Outstanding returns how many tasks are sent and not settled.
+func (m *Model) Outstanding() int { return m.outstanding }
+
+// Servers returns the servers known, with the count of those that take work.
+func (m *Model) Servers(now time.Time) (known, usable int) {
+	for _, b := range m.servers {
+		if !b.Leaving && b.health.State(now) == health.Up {
+			usable++
+		}
+	}
+	return len(m.servers), usable
+}
+
+// Update takes one message and returns what has to be done about it.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	var cmds []Cmd
+	switch msg := msg.(type) {
+	case ServersMsg:
+		m.replace(msg.Servers)
+	case FleetMsg:
+		m.hosts, m.capacity = max(1, msg.Hosts), max(1, msg.Capacity)
+	case WeightsMsg:
+		m.queue.Weigh(msg.Weights)
+	case QuotaMsg:
+		m.quotas = msg.Quotas
+	case EnqueueMsg:
+		cmds = m.enqueue(now, msg)
+	case DoneMsg:
+		cmds = m.done(now, msg)
+	case RevokeMsg:
+		m.revoke(msg.ID)
+	case HintMsg:
+		m.hint(now, msg.Server)
+	case TickMsg:
+	}
+	return append(cmds, m.startAll(now)...)
+}
+
+// replace takes the platform's list; health survives only under the same ID.
+func (m *Model) replace(list []Server) {
+	byID := make(map[string]*backend, len(list))
+	servers := make([]*backend, 0, len(list))
+	for _, s := range list {
+		b := m.byID[s.ID]
+		if b == nil {
+			b = &backend{health: health.New(m.limits.Health)}
+		}
+		b.Server = s
+		byID[s.ID] = b
+		servers = append(servers, b)
+	}
+	slices.SortFunc(servers, func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
+	m.byID, m.servers = byID, servers
+}
+
+func (m *Model) enqueue(now time.Time, msg EnqueueMsg) []Cmd {
+	if reason, after := m.refusal(now, msg); reason != "" {
+		return []Cmd{RefuseCmd{
+			ID:         msg.Job.ID,
+			Reason:     reason,
+			RetryAfter: after,
+		}}
+	}
+	m.jobs[msg.Job.ID] = &jobState{
+		need: msg.Need,
+		team: msg.Job.Team,
+		open: msg.Job.Tasks,
+	}
+	m.teams[msg.Job.Team] += msg.Job.Tasks
+	m.queue.Push(msg.Job)
+	m.budget.Deposit(msg.Job.Tasks)
+	return []Cmd{AcceptCmd{ID: msg.Job.ID}}
+}
+
+// refusal returns why a job can't be taken, and when to come back.
+func (m *Model) refusal(now time.Time, msg EnqueueMsg) (core.Reason, time.Duration) {
+	if !slices.ContainsFunc(m.servers, func(b *backend) bool { return msg.Need.Fits(b.Size) }) {
+		return core.ReasonFit, 0
+	}
+	if m.queue.Len()+msg.Job.Tasks > m.limits.Waiting {
+		return core.ReasonOverload, m.wait(now, m.queue.Len())
+	}
+	quota, limited := m.quotas[msg.Job.Team]
+	if limited && m.teams[msg.Job.Team]+msg.Job.Tasks > quota {
+		return core.ReasonQuota, max(m.took, retryAfterLeast)
+	}
+	wait := m.wait(now, m.queue.Ahead(msg.Job)+msg.Job.Tasks)
+	if spare := msg.Deadline.Sub(now); wait > spare {
+		return core.ReasonWait, wait - spare
+	}
+	return "", 0
+}
+
+// retryAfterLeast keeps a refused caller from coming back at once.
+const retryAfterLeast = 100 * time.Millisecond
+
+// wait estimates how long n tasks in front take to start and run.
+func (m *Model) wait(now time.Time, n int) time.Duration {
+	atOnce := m.share(now)
+	if atOnce == 0 || m.took == 0 {
+		return 0
+	}
+	return time.Duration(float64(m.took) * float64(n) / float64(atOnce))
+}
+
+// share is this host's part of the slots that take work.
+func (m *Model) share(now time.Time) int {
+	return max(1, m.slots(now)/m.hosts)
+}
+
+func (m *Model) slots(now time.Time) int {
+	slots := 0
+	for _, b := range m.servers {
+		if !b.Leaving && b.health.State(now) == health.Up {
+			slots += b.Slots
+		}
+	}
+	return slots
+}
+
+func (m *Model) done(now time.Time, msg DoneMsg) []Cmd {
+	var cmds []Cmd
+	if msg.Result != Dropped {
+		m.settleServer(now, msg, &cmds)
+	} else if b := m.byID[msg.Server]; b != nil {
+		b.health = b.health.WithDrop()
+	}
+	m.release(msg.Server)
+	job := m.jobs[msg.Ref.ID]
+	if job == nil {
+		return cmds
+	}
+	if job.revoked || !msg.Result.unsettled() {
+		m.settle(msg.Ref.ID, job, 1)
+		return cmds
+	}
+	if msg.Result.started() && !msg.Again {
+		m.settle(msg.Ref.ID, job, 1)
+		return append(cmds, fail(msg, msg.Reason))
+	}
+	if !m.budget.Withdraw() {
+		m.settle(msg.Ref.ID, job, 1)
+		return append(cmds, fail(msg, core.ReasonBudget))
+	}
+	m.queue.Return(msg.Ref)
+	return append(cmds, RetryCmd{
+		Ref:    msg.Ref,
+		Reason: msg.Reason,
+	})
+}
+
+func fail(msg DoneMsg, reason core.Reason) Cmd {
+	ran := core.RanNo
+	if msg.Result.started() {
+		ran = core.RanMaybe
+	}
+	if msg.Result == Failed {
+		ran = core.RanYes
+	}
+	return FailCmd{
+		Ref:    msg.Ref,
+		Ran:    ran,
+		Reason: reason,
+	}
+}
+
+// averageWeight is the weight of one answer in the moving average of times.
+const averageWeight = 0.05
+
+func (m *Model) settleServer(now time.Time, msg DoneMsg, cmds *[]Cmd) {
+	b := m.byID[msg.Server]
+	if b == nil {
+		return
+	}
+	before := b.health.State(now)
+	switch msg.Result {
+	case Answered:
+		b.health = b.health.WithSuccess()
+		m.learn(msg.Took)
+	case Unreached, Broken, Failed, Errored:
+		b.health = b.health.WithFailure(now)
+	case Refused, Aborted, Dropped:
+		b.health = b.health.WithDrop()
+	}
+	if before == health.Up && b.health.State(now) == health.Ejected {
+		*cmds = append(*cmds, EjectCmd{
+			Server: b.ID,
+			Reason: msg.Reason,
+		})
+	}
+}
+
+func (m *Model) learn(took time.Duration) {
+	if m.took == 0 {
+		m.took = took
+		return
+	}
+	m.took += time.Duration(averageWeight * float64(took-m.took))
+}
+
+func (m *Model) release(server string) {
+	m.outstanding--
+	if b := m.byID[server]; b != nil {
+		b.outstanding--
+	}
+}
+
+func (m *Model) settle(id ticket.ID, job *jobState, n int) {
+	job.open -= n
+	m.teams[job.team] -= n
+	if job.open == 0 {
+		delete(m.jobs, id)
+		m.queue.Remove(id)
+	}
+}
+
+func (m *Model) revoke(id ticket.ID) {
+	removed := m.queue.Remove(id)
+	if job := m.jobs[id]; job != nil {
+		job.revoked = true
+		m.settle(id, job, removed)
+	}
+}
+
+func (m *Model) hint(now time.Time, server string) {
+	if b := m.byID[server]; b != nil {
+		b.health = b.health.WithHint(now)
+	}
+}
+
+// startAll starts tasks until the policy or the servers allow no more.
+func (m *Model) startAll(now time.Time) []Cmd {
+	if m.queue.Len() == 0 {
+		return nil
+	}
+	var cmds []Cmd
+	most := limit(m.policy, m.slots(now), m.hosts)
+	var skipped []queue.Ref
+	for m.outstanding < most {
+		if m.pick(now, Size{}) == nil {
+			break
+		}
+		ref, ok := m.queue.Next()
+		if !ok {
+			break
+		}
+		b := m.pick(now, m.jobs[ref.ID].need)
+		if b == nil {
+			skipped = append(skipped, ref)
+			// One task that fits nowhere just now must not stop all others.
+			if len(skipped) >= skipMost {
+				break
+			}
+			continue
+		}
+		cmds = append(cmds, m.start(now, ref, b))
+	}
+	for _, ref := range slices.Backward(skipped) {
+		m.queue.Return(ref)
+	}
+	return cmds
+}
+
+// skipMost bounds the search past tasks that can't be placed now.
+const skipMost = 8
+
+func (m *Model) start(now time.Time, ref queue.Ref, b *backend) Cmd {
+	m.outstanding++
+	b.outstanding++
+	b.health = b.health.WithStart(now)
+	return StartCmd{
+		Ref:     ref,
+		Server:  b.ID,
+		Address: b.Address,
+	}
+}
+
+// connections is this host's part of what one server accepts.
+func (m *Model) connections(b *backend) int { return max(1, b.Connections/m.capacity) }
+
+// pick returns an open server that fits, or nil. Ties are broken at random,
+// or else all hosts would choose the same server.
+func (m *Model) pick(now time.Time, need Size) *backend {
+	var best *backend
+	ties := 0
+	_, random := m.policy.(Random)
+	for _, b := range m.servers {
+		if !b.open(now, m.connections(b)) || !need.Fits(b.Size) {
+			continue
+		}
+		switch {
+		case best == nil || (!random && b.load() < best.load()):
+			best, ties = b, 1
+		case random || b.load() == best.load():
+			ties++
+			if m.rng.IntN(ties) == 0 {
+				best = b
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/io/config/plugin.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/platform"
+	"rosemarywalk/kernel"
+)
+
+// tickEvery is how late a booked change may come into force.
+const tickEvery = 100 * time.Millisecond
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  "config",
+		Order: 45,
+		Module: fx.Options(
+			fx.Provide(
+				func(d *dispatch.Dispatcher, log logr.Logger) *Store { return New(d, log) },
+				func(c *platform.Client, s *Store) *Booker { return NewBooker(c, s) },
+			),
+			fx.Invoke(run),
+		),
+	})
+}
+
+func run(lc fx.Lifecycle, s *Store) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go s.loop(ctx) }, func() { cancel() }))
+}
+
+func (s *Store) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.tick()
+		}
+	}
+}
+
+// Learn takes what the table's feed returned.
+func (s *Store) Learn(feed platform.Feed) { s.learn(feed.Revision, feed.Rows) }
--- /dev/null
+++ b/io/dispatch/fleet.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/job"
+	"rosemarywalk/core/place"
+	"rosemarywalk/core/ticket"
+)
+
+// SetFleet says how many hosts are alive and how many the connections to
+// backend servers are divided over.
+func (d *Dispatcher) SetFleet(hosts, capacity int) {
+	msg := place.FleetMsg{
+		Hosts:    hosts,
+		Capacity: capacity,
+	}
+	d.mu.Lock()
+	d.fleet = msg
+	d.mu.Unlock()
+	d.tell(msg)
+}
+
+// SetTeams sets the teams' weights, and how many tasks of each may be here.
+func (d *Dispatcher) SetTeams(weights map[string]float64, quotas map[string]int) {
+	d.mu.Lock()
+	d.weight, d.quotas = weights, quotas
+	d.mu.Unlock()
+	d.tell(place.WeightsMsg{Weights: weights})
+	d.tell(place.QuotaMsg{Quotas: quotas})
+}
+
+// Drain refuses new jobs and waits for the running ones; after the limit it
+// fails those that are left. It returns how many it failed.
+func (d *Dispatcher) Drain(ctx context.Context) int {
+	d.draining.Store(true)
+	if d.idle(ctx) {
+		return 0
+	}
+	cut := d.Running()
+	for _, s := range d.shards {
+		s.mu.Lock()
+		cmds := s.model.Update(d.now(), job.StopMsg{Reason: core.ReasonDrainLimit})
+		s.mu.Unlock()
+		d.runJob(s, cmds)
+	}
+	return cut
+}
+
+// idleEvery is how often a drain looks whether jobs still run.
+const idleEvery = 10 * time.Millisecond
+
+// idle waits until no job runs; it returns false when ctx ends first.
+func (d *Dispatcher) idle(ctx context.Context) bool {
+	ticker := time.NewTicker(idleEvery)
+	defer ticker.Stop()
+	for d.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// Running returns how many jobs aren't finished.
+func (d *Dispatcher) Running() int {
+	n := 0
+	for _, s := range d.shards {
+		s.mu.Lock()
+		n += s.model.Running()
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Legacy returns the memory of this host's incarnation, for its heir.
+func (d *Dispatcher) Legacy() (*ticket.Ledger, []job.Held) {
+	ledger := ticket.NewLedger()
+	var held []job.Held
+	for _, s := range d.shards {
+		s.mu.Lock()
+		l, h := s.model.Legacy(d.issuer.Incarnation())
+		ledger.Merge(l)
+		s.mu.Unlock()
+		held = append(held, h...)
+	}
+	return ledger, held
+}
+
+// Adopt takes over a stopped incarnation's memory; repeating it is harmless.
+func (d *Dispatcher) Adopt(inc ticket.Incarnation, ledger *ticket.Ledger, held []job.Held) {
+	byShard := map[*shard][]job.Held{}
+	for _, h := range held {
+		s := d.shard(h.ID)
+		byShard[s] = append(byShard[s], h)
+	}
+	for _, s := range d.shards {
+		own := ticket.NewLedger()
+		own.Merge(ledger)
+		s.mu.Lock()
+		s.model.Update(d.now(), job.AdoptMsg{
+			Incarnation: inc,
+			Ledger:      own,
+			Outcomes:    byShard[s],
+		})
+		s.mu.Unlock()
+	}
+}
+
+// Load is what a host reports of itself.
+type Load struct {
+	Waiting     int
+	Outstanding int
+	Servers     int
+	Usable      int
+	Running     int
+	HeldBytes   int
+}
+
+// Load returns the sums over all services.
+func (d *Dispatcher) Load() Load {
+	sum := Load{Running: d.Running()}
+	now := time.Now()
+	for _, p := range d.allPools() {
+		l := p.load(now)
+		sum.Waiting += l.waiting
+		sum.Outstanding += l.outstanding
+		sum.Servers += l.known
+		sum.Usable += l.usable
+	}
+	for _, s := range d.shards {
+		s.mu.Lock()
+		sum.HeldBytes += s.model.HeldBytes()
+		s.mu.Unlock()
+	}
+	return sum
+}
--- /dev/null
+++ b/io/executor/plugin.go
@@ -0,0 +1,64 @@
+package executor
+
+import (
+	"time"
+
+	"go.uber.org/fx"
+
+	"rosemarywalk/io/settings"
+	"rosemarywalk/kernel"
+)
+
+const section = "executor"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  section,
+		Order: 10,
+		Settings: settings.Section{
+			Name: section,
+			Help: "Connections to backend servers.",
+			Keys: []settings.Key{
+				{
+					Name:    "connections",
+					Default: "64",
+					Help:    "Connections that a backend server accepts from all hosts together.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 65535,
+					},
+				},
+				{
+					Name:    "dial",
+					Default: "1s",
+					Help:    "Longest wait for a connection.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "answer",
+					Default: "8388608",
+					Help:    "Largest answer of one task, in bytes.",
+					Kind: settings.Integer{
+						Min: 1024,
+						Max: 1 << 30,
+					},
+				},
+			},
+		},
+		Module: fx.Provide(newClient),
+	})
+}
+
+func newClient(lc fx.Lifecycle, s settings.Settings) *Client {
+	share := max(1, s.Integer(section, "connections")/s.Integer("fleet", "hosts"))
+	c := New(Limits{
+		Connections: share,
+		Dial:        s.Duration(section, "dial"),
+		Answer:      s.Integer(section, "answer"),
+	})
+	lc.Append(fx.StopHook(c.Close))
+	return c
+}
--- /dev/null
+++ b/io/feed/plugin.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	coremember "rosemarywalk/core/member"
+	"rosemarywalk/io/config"
+	"rosemarywalk/io/member"
+	"rosemarywalk/io/platform"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/kernel"
+)
+
+const section = "feed"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  section,
+		Order: 60,
+		Settings: settings.Section{
+			Name: section,
+			Help: "How configuration changes are read from the table.",
+			Keys: []settings.Key{
+				{
+					Name:    "pause",
+					Default: "2s",
+					Help:    "Pause between two reads.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: 5 * time.Second,
+					},
+				},
+				{
+					Name:    "wait",
+					Default: "0s",
+					Help:    "How long the table may hold an empty answer back; 0s is short polling.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
+			},
+		},
+		Module: fx.Invoke(run),
+	})
+}
+
+// Fleet knows the live hosts.
+type Fleet interface {
+	Live() []coremember.Host
+}
+
+// reader reads the feed while this host is its failure domain's reader.
+type reader struct {
+	table    config.Table
+	store    *config.Store
+	fleet    Fleet
+	address  string
+	domain   string
+	pause    time.Duration
+	wait     time.Duration
+	counters *telemetry.Counters
+	log      logr.Logger
+}
+
+func run(lc fx.Lifecycle, s settings.Settings, c *platform.Client, store *config.Store, fleet *member.Fleet, counters *telemetry.Counters, log logr.Logger) {
+	r := &reader{
+		table:    c,
+		store:    store,
+		fleet:    fleet,
+		address:  s.Text("peer", "listen"),
+		domain:   s.Text("host", "domain"),
+		pause:    s.Duration(section, "pause"),
+		wait:     s.Duration(section, "wait"),
+		counters: counters,
+		log:      log.WithName(section),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go r.loop(ctx) }, func() { cancel() }))
+}
+
+func (r *reader) loop(ctx context.Context) {
+	ticker := time.NewTicker(r.pause)
+	defer ticker.Stop()
+	for {
+		if r.isReader() {
+			r.once(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// isReader picks the lowest address of the failure domain. Two hosts with
+// different views may both read for a while, which costs only messages.
+func (r *reader) isReader() bool {
+	for _, h := range r.fleet.Live() {
+		if h.Domain == r.domain && h.Address < r.address {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *reader) once(ctx context.Context) {
+	r.counters.Messages("feedpoll", 1)
+	feed, err := r.table.Changes(ctx, config.Prefix, r.store.Revision(), r.wait)
+	if err != nil {
+		r.log.V(1).Info("feed not read", "error", err.Error())
+		return
+	}
+	r.store.Learn(feed)
+}
--- /dev/null
+++ b/io/host/doc.go
@@ -0,0 +1,3 @@
+// Package host is the plug-in for what identifies this process: its random
+// incarnation, its failure domain and the key that signs tickets.
+package host
--- /dev/null
+++ b/io/member/fleet.go
@@ -0,0 +1,307 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rosemarywalk/core/member"
+	"rosemarywalk/core/ticket"
+	"rosemarywalk/io/platform"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
+)
+
+// Peers sends frames to other hosts.
+type Peers interface {
+	Call(ctx context.Context, address string, f wire.Frame) (wire.Frame, error)
+	Send(ctx context.Context, address string, f wire.Frame) error
+}
+
+// Sizer takes how many hosts are alive.
+type Sizer interface {
+	SetFleet(hosts, capacity int)
+}
+
+// Rows holds the configuration rows that travel between hosts.
+type Rows interface {
+	Revision() int
+	Newer(since int) []wire.Row
+	Offer(revision int, rows []wire.Row)
+}
+
+// Fleet is this host's view of all hosts.
+type Fleet struct {
+	period    time.Duration
+	capacity  int
+	peers     Peers
+	sizer     Sizer
+	directory *platform.Directory
+	rows      Rows
+	counters  *telemetry.Counters
+	log       logr.Logger
+	now       func() time.Time
+
+	mu       sync.Mutex
+	model    *member.Model
+	heirs    map[ticket.Incarnation]string // peer addresses
+	recent   []ticket.Incarnation          // keys of heirs, oldest first
+	stopping bool
+	pulling  map[string]bool
+}
+
+// Parts is what a Fleet works with.
+type Parts struct {
+	Model     *member.Model
+	Period    time.Duration
+	Capacity  int
+	Peers     Peers
+	Sizer     Sizer
+	Directory *platform.Directory
+	Rows      Rows
+	Counters  *telemetry.Counters
+	Log       logr.Logger
+}
+
+// New returns a view that knows only this host.
+func New(p Parts) *Fleet {
+	return &Fleet{
+		period:    p.Period,
+		capacity:  p.Capacity,
+		peers:     p.Peers,
+		sizer:     p.Sizer,
+		directory: p.Directory,
+		rows:      p.Rows,
+		counters:  p.Counters,
+		log:       p.Log.WithName("member"),
+		now:       time.Now,
+		model:     p.Model,
+		heirs:     map[ticket.Incarnation]string{},
+		pulling:   map[string]bool{},
+	}
+}
+
+// Live returns the hosts that count as alive, this one included.
+func (f *Fleet) Live() []member.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.model.Live()
+}
+
+// Heirs returns the hosts that could take over this one's memory.
+func (f *Fleet) Heirs() []member.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.model.Heirs()
+}
+
+// Heir returns the peer address of the host that answers for an incarnation.
+func (f *Fleet) Heir(inc ticket.Incarnation) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	address, known := f.heirs[inc]
+	return address, known
+}
+
+// SetHeir notes which host answers for a stopped incarnation.
+func (f *Fleet) SetHeir(inc ticket.Incarnation, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addHeir(inc, address)
+}
+
+// addHeir runs under the lock and forgets the oldest beyond a bound.
+func (f *Fleet) addHeir(inc ticket.Incarnation, address string) {
+	if _, known := f.heirs[inc]; !known {
+		f.recent = append(f.recent, inc)
+	}
+	f.heirs[inc] = address
+	if len(f.recent) > heirsKept {
+		delete(f.heirs, f.recent[0])
+		f.recent = f.recent[1:]
+	}
+}
+
+// Stop tells the fleet, with the next heartbeat, that this host stops.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	f.stopping = true
+	f.mu.Unlock()
+	f.tick()
+}
+
+// seed adds addresses to look for hosts at.
+func (f *Fleet) seed(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.model.Update(f.now(), member.SeedMsg{Addresses: addresses})
+}
+
+// loop sends heartbeats until ctx ends.
+func (f *Fleet) loop(ctx context.Context) {
+	ticker := time.NewTicker(f.period)
+	defer ticker.Stop()
+	for {
+		f.tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *Fleet) tick() {
+	f.mu.Lock()
+	cmds := f.model.Update(f.now(), member.TickMsg{})
+	beat := f.beat()
+	f.mu.Unlock()
+	f.run(cmds, beat)
+}
+
+// beat runs under the lock.
+func (f *Fleet) beat() wire.Beat {
+	self := f.model.Self()
+	beat := wire.Beat{
+		Host:     self.Incarnation,
+		Address:  self.Address,
+		Domain:   self.Domain,
+		Count:    self.Count,
+		Listing:  f.directory.Revision(),
+		Revision: f.rows.Revision(),
+		Stopping: f.stopping,
+	}
+	for _, inc := range f.recent[max(0, len(f.recent)-heirsSent):] {
+		beat.Heirs = append(beat.Heirs, wire.Heir{
+			Host:    inc.String(),
+			Address: f.heirs[inc],
+		})
+	}
+	return beat
+}
+
+const (
+	heirsSent = 8    // the newest ones ride on each heartbeat
+	heirsKept = 2000 // several days of planned stops
+)
+
+func (f *Fleet) run(cmds []member.Cmd, beat wire.Beat) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case member.SendCmd:
+			own := beat
+			own.Known = knownOf(cmd.Known)
+			go f.send(cmd.Address, own)
+		case member.LiveCmd:
+			f.sizer.SetFleet(len(cmd.Hosts), f.capacity)
+			f.log.Info("fleet changed", "live", len(cmd.Hosts))
+		}
+	}
+}
+
+func (f *Fleet) send(address string, beat wire.Beat) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.period)
+	defer cancel()
+	f.counters.Messages("heartbeat", 1)
+	if err := f.peers.Send(ctx, address, wire.Frame{Beat: &beat}); err != nil {
+		f.log.V(1).Info("heartbeat not sent", "address", address, "error", err.Error())
+	}
+}
+
+func knownOf(hosts []member.Host) []wire.Known {
+	known := make([]wire.Known, 0, len(hosts))
+	for _, h := range hosts {
+		known = append(known, wire.Known{
+			Host:    h.Incarnation,
+			Address: h.Address,
+			Domain:  h.Domain,
+			Count:   h.Count,
+		})
+	}
+	return known
+}
+
+// ServeBeat takes a heartbeat from another host.
+func (f *Fleet) ServeBeat(_ context.Context, frame wire.Frame) (wire.Frame, bool) {
+	b := frame.Beat
+	msg := member.BeatMsg{
+		From: member.Host{
+			Incarnation: b.Host,
+			Address:     b.Address,
+			Domain:      b.Domain,
+			Count:       b.Count,
+		},
+		Stopping: b.Stopping,
+	}
+	for _, k := range b.Known {
+		msg.Known = append(msg.Known, member.Host{
+			Incarnation: k.Host,
+			Address:     k.Address,
+			Domain:      k.Domain,
+			Count:       k.Count,
+		})
+	}
+	f.mu.Lock()
+	cmds := f.model.Update(f.now(), msg)
+	f.learnHeirs(b.Heirs)
+	f.mu.Unlock()
+	f.run(cmds, wire.Beat{})
+	if b.Listing > f.directory.Revision() || b.Revision > f.rows.Revision() {
+		go f.pull(b.Address)
+	}
+	return wire.Frame{}, false
+}
+
+// learnHeirs runs under the lock.
+func (f *Fleet) learnHeirs(heirs []wire.Heir) {
+	for _, h := range heirs {
+		if inc, err := ticket.ParseIncarnation(h.Host); err == nil {
+			f.addHeir(inc, h.Address)
+		}
+	}
+}
+
+// pull fetches what a peer has newer; one pull a peer runs at a time.
+func (f *Fleet) pull(address string) {
+	f.mu.Lock()
+	busy := f.pulling[address]
+	f.pulling[address] = true
+	f.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		f.mu.Lock()
+		delete(f.pulling, address)
+		f.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	f.counters.Messages("pull", 1)
+	answer, err := f.peers.Call(ctx, address, wire.Frame{Pull: &wire.Pull{
+		Since:   f.rows.Revision(),
+		Listing: f.directory.Revision(),
+	}})
+	if err != nil || answer.Rows == nil {
+		return
+	}
+	if len(answer.Rows.Listing) > 0 {
+		if err := f.directory.OfferRaw(answer.Rows.Listing); err != nil {
+			f.log.Error(err, "host list from a peer", "address", address)
+		}
+	}
+	f.rows.Offer(answer.Rows.Revision, answer.Rows.Rows)
+}
+
+const pullTimeout = 5 * time.Second
+
+// ServePull answers a peer that has older rows or an older host list.
+func (f *Fleet) ServePull(_ context.Context, frame wire.Frame) (wire.Frame, bool) {
+	return wire.Frame{Rows: &wire.Rows{
+		Revision: f.rows.Revision(),
+		Rows:     f.rows.Newer(frame.Pull.Since),
+		Listing:  f.directory.Newer(frame.Pull.Listing),
+	}}, true
+}
--- /dev/null
+++ b/io/peer/handler.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+
+	"rosemarywalk/io/wire"
+)
+
+// Part names which part of a frame a handler serves.
+type Part string
+
+// The parts of a frame that ask for something.
+const (
+	PartCall   Part = "call"
+	PartBeat   Part = "beat"
+	PartPull   Part = "pull"
+	PartLegacy Part = "legacy"
+	PartAsk    Part = "ask"
+)
+
+// Handler serves one part; plug-ins provide them in the fx group "handlers".
+type Handler struct {
+	Part  Part
+	Serve func(ctx context.Context, f wire.Frame) (answer wire.Frame, ok bool)
+}
+
+// partOf returns what a frame asks for, or "" for an answer.
+func partOf(f wire.Frame) Part {
+	switch {
+	case f.Call != nil:
+		return PartCall
+	case f.Beat != nil:
+		return PartBeat
+	case f.Pull != nil:
+		return PartPull
+	case f.Legacy != nil:
+		return PartLegacy
+	case f.Ask != nil:
+		return PartAsk
+	}
+	return ""
+}
--- /dev/null
+++ b/io/peer/link.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"rosemarywalk/io/wire"
+)
+
+// ErrBroken says that a link broke before the answer came; the call may have
+// been received.
+const ErrBroken = errors.ConstError("peer link broke")
+
+// ErrNoLink says that no link could be made; the call was not sent.
+const ErrNoLink = errors.ConstError("peer can't be reached")
+
+const (
+	frameBytesMax = 256 << 20
+	writeTimeout  = 5 * time.Second
+)
+
+// link is one WebSocket connection with its pending calls.
+type link struct {
+	conn    *websocket.Conn
+	silence time.Duration
+
+	mu      sync.Mutex
+	next    int
+	pending map[int]chan wire.Frame
+	closed  bool
+	done    chan struct{}
+}
+
+func newLink(conn *websocket.Conn, silence time.Duration) *link {
+	conn.SetReadLimit(frameBytesMax)
+	return &link{
+		conn:    conn,
+		silence: silence,
+		pending: map[int]chan wire.Frame{},
+		done:    make(chan struct{}),
+	}
+}
+
+// register returns a number and a channel for one answer.
+func (l *link) register() (int, chan wire.Frame, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return 0, nil, false
+	}
+	l.next++
+	answer := make(chan wire.Frame, 1)
+	l.pending[l.next] = answer
+	return l.next, answer, true
+}
+
+func (l *link) forget(id int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+func (l *link) deliver(f wire.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answer := l.pending[f.Id]; answer != nil {
+		answer <- f
+		delete(l.pending, f.Id)
+	}
+}
+
+func (l *link) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		close(l.done)
+		_ = l.conn.CloseNow()
+	}
+}
+
+func (l *link) write(f wire.Frame) error {
+	raw, err := cbor.Marshal(f)
+	if err != nil {
+		return errors.Annotate(err, "encode frame")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
+		l.close()
+		return errors.Wrap(err, ErrBroken)
+	}
+	return nil
+}
+
+// read passes incoming frames on until the link breaks.
+func (l *link) read(serve func(wire.Frame)) {
+	defer l.close()
+	for {
+		_, raw, err := l.conn.Read(context.Background())
+		if err != nil {
+			return
+		}
+		var f wire.Frame
+		if err := cbor.Unmarshal(raw, &f); err != nil {
+			return
+		}
+		serve(f)
+	}
+}
+
+// watch closes the link when it answers no ping while calls are pending.
+func (l *link) watch() {
+	ticker := time.NewTicker(l.silence / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+			if l.busy() && !l.ping() {
+				l.close()
+				return
+			}
+		}
+	}
+}
+
+func (l *link) ping() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), l.silence)
+	defer cancel()
+	return l.conn.Ping(ctx) == nil
+}
+
+// call sends a frame and waits for its answer.
+func (l *link) call(ctx context.Context, f wire.Frame) (wire.Frame, error) {
+	id, answer, ok := l.register()
+	if !ok {
+		return wire.Frame{}, errors.Trace(ErrNoLink)
+	}
+	defer l.forget(id)
+	f.Id = id
+	if err := l.write(f); err != nil {
+		return wire.Frame{}, err
+	}
+	select {
+	case f := <-answer:
+		return f, nil
+	case <-l.done:
+		return wire.Frame{}, errors.Trace(ErrBroken)
+	case <-ctx.Done():
+		return wire.Frame{}, errors.Wrap(ctx.Err(), ErrBroken)
+	}
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-logr/logr"
+
+	"rosemarywalk/io/wire"
+)
+
+// Server takes links from other hosts.
+type Server struct {
+	handlers map[Part]Handler
+	log      logr.Logger
+
+	active atomic.Int64 // calls whose answers aren't written yet
+
+	mu    sync.Mutex
+	links map[*link]bool
+}
+
+// NewServer returns a server for the given handlers.
+func NewServer(handlers []Handler, log logr.Logger) *Server {
+	s := &Server{
+		handlers: map[Part]Handler{},
+		log:      log.WithName("peer"),
+		links:    map[*link]bool{},
+	}
+	for _, h := range handlers {
+		s.handlers[h.Part] = h
+	}
+	return s
+}
+
+// ServeHTTP turns a request into a link and serves it until it breaks.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		s.log.V(1).Info("link refused", "error", err.Error())
+		return
+	}
+	l := newLink(conn, 0)
+	s.track(l, true)
+	defer s.track(l, false)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.read(func(f wire.Frame) { s.serve(ctx, l, f) })
+}
+
+func (s *Server) track(l *link, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.links[l] = true
+	} else {
+		delete(s.links, l)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, l *link, f wire.Frame) {
+	h, ok := s.handlers[partOf(f)]
+	if !ok {
+		return
+	}
+	s.active.Add(1)
+	go func() {
+		defer s.active.Add(-1)
+		answer, ok := h.Serve(ctx, f)
+		if !ok || f.Id == 0 {
+			return
+		}
+		answer.Id = f.Id
+		if err := l.write(answer); err != nil {
+			s.log.V(1).Info("answer not delivered", "error", err.Error())
+		}
+	}()
+}
+
+// Finish waits until every call has its answer, or until ctx ends.
+func (s *Server) Finish(ctx context.Context) {
+	ticker := time.NewTicker(finishEvery)
+	defer ticker.Stop()
+	for s.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// finishEvery is how often Finish looks whether calls are open.
+const finishEvery = 10 * time.Millisecond
+
+// Close ends all links.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.links {
+		l.close()
+	}
+}
--- /dev/null
+++ b/io/platform/plugin.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/kernel"
+)
+
+const section = "platform"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  section,
+		Order: 40,
+		Settings: settings.Section{
+			Name: section,
+			Help: "The platform's table, object store and host list.",
+			Keys: []settings.Key{
+				{
+					Name:     "url",
+					Default:  "http://127.0.0.1:7900",
+					Help:     "Where the platform answers.",
+					Required: true,
+					Kind:     settings.URL{},
+				},
+				{
+					Name:    "timeout",
+					Default: "2s",
+					Help:    "Longest wait for an answer.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "poll",
+					Default: "1s",
+					Help:    "How often the host list is read.",
+					Kind: settings.Duration{
+						Min: 50 * time.Millisecond,
+						Max: 2 * time.Second,
+					},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(
+				newClient,
+				func(d *dispatch.Dispatcher) *Directory { return NewDirectory(d) },
+			),
+			fx.Invoke(poll),
+		),
+	})
+}
+
+func newClient(s settings.Settings) *Client {
+	return New(s.Text(section, "url"), s.Duration(section, "timeout"))
+}
+
+// poller reads the host list again and again.
+type poller struct {
+	client    *Client
+	directory *Directory
+	every     time.Duration
+	counters  *telemetry.Counters
+	log       logr.Logger
+	failing   bool
+}
+
+func poll(lc fx.Lifecycle, s settings.Settings, c *Client, d *Directory, counters *telemetry.Counters, log logr.Logger) {
+	p := &poller{
+		client:    c,
+		directory: d,
+		every:     s.Duration(section, "poll"),
+		counters:  counters,
+		log:       log.WithName(section),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go p.loop(ctx) }, func() { cancel() }))
+}
+
+func (p *poller) loop(ctx context.Context) {
+	ticker := time.NewTicker(p.every)
+	defer ticker.Stop()
+	for {
+		p.once(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *poller) once(ctx context.Context) {
+	p.counters.Messages("listpoll", 1)
+	listing, changed, err := p.client.Hosts(ctx, p.directory.Revision())
+	if ctx.Err() != nil {
+		return
+	}
+	if failing := err != nil; failing != p.failing {
+		p.failing = failing
+		p.log.Info("host list", "reachable", !failing)
+	}
+	if changed && p.directory.Offer(listing) {
+		p.log.Info("host list changed", "revision", listing.Revision, "hosts", len(listing.Hosts))
+	}
+}
--- /dev/null
+++ b/io/plugins/plugins.go
@@ -0,0 +1,19 @@
+// Package plugins links every plug-in of the host process.
+package plugins
+
+import (
+	// Each of these registers itself with the kernel.
+	_ "rosemarywalk/io/caller"
+	_ "rosemarywalk/io/config"
+	_ "rosemarywalk/io/dispatch"
+	_ "rosemarywalk/io/drain"
+	_ "rosemarywalk/io/executor"
+	_ "rosemarywalk/io/feed"
+	_ "rosemarywalk/io/host"
+	_ "rosemarywalk/io/member"
+	_ "rosemarywalk/io/operator"
+	_ "rosemarywalk/io/peer"
+	_ "rosemarywalk/io/platform"
+	_ "rosemarywalk/io/ready"
+	_ "rosemarywalk/io/telemetry"
+)
--- /dev/null
+++ b/io/ready/doc.go
@@ -0,0 +1,3 @@
+// Package ready is the plug-in that tells the platform's balancer whether
+// this host wants new callers.
+package ready
--- /dev/null
+++ b/io/server/doc.go
@@ -0,0 +1,2 @@
+// Package server starts and stops an HTTP listener.
+package server
--- /dev/null
+++ b/io/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry is the plug-in for logs and metrics.
+package telemetry
--- /dev/null
+++ b/io/telemetry/metrics.go
@@ -0,0 +1,81 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"rosemarywalk/core"
+)
+
+// NewRegistry returns a registry with the process's own metrics.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
+
+// Counters counts what the host refused, retried, failed and sent.
+type Counters struct {
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	messages *prometheus.CounterVec
+	starts   prometheus.Counter
+	jobs     *prometheus.CounterVec
+}
+
+// NewCounters registers the counters, one series for each reason from the start.
+func NewCounters(r *prometheus.Registry) *Counters {
+	c := &Counters{
+		refusals: vector("refusals_total", "Submissions refused before anything ran.", "reason"),
+		retries:  vector("retries_total", "Tasks and calls tried again.", "reason"),
+		failures: vector("failures_total", "Jobs that failed after being accepted.", "reason"),
+		messages: vector("messages_total", "Messages that carried no task and no answer.", "kind"),
+		jobs:     vector("jobs_total", "Jobs finished.", "state"),
+		starts: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "starts_total",
+			Help:      "Tasks sent to a backend server.",
+		}),
+	}
+	for _, reason := range core.Reasons() {
+		c.refusals.WithLabelValues(string(reason))
+		c.retries.WithLabelValues(string(reason))
+		c.failures.WithLabelValues(string(reason))
+	}
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.jobs, c.starts)
+	return c
+}
+
+const namespace = "rosemarywalk"
+
+func vector(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, []string{label})
+}
+
+// Refused counts a refusal.
+func (c *Counters) Refused(reason core.Reason) { c.refusals.WithLabelValues(string(reason)).Inc() }
+
+// Retried counts a retry.
+func (c *Counters) Retried(reason core.Reason) { c.retries.WithLabelValues(string(reason)).Inc() }
+
+// Failed counts a failed job.
+func (c *Counters) Failed(reason core.Reason) { c.failures.WithLabelValues(string(reason)).Inc() }
+
+// Messages counts n messages of a kind that carry no task and no answer.
+func (c *Counters) Messages(kind string, n int) {
+	c.messages.WithLabelValues(kind).Add(float64(n))
+}
+
+// Started counts a task sent to a backend server.
+func (c *Counters) Started() { c.starts.Inc() }
+
+// Finished counts a finished job by its state.
+func (c *Counters) Finished(state string) { c.jobs.WithLabelValues(state).Inc() }
--- /dev/null
+++ b/io/telemetry/plugin.go
@@ -0,0 +1,38 @@
+package telemetry
+
+import (
+	"go.uber.org/fx"
+
+	"rosemarywalk/io/settings"
+	"rosemarywalk/kernel"
+)
+
+const section = "log"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  "telemetry",
+		Order: 0,
+		Settings: settings.Section{
+			Name: section,
+			Help: "Logs, written to standard error.",
+			Keys: []settings.Key{
+				{
+					Name:    "format",
+					Default: "json",
+					Help:    "How log lines look.",
+					Kind:    settings.Choice{Of: []string{"json", "console"}},
+				},
+				{
+					Name:    "level",
+					Default: "info",
+					Help:    "The least important lines that are written.",
+					Kind:    settings.Choice{Of: []string{"debug", "info", "error"}},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(NewLogger, NewRegistry, NewCounters),
+		),
+	})
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,74 @@
+package kernel
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"rosemarywalk/io/settings"
+)
+
+// Plugin is one part of the process.
+type Plugin struct {
+	Name     string
+	Order    int // start order, lowest first; stop order is the reverse
+	Settings settings.Section
+	Module   fx.Option
+}
+
+// registry holds the plug-ins of this program.
+type registry struct {
+	mu      sync.Mutex
+	plugins []Plugin
+}
+
+var plugins registry
+
+// Register adds a plug-in; packages call it from init.
+func Register(p Plugin) {
+	plugins.mu.Lock()
+	defer plugins.mu.Unlock()
+	plugins.plugins = append(plugins.plugins, p)
+}
+
+// Plugins returns the registered plug-ins in start order.
+func Plugins() []Plugin {
+	plugins.mu.Lock()
+	defer plugins.mu.Unlock()
+	sorted := slices.Clone(plugins.plugins)
+	slices.SortStableFunc(sorted, func(a, b Plugin) int {
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
+	})
+	return sorted
+}
+
+// Schema returns the settings sections of all plug-ins.
+func Schema() []settings.Section {
+	var schema []settings.Section
+	for _, p := range Plugins() {
+		if p.Settings.Name != "" {
+			schema = append(schema, p.Settings)
+		}
+	}
+	return schema
+}
+
+// stopMargin is added to the drain limit for the stop of everything else.
+const stopMargin = 30 * time.Second
+
+// New returns an application of all plug-ins; more options may be added.
+func New(s settings.Settings, more ...fx.Option) *fx.App {
+	options := []fx.Option{
+		fx.Supply(s),
+		fx.StopTimeout(s.Duration("drain", "limit") + stopMargin),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	}
+	for _, p := range Plugins() {
+		options = append(options, fx.Module(p.Name, p.Module))
+	}
+	return fx.New(append(options, more...)...)
+}
