--- a/cmd/rosemarywalk/serve.go
+++ b/cmd/rosemarywalk/serve.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
 	"runtime/debug"
 
 	"github.com/juju/errors"
-	"go.uber.org/fx"
 
 	"rosemarywalk/io/settings"
 	"rosemarywalk/kernel"
@@ -22,32 +19,7 @@
 }
 
 // Run serves until a signal, then stops as planned.
-func (c *serveCmd) Run() error {
-	raw, err := os.ReadFile(c.Settings)
-	if err != nil {
-		return errors.Annotate(err, "read settings")
-	}
-	s, err := settings.Parse(c.Settings, raw, kernel.Schema())
-	if err != nil {
-		return err
-	}
-	return serve(kernel.New(s))
-}
-
-func serve(app *fx.App) error {
-	if err := app.Err(); err != nil {
-		return errors.Annotate(err, "build host")
-	}
-	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
-	defer cancel()
-	if err := app.Start(start); err != nil {
-		return errors.Annotate(err, "start host")
-	}
-	<-app.Wait()
-	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancel()
-	return errors.Annotate(app.Stop(stop), "stop host")
-}
+func (c *serveCmd) Run() error { return kernel.Run(c.Settings) }
 
 // settingsCmd prints the defaults.
 type settingsCmd struct{}
--- a/core/job/model.go
+++ b/core/job/model.go
@@ -78,6 +78,9 @@
 // Owns reports whether the Model answers for an incarnation's tickets.
 func (m *Model) Owns(inc ticket.Incarnation) bool { return m.ledgers[inc] != nil }
 
+// Adopted returns how many stopped incarnations the Model answers for.
+func (m *Model) Adopted() int { return len(m.adopted) }
+
 // HeldBytes returns the size of all answers held, in bytes.
 func (m *Model) HeldBytes() int { return m.heldBytes }
 
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -1,7 +1,7 @@
 package caller
 
 import (
-	"encoding/json"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +10,8 @@
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 
+	"rosemarywalk/core"
+	"rosemarywalk/core/job"
 	"rosemarywalk/io/wire"
 )
 
@@ -25,9 +27,10 @@
 	lookLongest = 5 * time.Minute
 )
 
-// Claims turns an idempotency key into the ticket that stands for it.
+// Claims turns an idempotency key into the ticket that stands for it: the
+// fresh one, or the one of an earlier submission.
 type Claims interface {
-	Claim(r *http.Request, key string, body []byte) (ticket string, refusal *Response)
+	Claim(ctx context.Context, key, fresh string) (ticket string, err error)
 }
 
 // Handler is the callers' HTTP interface.
@@ -36,7 +39,7 @@
 	claims  Claims
 }
 
-// NewHandler returns the callers' HTTP interface; claims may be nil.
+// NewHandler returns the callers' HTTP interface.
 func NewHandler(s *Service, claims Claims) *Handler {
 	return &Handler{
 		service: s,
@@ -103,13 +106,36 @@
 		return "", false
 	case t != "":
 		return t, true
-	case key == "" || h.claims == nil:
+	case key == "":
 		write(w, invalid(http.StatusBadRequest, errors.New("header Ticket or Idempotency-Key is missing; POST /tickets gives tickets")))
 		return "", false
+	case len(key) > keyBytesMost:
+		write(w, invalid(http.StatusBadRequest, errors.Errorf("header Idempotency-Key is over %d bytes", keyBytesMost)))
+		return "", false
+	}
+	// Bad input must not use up a key.
+	if _, err := parseJob(body, h.service.limits); err != nil {
+		write(w, invalid(http.StatusBadRequest, err))
+		return "", false
+	}
+	return h.claim(w, r, key)
+}
+
+// keyBytesMost bounds an idempotency key.
+const keyBytesMost = 200
+
+// claim can't say "not run" when the table doesn't answer: an earlier
+// submission with this key may have run at any host.
+func (h *Handler) claim(w http.ResponseWriter, r *http.Request, key string) (string, bool) {
+	fresh, err := h.service.Tickets(1)
+	if err != nil {
+		write(w, invalid(http.StatusInternalServerError, err))
+		return "", false
 	}
-	t, refusal := h.claims.Claim(r, key, body)
-	if refusal != nil {
-		write(w, *refusal)
+	t, err := h.claims.Claim(r.Context(), key, fresh[0])
+	if err != nil {
+		h.service.counters.Refused(core.ReasonStore)
+		write(w, failed(job.Failed(core.RanMaybe, core.ReasonStore)))
 		return "", false
 	}
 	return t, true
@@ -224,10 +250,3 @@
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(r.Body)
 }
-
-// ReadTickets reads the answer of POST /tickets.
-func ReadTickets(raw []byte) ([]string, error) {
-	var body ticketsBody
-	err := json.Unmarshal(raw, &body)
-	return body.Tickets, errors.Annotate(err, "read tickets")
-}
--- a/io/caller/plugin.go
+++ b/io/caller/plugin.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"rosemarywalk/core/ticket"
+	"rosemarywalk/io/claim"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
 	"rosemarywalk/io/member"
@@ -127,9 +128,9 @@
 // Server is the callers' listener; a planned stop shuts it down.
 type Server struct{ *server.Server }
 
-func newServer(s settings.Settings, service *Service, flag *ready.Flag, log logr.Logger) Server {
+func newServer(s settings.Settings, service *Service, claims *claim.Claimer, flag *ready.Flag, log logr.Logger) Server {
 	router := mux.NewRouter()
-	NewHandler(service, nil).Routes(router)
+	NewHandler(service, claims).Routes(router)
 	router.HandleFunc("/readyz", flag.Readyz).Methods(http.MethodGet)
 	router.HandleFunc("/livez", flag.Livez).Methods(http.MethodGet)
 	return Server{Server: server.New(section, s.Text(section, "listen"), router, log)}
--- /dev/null
+++ b/io/claim/plugin.go
@@ -0,0 +1,105 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rosemarywalk/io/platform"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/kernel"
+)
+
+const (
+	section = "claim"
+	// sweepEvery is how often a host looks for claims past their retention.
+	sweepEvery = 5 * time.Minute
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:  section,
+		Order: 42,
+		Settings: settings.Section{
+			Name: section,
+			Help: "Idempotency keys of callers, kept in the platform's table.",
+			Keys: []settings.Key{
+				{
+					Name:    "commits",
+					Default: "200",
+					Help:    "Commits per second that all hosts together may make.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
+				{
+					Name:    "group",
+					Default: "200",
+					Help:    "Most claims in one commit.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 10000,
+					},
+				},
+				{
+					Name:    "timeout",
+					Default: "5s",
+					Help:    "Longest wait for a claim.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "retention",
+					Default: "48h",
+					Help:    "How long a key is remembered; a caller must not use it again later.",
+					Kind: settings.Duration{
+						Min: time.Second,
+						Max: 1000 * time.Hour,
+					},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(newClaimer),
+			fx.Invoke(run),
+		),
+	})
+}
+
+func newClaimer(s settings.Settings, c *platform.Client) *Claimer {
+	commits := s.Integer(section, "commits")
+	return New(c, Limits{
+		Interval:  time.Second * time.Duration(s.Integer("fleet", "hosts")) / time.Duration(commits),
+		Group:     s.Integer(section, "group"),
+		Timeout:   s.Duration(section, "timeout"),
+		Retention: s.Duration(section, "retention"),
+	})
+}
+
+func run(lc fx.Lifecycle, c *Claimer, log logr.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() {
+		go c.Loop(ctx)
+		go c.sweepLoop(ctx, log.WithName(section))
+	}, func() { cancel() }))
+}
+
+func (c *Claimer) sweepLoop(ctx context.Context, log logr.Logger) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if n, err := c.Sweep(ctx); err == nil && n > 0 {
+				log.Info("claims deleted", "count", n)
+			}
+		}
+	}
+}
--- a/io/dispatch/fleet.go
+++ b/io/dispatch/fleet.go
@@ -119,6 +119,7 @@
 	Usable      int
 	Running     int
 	HeldBytes   int
+	Adopted     int // stopped incarnations that this host answers for
 }
 
 // Load returns the sums over all services.
@@ -135,6 +136,7 @@
 	for _, s := range d.shards {
 		s.mu.Lock()
 		sum.HeldBytes += s.model.HeldBytes()
+		sum.Adopted = s.model.Adopted()
 		s.mu.Unlock()
 	}
 	return sum
--- a/io/drain/plugin.go
+++ b/io/drain/plugin.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/caller"
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/ready"
@@ -100,7 +101,7 @@
 	h := &heir{
 		dispatcher: d,
 		fleet:      f,
-		address:    s.Text("peer", "listen"),
+		address:    local.PeerAddress(s),
 		log:        log.WithName(section),
 	}
 	return served{Legacy: peer.Handler{
--- a/io/executor/client.go
+++ b/io/executor/client.go
@@ -20,7 +20,6 @@
 
 const (
 	idleTimeout    = 20 * time.Second
-	keepAlive      = 15 * time.Second
 	contentDefault = "application/json"
 )
 
@@ -43,9 +42,8 @@
 
 // Limits bounds one client.
 type Limits struct {
-	Connections int           // to one backend server, from this host
-	Dial        time.Duration // longest wait for a connection
-	Answer      int           // largest answer, in bytes
+	Connections int // to one backend server, from this host
+	Answer      int // largest answer, in bytes
 }
 
 // Client sends tasks over HTTP.
@@ -55,11 +53,7 @@
 }
 
 // New returns a client with its own connections.
-func New(limits Limits) *Client {
-	dialer := &net.Dialer{
-		Timeout:   limits.Dial,
-		KeepAlive: keepAlive,
-	}
+func New(limits Limits, dialer *net.Dialer) *Client {
 	return &Client{
 		limits: limits,
 		transport: &http.Transport{
--- a/io/executor/plugin.go
+++ b/io/executor/plugin.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/kernel"
 )
@@ -56,9 +57,8 @@
 	share := max(1, s.Integer(section, "connections")/s.Integer("fleet", "hosts"))
 	c := New(Limits{
 		Connections: share,
-		Dial:        s.Duration(section, "dial"),
 		Answer:      s.Integer(section, "answer"),
-	})
+	}, local.Dialer(s, s.Duration(section, "dial")))
 	lc.Append(fx.StopHook(c.Close))
 	return c
 }
--- a/io/feed/plugin.go
+++ b/io/feed/plugin.go
@@ -9,6 +9,7 @@
 
 	coremember "rosemarywalk/core/member"
 	"rosemarywalk/io/config"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/settings"
@@ -73,7 +74,7 @@
 		table:    c,
 		store:    store,
 		fleet:    fleet,
-		address:  s.Text("peer", "listen"),
+		address:  local.PeerAddress(s),
 		domain:   s.Text("host", "domain"),
 		pause:    s.Duration(section, "pause"),
 		wait:     s.Duration(section, "wait"),
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"rosemarywalk/core/ticket"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/kernel"
 )
@@ -74,5 +75,5 @@
 }
 
 func newIssuer(inc ticket.Incarnation, s settings.Settings) *ticket.Issuer {
-	return ticket.NewIssuer(inc, s.Text("peer", "listen"), s.Text(section, "domain"))
+	return ticket.NewIssuer(inc, local.PeerAddress(s), s.Text(section, "domain"))
 }
--- a/io/member/plugin.go
+++ b/io/member/plugin.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/settings"
@@ -93,7 +94,7 @@
 	seed := binary.BigEndian.Uint64(n.Incarnation[:])
 	self := member.Host{
 		Incarnation: n.Incarnation.String(),
-		Address:     n.Settings.Text("peer", "listen"),
+		Address:     local.PeerAddress(n.Settings),
 		Domain:      n.Settings.Text("host", "domain"),
 	}
 	limits := member.Limits{
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -52,6 +52,7 @@
 	Running     int                `json:"running"`
 	Servers     int                `json:"servers"`
 	Usable      int                `json:"usable"`
+	Heirs       int                `json:"heirs"` // stopped hosts that this one answers for
 	InForce     []document.InForce `json:"inforce"`
 }
 
@@ -92,6 +93,7 @@
 		Running:     load.Running,
 		Servers:     load.Servers,
 		Usable:      load.Usable,
+		Heirs:       load.Adopted,
 		InForce:     h.store.InForce(),
 	}
 }
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/platform"
@@ -63,7 +64,7 @@
 	return &Handler{
 		self: coremember.Host{
 			Incarnation: n.Incarnation.String(),
-			Address:     n.Settings.Text("peer", "listen"),
+			Address:     local.PeerAddress(n.Settings),
 			Domain:      n.Settings.Text("host", "domain"),
 		},
 		registry:   n.Registry,
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 // Links is this host's links to other hosts, by peer address.
 type Links struct {
 	dial     time.Duration
+	http     *http.Client
 	silence  time.Duration
 	counters *telemetry.Counters
 	log      logr.Logger
@@ -32,10 +35,11 @@
 	link *link
 }
 
-// New returns an empty set of links.
-func New(dial, silence time.Duration, counters *telemetry.Counters, log logr.Logger) *Links {
+// New returns an empty set of links; the dialer's timeout bounds a handshake too.
+func New(dialer *net.Dialer, silence time.Duration, counters *telemetry.Counters, log logr.Logger) *Links {
 	return &Links{
-		dial:     dial,
+		dial:     dialer.Timeout,
+		http:     &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 		silence:  silence,
 		counters: counters,
 		log:      log.WithName("peer"),
@@ -63,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.dial)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, nil)
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{HTTPClient: l.http})
 	if err != nil {
 		return nil, errors.Wrap(err, ErrNoLink)
 	}
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/server"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/io/telemetry"
@@ -25,10 +26,16 @@
 				{
 					Name:     "listen",
 					Default:  "127.0.0.1:7100",
-					Help:     "Where this host takes links; other hosts dial this very address.",
+					Help:     "Where this host takes links. Its outgoing connections come from the same IP number.",
 					Required: true,
 					Kind:     settings.Address{},
 				},
+				{
+					Name:    "advertise",
+					Default: "",
+					Help:    "Address that other hosts dial, when it isn't the one above.",
+					Kind:    settings.Addresses{},
+				},
 				{
 					Name:    "seeds",
 					Default: "",
@@ -63,7 +70,7 @@
 }
 
 func newLinks(lc fx.Lifecycle, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Links {
-	l := New(s.Duration(section, "dial"), s.Duration(section, "silence"), counters, log)
+	l := New(local.Dialer(s, s.Duration(section, "dial")), s.Duration(section, "silence"), counters, log)
 	lc.Append(fx.StopHook(l.Close))
 	return l
 }
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -40,6 +40,7 @@
 	Key     string          `json:"key"`
 	Version int             `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	Delete  bool            `json:"delete,omitempty"` // remove the row instead
 }
 
 // Result is what became of one Write of a Commit.
@@ -87,12 +88,12 @@
 	http    *http.Client
 }
 
-// New returns a client for the platform at a base URL.
-func New(base string, timeout time.Duration) *Client {
+// New returns a client for the platform at a base URL; timeout is for one call.
+func New(base string, timeout time.Duration, dialer *net.Dialer) *Client {
 	return &Client{
 		base:    base,
 		timeout: timeout,
-		http:    &http.Client{},
+		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 	}
 }
 
@@ -224,19 +225,31 @@
 	return results[0].Row, nil
 }
 
+// Oldest returns the rows under a prefix that were written longest ago.
+func (c *Client) Oldest(ctx context.Context, prefix string, limit int) (Feed, error) {
+	return c.feed(ctx, url.Values{
+		"prefix": {prefix},
+		"limit":  {strconv.Itoa(limit)},
+	}, 0)
+}
+
 // Changes returns rows under a prefix that changed since a revision, and waits
 // up to timeout for the first one.
 func (c *Client) Changes(ctx context.Context, prefix string, since int, timeout time.Duration) (Feed, error) {
+	return c.feed(ctx, url.Values{
+		"prefix":  {prefix},
+		"since":   {strconv.Itoa(since)},
+		"timeout": {strconv.Itoa(int(timeout / time.Millisecond))},
+	}, timeout)
+}
+
+func (c *Client) feed(ctx context.Context, query url.Values, wait time.Duration) (Feed, error) {
 	var feed Feed
 	status, raw, err := c.do(ctx, call{
 		method: http.MethodGet,
 		path:   "/table",
-		query: url.Values{
-			"prefix":  {prefix},
-			"since":   {strconv.Itoa(since)},
-			"timeout": {strconv.Itoa(int(timeout / time.Millisecond))},
-		},
-		wait: timeout,
+		query:  query,
+		wait:   wait,
 	})
 	switch {
 	case err != nil:
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/local"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
@@ -61,7 +62,8 @@
 }
 
 func newClient(s settings.Settings) *Client {
-	return New(s.Text(section, "url"), s.Duration(section, "timeout"))
+	timeout := s.Duration(section, "timeout")
+	return New(s.Text(section, "url"), timeout, local.Dialer(s, timeout))
 }
 
 // poller reads the host list again and again.
--- a/io/plugins/plugins.go
+++ b/io/plugins/plugins.go
@@ -4,6 +4,7 @@
 import (
 	// Each of these registers itself with the kernel.
 	_ "rosemarywalk/io/caller"
+	_ "rosemarywalk/io/claim"
 	_ "rosemarywalk/io/config"
 	_ "rosemarywalk/io/dispatch"
 	_ "rosemarywalk/io/drain"
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"context"
+	"os"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -72,3 +75,31 @@
 	}
 	return fx.New(append(options, more...)...)
 }
+
+// Run reads a settings file and runs the process until a signal stops it.
+func Run(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Annotate(err, "read settings")
+	}
+	s, err := settings.Parse(file, raw, Schema())
+	if err != nil {
+		return err
+	}
+	return serve(New(s))
+}
+
+func serve(app *fx.App) error {
+	if err := app.Err(); err != nil {
+		return errors.Annotate(err, "build host")
+	}
+	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return errors.Annotate(err, "start host")
+	}
+	<-app.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return errors.Annotate(app.Stop(stop), "stop host")
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -218,8 +218,9 @@
 	since, _ := strconv.Atoi(query.Get("since"))
 	timeout, _ := strconv.Atoi(query.Get("timeout"))
 	deadline := time.After(time.Duration(timeout) * time.Millisecond)
+	limit, _ := strconv.Atoi(query.Get("limit"))
 	for {
-		feed, changed := p.changes(query.Get("prefix"), since)
+		feed, changed := p.changes(query.Get("prefix"), since, limit)
 		if len(feed.Rows) > 0 {
 			write(w, feed)
 			return
@@ -235,18 +236,22 @@
 	}
 }
 
-func (p *Platform) changes(prefix string, since int) (platform.Feed, chan struct{}) {
+func (p *Platform) changes(prefix string, since, limit int) (platform.Feed, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	feed := platform.Feed{
 		Revision: p.revision,
 		Rows:     []platform.Row{},
 	}
-	for _, k := range slices.Sorted(maps.Keys(p.rows)) {
-		if row := p.rows[k]; strings.HasPrefix(k, prefix) && row.Revision > since {
+	for k, row := range p.rows {
+		if strings.HasPrefix(k, prefix) && row.Revision > since {
 			feed.Rows = append(feed.Rows, row)
 		}
 	}
+	slices.SortFunc(feed.Rows, func(a, b platform.Row) int { return a.Revision - b.Revision })
+	if limit > 0 && len(feed.Rows) > limit {
+		feed.Rows = feed.Rows[:limit]
+	}
 	return feed, p.changed
 }
 
@@ -273,6 +278,10 @@
 		return platform.Result{Row: row}
 	}
 	p.revision++
+	if change.Delete {
+		delete(p.rows, change.Key)
+		return platform.Result{Applied: true}
+	}
 	row = platform.Row{
 		Key:      change.Key,
 		Version:  change.Version + 1,
