--- a/core/member/model.go
+++ b/core/member/model.go
@@ -256,6 +256,18 @@
 	return live
 }
 
+// Holders returns the hosts that may hold tasks: the live ones, and the silent
+// ones that nobody saw stop. A host that was cut off goes on serving.
+func (m *Model) Holders() []Host {
+	holders := []Host{m.self}
+	for _, p := range m.sorted() {
+		if p.host.Incarnation != "" && !p.stopping {
+			holders = append(holders, p.host)
+		}
+	}
+	return holders
+}
+
 // Heirs returns live hosts that aren't stopping, own failure domain first.
 func (m *Model) Heirs() []Host {
 	var own, foreign []Host
--- a/core/place/model.go
+++ b/core/place/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,6 +43,7 @@
 	jobs        map[ticket.ID]*jobState
 	teams       map[string]int // open tasks by team
 	quotas      map[string]int
+	turned      map[string]int // tasks refused for a quota, by team
 	hosts       int
 	capacity    int
 	outstanding int
@@ -59,6 +61,7 @@
 		byID:     map[string]*backend{},
 		jobs:     map[ticket.ID]*jobState{},
 		teams:    map[string]int{},
+		turned:   map[string]int{},
 		hosts:    1,
 		capacity: 1,
 	}
@@ -80,6 +83,17 @@
 	return len(m.servers), usable
 }
 
+// Demand returns the tasks of each team that are here, or were refused for
+// its quota since the last call.
+func (m *Model) Demand() map[string]int {
+	demand := maps.Clone(m.teams)
+	for team, n := range m.turned {
+		demand[team] += n
+	}
+	clear(m.turned)
+	return demand
+}
+
 // Update takes one message and returns what has to be done about it.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
 	var cmds []Cmd
@@ -151,6 +165,7 @@
 	}
 	quota, limited := m.quotas[msg.Job.Team]
 	if limited && m.teams[msg.Job.Team]+msg.Job.Tasks > quota {
+		m.turned[msg.Job.Team] += msg.Job.Tasks
 		return core.ReasonQuota, max(m.took, retryAfterLeast)
 	}
 	wait := m.wait(now, m.queue.Ahead(msg.Job)+msg.Job.Tasks)
@@ -277,6 +292,9 @@
 func (m *Model) settle(id ticket.ID, job *jobState, n int) {
 	job.open -= n
 	m.teams[job.team] -= n
+	if m.teams[job.team] == 0 {
+		delete(m.teams, job.team)
+	}
 	if job.open == 0 {
 		delete(m.jobs, id)
 		m.queue.Remove(id)
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -174,7 +174,7 @@
 	}
 	var o Outcome
 	if err := json.Unmarshal(raw, &o); err != nil {
-		return Outcome{}, errors.Wrap(err, ErrUnknown)
+		return Outcome{}, errors.WithType(err, ErrUnknown)
 	}
 	o.Status = status
 	o.After, _ = strconv.Atoi(header.Get("Retry-After"))
@@ -191,12 +191,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, nil, nil, errors.Wrap(err, ErrUnknown)
+		return 0, nil, nil, errors.WithType(err, ErrUnknown)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil, nil, errors.Wrap(err, ErrUnknown)
+		return 0, nil, nil, errors.WithType(err, ErrUnknown)
 	}
 	return response.StatusCode, response.Header, raw, nil
 }
--- a/io/config/store.go
+++ b/io/config/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"rosemarywalk/core/document"
@@ -12,9 +14,9 @@
 	"rosemarywalk/io/wire"
 )
 
-// Teams takes the teams' weights and quotas.
+// Teams takes the teams' weights.
 type Teams interface {
-	SetTeams(weights map[string]float64, quotas map[string]int)
+	SetWeights(weights map[string]float64)
 }
 
 // Store holds the document's rows at this host.
@@ -27,6 +29,9 @@
 	model    *document.Model
 	rows     map[string]platform.Row
 	revision int
+	print    uint64
+	quotas   map[string]int // by team, of what is in force
+	changed  func(quotas map[string]int)
 	owners   map[string]string // team by service, of what is in force
 }
 
@@ -59,13 +64,45 @@
 	return service
 }
 
-// Newer returns the rows changed since a revision, for a peer.
-func (s *Store) Newer(since int) []wire.Row {
+// Print returns a fingerprint of the rows held: two hosts with the same one
+// have the same versions of the same rows.
+func (s *Store) Print() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(int64(s.print))
+}
+
+// digest is one row's part of the fingerprint; the parts are combined by
+// exclusive or, so their order doesn't matter and each can be taken out again.
+func digest(key string, version int) uint64 {
+	return xxhash.Sum64String(key + "\x00" + strconv.Itoa(version))
+}
+
+// Have returns the versions of the rows held.
+func (s *Store) Have() []wire.Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	marks := make([]wire.Mark, 0, len(s.rows))
+	for _, r := range s.rows {
+		marks = append(marks, wire.Mark{
+			Key:     r.Key,
+			Version: r.Version,
+		})
+	}
+	return marks
+}
+
+// Newer returns the rows that a peer lacks or has an older version of.
+func (s *Store) Newer(have []wire.Mark) []wire.Row {
+	versions := make(map[string]int, len(have))
+	for _, m := range have {
+		versions[m.Key] = m.Version
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []wire.Row
 	for _, r := range s.rows {
-		if r.Revision > since {
+		if r.Version > versions[r.Key] {
 			rows = append(rows, wire.Row{
 				Key:      r.Key,
 				Version:  r.Version,
@@ -77,8 +114,8 @@
 	return rows
 }
 
-// Offer takes rows from a peer that has every row up to a revision.
-func (s *Store) Offer(revision int, rows []wire.Row) {
+// Offer takes rows from a peer.
+func (s *Store) Offer(rows []wire.Row) {
 	converted := make([]platform.Row, 0, len(rows))
 	for _, r := range rows {
 		converted = append(converted, platform.Row{
@@ -88,10 +125,11 @@
 			Value:    r.Value,
 		})
 	}
-	s.learn(revision, converted)
+	s.learn(0, converted)
 }
 
-// learn takes rows; a revision of 0 says that rows in between may be missing.
+// learn takes rows. Only the table's own feed has every row up to a revision;
+// rows from elsewhere come with revision 0.
 func (s *Store) learn(revision int, rows []platform.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +142,10 @@
 			s.log.Error(err, "row can't be read", "key", r.Key, "version", r.Version)
 			continue
 		}
+		if old, known := s.rows[r.Key]; known {
+			s.print ^= digest(r.Key, old.Version)
+		}
+		s.print ^= digest(r.Key, r.Version)
 		s.rows[r.Key] = r
 		s.run(s.model.Update(s.now(), document.RecordMsg{Record: record}))
 	}
@@ -140,8 +182,26 @@
 			}
 		}
 	}
-	s.owners = owners
-	s.teams.SetTeams(weights, quotas)
+	s.owners, s.quotas = owners, quotas
+	s.teams.SetWeights(weights)
+	if s.changed != nil {
+		s.changed(quotas)
+	}
+}
+
+// Watch calls a function with the quotas whenever they change. It runs under
+// the store's lock, and must not call the store.
+func (s *Store) Watch(changed func(quotas map[string]int)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed = changed
+}
+
+// Quotas returns the quotas in force, by team; a team without one has no limit.
+func (s *Store) Quotas() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quotas
 }
 
 // InForce returns what is in force at this host.
--- a/io/dispatch/fleet.go
+++ b/io/dispatch/fleet.go
@@ -23,15 +23,32 @@
 	d.tell(msg)
 }
 
-// SetTeams sets the teams' weights, and how many tasks of each may be here.
-func (d *Dispatcher) SetTeams(weights map[string]float64, quotas map[string]int) {
+// SetWeights sets the teams' weights.
+func (d *Dispatcher) SetWeights(weights map[string]float64) {
 	d.mu.Lock()
-	d.weight, d.quotas = weights, quotas
+	d.weight = weights
 	d.mu.Unlock()
 	d.tell(place.WeightsMsg{Weights: weights})
+}
+
+// SetQuotas sets how many tasks of each team may be at this host.
+func (d *Dispatcher) SetQuotas(quotas map[string]int) {
+	d.mu.Lock()
+	d.quotas = quotas
+	d.mu.Unlock()
 	d.tell(place.QuotaMsg{Quotas: quotas})
 }
 
+// Demand returns the tasks of each team that are here or were refused for its
+// quota since the last call.
+func (d *Dispatcher) Demand() map[string]int {
+	sum := map[string]int{}
+	for _, p := range d.allPools() {
+		p.demand(sum)
+	}
+	return sum
+}
+
 // Drain refuses new jobs and waits for the running ones; after the limit it
 // fails those that are left. It returns how many it failed.
 func (d *Dispatcher) Drain(ctx context.Context) int {
--- a/io/dispatch/pool.go
+++ b/io/dispatch/pool.go
@@ -38,3 +38,12 @@
 		usable:      usable,
 	}
 }
+
+// demand adds what each team wants of this service.
+func (p *pool) demand(sum map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for team, n := range p.model.Demand() {
+		sum[team] += n
+	}
+}
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -20,16 +20,22 @@
 	Send(ctx context.Context, address string, f wire.Frame) error
 }
 
-// Sizer takes how many hosts are alive.
+// Sizer takes how many hosts are alive, and this host's share of each quota.
 type Sizer interface {
 	SetFleet(hosts, capacity int)
+	SetQuotas(quotas map[string]int)
+	Demand() map[string]int
 }
 
 // Rows holds the configuration rows that travel between hosts.
 type Rows interface {
-	Revision() int
-	Newer(since int) []wire.Row
-	Offer(revision int, rows []wire.Row)
+	Print() int
+	Have() []wire.Mark
+	Newer(have []wire.Mark) []wire.Row
+	Offer(rows []wire.Row)
+	Quotas() map[string]int
+	// Watch calls a function with new quotas, under the rows' lock.
+	Watch(changed func(quotas map[string]int))
 }
 
 // Fleet is this host's view of all hosts.
@@ -50,6 +56,7 @@
 	recent   []ticket.Incarnation          // keys of heirs, oldest first
 	stopping bool
 	pulling  map[string]bool
+	demands  map[string]map[string]int // by peer address and team, as last reported
 }
 
 // Parts is what a Fleet works with.
@@ -67,7 +74,7 @@
 
 // New returns a view that knows only this host.
 func New(p Parts) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		period:    p.Period,
 		capacity:  p.Capacity,
 		peers:     p.Peers,
@@ -80,7 +87,10 @@
 		model:     p.Model,
 		heirs:     map[ticket.Incarnation]string{},
 		pulling:   map[string]bool{},
+		demands:   map[string]map[string]int{},
 	}
+	p.Rows.Watch(f.reshare)
+	return f
 }
 
 // Live returns the hosts that count as alive, this one included.
@@ -154,25 +164,33 @@
 }
 
 func (f *Fleet) tick() {
+	quotas := f.rows.Quotas()
+	demand := f.sizer.Demand()
+	news := wire.Beat{
+		Listing: f.directory.Revision(),
+		Print:   f.rows.Print(),
+	}
 	f.mu.Lock()
 	cmds := f.model.Update(f.now(), member.TickMsg{})
-	beat := f.beat()
+	// This host's own demand counts as it is reported, so that all hosts
+	// divide by the same figures.
+	f.demands[f.model.Self().Address] = limitedTo(quotas, demand)
+	beat := f.beat(news)
+	shares := f.shares(quotas)
 	f.mu.Unlock()
+	f.sizer.SetQuotas(shares)
 	f.run(cmds, beat)
 }
 
-// beat runs under the lock.
-func (f *Fleet) beat() wire.Beat {
+// beat fills in a heartbeat; it runs under the lock.
+func (f *Fleet) beat(beat wire.Beat) wire.Beat {
 	self := f.model.Self()
-	beat := wire.Beat{
-		Host:     self.Incarnation,
-		Address:  self.Address,
-		Domain:   self.Domain,
-		Count:    self.Count,
-		Listing:  f.directory.Revision(),
-		Revision: f.rows.Revision(),
-		Stopping: f.stopping,
-	}
+	beat.Host = self.Incarnation
+	beat.Address = self.Address
+	beat.Domain = self.Domain
+	beat.Count = self.Count
+	beat.Stopping = f.stopping
+	beat.Demand = demandOf(f.demands[self.Address])
 	for _, inc := range f.recent[max(0, len(f.recent)-heirsSent):] {
 		beat.Heirs = append(beat.Heirs, wire.Heir{
 			Host:    inc.String(),
@@ -246,9 +264,10 @@
 	f.mu.Lock()
 	cmds := f.model.Update(f.now(), msg)
 	f.learnHeirs(b.Heirs)
+	f.demands[b.Address] = demandBy(b.Demand)
 	f.mu.Unlock()
 	f.run(cmds, wire.Beat{})
-	if b.Listing > f.directory.Revision() || b.Revision > f.rows.Revision() {
+	if b.Listing > f.directory.Revision() || b.Print != f.rows.Print() {
 		go f.pull(b.Address)
 	}
 	return wire.Frame{}, false
@@ -281,7 +300,7 @@
 	defer cancel()
 	f.counters.Messages("pull", 1)
 	answer, err := f.peers.Call(ctx, address, wire.Frame{Pull: &wire.Pull{
-		Since:   f.rows.Revision(),
+		Have:    f.rows.Have(),
 		Listing: f.directory.Revision(),
 	}})
 	if err != nil || answer.Rows == nil {
@@ -292,7 +311,7 @@
 			f.log.Error(err, "host list from a peer", "address", address)
 		}
 	}
-	f.rows.Offer(answer.Rows.Revision, answer.Rows.Rows)
+	f.rows.Offer(answer.Rows.Rows)
 }
 
 const pullTimeout = 5 * time.Second
@@ -300,8 +319,7 @@
 // ServePull answers a peer that has older rows or an older host list.
 func (f *Fleet) ServePull(_ context.Context, frame wire.Frame) (wire.Frame, bool) {
 	return wire.Frame{Rows: &wire.Rows{
-		Revision: f.rows.Revision(),
-		Rows:     f.rows.Newer(frame.Pull.Since),
-		Listing:  f.directory.Newer(frame.Pull.Listing),
+		Rows:    f.rows.Newer(frame.Pull.Have),
+		Listing: f.directory.Newer(frame.Pull.Listing),
 	}}, true
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
 		l.close()
-		return errors.Wrap(err, ErrBroken)
+		return errors.WithType(err, ErrBroken)
 	}
 	return nil
 }
@@ -160,6 +160,6 @@
 	case <-l.done:
 		return wire.Frame{}, errors.Trace(ErrBroken)
 	case <-ctx.Done():
-		return wire.Frame{}, errors.Wrap(ctx.Err(), ErrBroken)
+		return wire.Frame{}, errors.WithType(ctx.Err(), ErrBroken)
 	}
 }
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -69,7 +69,7 @@
 	defer cancel()
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{HTTPClient: l.http})
 	if err != nil {
-		return nil, errors.Wrap(err, ErrNoLink)
+		return nil, errors.WithType(err, ErrNoLink)
 	}
 	s.link = newLink(conn, l.silence)
 	go s.link.read(s.link.deliver)
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -131,7 +131,7 @@
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, answerBytesMax))
 	if err != nil {
-		return 0, nil, errors.Wrap(err, ErrUnclear)
+		return 0, nil, errors.WithType(err, ErrUnclear)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		return 0, nil, errors.Trace(ErrDown)
@@ -143,9 +143,9 @@
 func failure(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(err, ErrDown)
+		return errors.WithType(err, ErrDown)
 	}
-	return errors.Wrap(err, ErrUnclear)
+	return errors.WithType(err, ErrUnclear)
 }
 
 func decode(raw []byte, into any) error {
@@ -205,10 +205,10 @@
 	}
 	var results []Result
 	if err := decode(raw, &results); err != nil {
-		return nil, errors.Wrap(err, ErrUnclear)
+		return nil, errors.WithType(err, ErrUnclear)
 	}
 	if len(results) != len(writes) {
-		return nil, errors.Wrap(fmt.Errorf("%d results for %d writes", len(results), len(writes)), ErrUnclear)
+		return nil, errors.WithType(fmt.Errorf("%d results for %d writes", len(results), len(writes)), ErrUnclear)
 	}
 	return results, nil
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -28,6 +28,9 @@
 	// Heartbeat counter of the sender; only goes up.
 	Count int `cbor:"count" json:"count"`
 
+	// What the sender has or was asked for, of teams with a quota.
+	Demand []Demand `cbor:"demand,omitempty" json:"demand,omitempty,omitzero"`
+
 	// Failure domain of the sender.
 	Domain string `cbor:"domain" json:"domain"`
 
@@ -43,8 +46,8 @@
 	// Newest revision of the platform's host list that the sender has.
 	Listing int `cbor:"listing" json:"listing"`
 
-	// Newest table revision that the sender has.
-	Revision int `cbor:"revision" json:"revision"`
+	// Fingerprint of the configuration rows that the sender has, as a signed number.
+	Print int `cbor:"print" json:"print"`
 
 	// Whether the sender began a planned stop.
 	Stopping bool `cbor:"stopping" json:"stopping"`
@@ -74,6 +77,15 @@
 	Wait int `cbor:"wait" json:"wait"`
 }
 
+// Demand is how many tasks of one team a host has or was asked for.
+type Demand struct {
+	// Tasks.
+	Tasks int `cbor:"tasks" json:"tasks"`
+
+	// Team.
+	Team string `cbor:"team" json:"team"`
+}
+
 // Fault says why one task failed.
 type Fault struct {
 	// Whether work was started: no, maybe or yes.
@@ -176,13 +188,22 @@
 	Ledger []byte `cbor:"ledger" json:"ledger"`
 }
 
-// Pull asks for configuration rows newer than a revision.
+// Mark is a row's version.
+type Mark struct {
+	// Row key in the table.
+	Key string `cbor:"key" json:"key"`
+
+	// Row version in the table.
+	Version int `cbor:"version" json:"version"`
+}
+
+// Pull asks for what the sender doesn't have or has an older version of.
 type Pull struct {
+	// The rows that the sender has.
+	Have []Mark `cbor:"have,omitempty" json:"have,omitempty,omitzero"`
+
 	// Revision of the platform's host list that the sender has.
 	Listing int `cbor:"listing" json:"listing"`
-
-	// Revision that the sender has.
-	Since int `cbor:"since" json:"since"`
 }
 
 // Reply is what the caller of a Call is to be told.
@@ -223,9 +244,6 @@
 	// The platform's host list, when the asker's is older.
 	Listing []byte `cbor:"listing" json:"listing"`
 
-	// Table revision.
-	Revision int `cbor:"revision" json:"revision"`
-
 	// Configuration rows.
 	Rows []Row `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -196,7 +196,7 @@
 func (f *fleet) write(h *hostProcess, peer, domain string) {
 	text := strings.Join([]string{
 		"[host]", "domain = " + domain, "secret = a-secret-for-the-proofs",
-		"[log]", "level = debug",
+		"[log]", "level = info",
 		"[caller]", "listen = " + strings.TrimPrefix(h.caller, "http://"),
 		"[operator]", "listen = " + strings.TrimPrefix(h.operator, "http://"),
 		"[platform]", "url = http://" + f.store.Address(), "poll = 200ms", "timeout = 1s",
@@ -223,7 +223,7 @@
 		_ = cmd.Wait()
 		text := log.String()
 		if h.t.Failed() {
-			h.t.Logf("%s:\n%s", h.name, text[max(0, len(text)-4000):])
+			h.t.Logf("%s:\n%s", h.name, text[max(0, len(text)-1500):])
 		}
 		assert.Check(h.t, !strings.Contains(text, "DATA RACE"), "%s:\n%s", h.name, text)
 	})
@@ -332,3 +332,19 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// get returns the status of a plain request.
+func get(url string) (int, error) {
+	c := http.Client{Timeout: 5 * time.Second}
+	response, err := c.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, nil
+}
+
+// containsMessage looks for a log line's message.
+func containsMessage(log, message string) bool {
+	return strings.Contains(log, fmt.Sprintf("%q:%q", "msg", message))
+}
