Decision parts against naive versions; heartbeats relay what was just heard

Cause: a fleet of 63 Models on a fake clock took live hosts for dead within 120 periods. A heartbeat carried 8 entries in turn, own domain included, so a foreign host's counter could be older than the 5 s limit when it arrived.

Ruled out: a longer limit (it hides the delay); more entries in turn (bytes).

--- /dev/null
+++ b/core/document/seed_test.go
@@ -0,0 +1,5 @@
+package document
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- /dev/null
+++ b/core/job/seed_test.go
@@ -0,0 +1,5 @@
+package job
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- a/core/member/model.go
+++ b/core/member/model.go
@@ -19,7 +19,7 @@
 type Limits struct {
 	Dead   time.Duration // silence after which a host counts as dead
 	Forget time.Duration // silence after which a host is no longer listed
-	Known  int           // entries that ride on one heartbeat
+	Known  int           // entries that ride on one heartbeat in turn
 }
 
 // Msg is something that a host learned of the fleet.
@@ -63,6 +63,7 @@
 	heard    time.Time
 	alive    bool
 	stopping bool
+	direct   int // the period in which the host itself was last heard
 }
 
 // Model is one host's view of the fleet.
@@ -71,7 +72,8 @@
 	limits Limits
 	rng    *rand.Rand
 	peers  map[string]*peer
-	turn   int // of the entries that ride along
+	turn   int // of the entries that ride along in turn
+	period int // heartbeat periods so far
 }
 
 // New returns a view that knows only the host itself; rng must be seeded.
@@ -81,6 +83,7 @@
 		limits: limits,
 		rng:    rng,
 		peers:  map[string]*peer{},
+		period: 1, // 0 is for hosts that were never heard themselves
 	}
 }
 
@@ -138,6 +141,7 @@
 	}
 	changed := !same || !p.alive || p.stopping != msg.Stopping
 	p.host, p.heard, p.alive, p.stopping = msg.From, now, true, msg.Stopping
+	p.direct = m.period
 	return changed
 }
 
@@ -169,11 +173,17 @@
 func (m *Model) tick(now time.Time) []Cmd {
 	m.self.Count++
 	changed := m.expire(now)
+	fresh := m.fresh()
+	m.period++
 	var cmds []Cmd
 	for _, address := range m.targets() {
+		known := m.known(address)
+		if m.isOwnDomain(address) {
+			known = append(known, fresh...)
+		}
 		cmds = append(cmds, SendCmd{
 			Address: address,
-			Known:   m.known(address),
+			Known:   known,
 		})
 	}
 	if changed {
@@ -221,6 +231,24 @@
 	return targets
 }
 
+// fresh returns the foreign hosts that were heard themselves in this period.
+// Each of them chose this host alone in its failure domain, so the others
+// learn of it from here, one hop and one period later.
+func (m *Model) fresh() []Host {
+	var fresh []Host
+	for _, p := range m.sorted() {
+		if p.direct == m.period && p.host.Domain != m.self.Domain {
+			fresh = append(fresh, p.host)
+		}
+	}
+	return fresh
+}
+
+func (m *Model) isOwnDomain(address string) bool {
+	p := m.peers[address]
+	return p != nil && p.host.Domain == m.self.Domain
+}
+
 func (m *Model) sorted() []*peer {
 	peers := make([]*peer, 0, len(m.peers))
 	for _, p := range m.peers {
--- /dev/null
+++ b/core/member/seed_test.go
@@ -0,0 +1,5 @@
+package member
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- /dev/null
+++ b/core/place/model_test.go
@@ -0,0 +1,280 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/queue"
+	"rosemarywalk/core/ticket"
+)
+
+var begin = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func limits() Limits {
+	return Limits{
+		Waiting:    100,
+		RetryRatio: 0.1,
+		RetryMost:  3,
+		Health: health.Limits{
+			Failures: 3,
+			Backoff:  time.Second,
+			Most:     time.Minute,
+		},
+	}
+}
+
+func newModel(p Policy, servers ...Server) *Model {
+	m := New(p, limits(), rand.New(rand.NewPCG(1, 1)))
+	m.Update(begin, ServersMsg{Servers: servers})
+	return m
+}
+
+func serverOf(n int) Server {
+	return Server{
+		ID:          fmt.Sprintf("s%d", n),
+		Address:     fmt.Sprintf("127.0.0.1:%d", 8000+n),
+		Slots:       2,
+		Connections: 8,
+	}
+}
+
+func enqueue(sequence uint64, tasks int) EnqueueMsg {
+	return EnqueueMsg{
+		Job: queue.Job{
+			ID:    ticket.ID{Sequence: sequence},
+			Team:  "guild",
+			Tasks: tasks,
+			At:    begin,
+		},
+		Deadline: begin.Add(time.Hour),
+	}
+}
+
+// book is the plainest record of what is out where.
+type book struct {
+	m       *Model
+	now     time.Time
+	out     []StartCmd
+	perHost map[string]int
+	waiting map[ticket.ID]int
+	revoked map[ticket.ID]bool
+}
+
+// TestModelKeepsCount drives a Model with random messages and holds it to its
+// limits: connections, leaving servers, revoked jobs, and no task lost.
+func TestModelKeepsCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leaving := map[string]bool{}
+		servers := []Server{serverOf(0), serverOf(1), serverOf(2)}
+		b := &book{
+			m:       newModel(Window{Factor: 2, Least: 1}, servers...),
+			now:     begin,
+			perHost: map[string]int{},
+			waiting: map[ticket.ID]int{},
+			revoked: map[ticket.ID]bool{},
+		}
+		b.m.Update(begin, FleetMsg{
+			Hosts:    2,
+			Capacity: 2,
+		})
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			b.now = b.now.Add(50 * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				b.run(t, leaving, enqueue(uint64(step+1), rapid.IntRange(1, 6).Draw(t, "tasks")))
+			case 2:
+				b.finish(t, leaving)
+			case 3:
+				n := rapid.IntRange(0, 2).Draw(t, "server")
+				servers[n].Leaving = !servers[n].Leaving
+				leaving[servers[n].ID] = servers[n].Leaving
+				b.run(t, leaving, ServersMsg{Servers: servers})
+			case 4:
+				id := ticket.ID{Sequence: uint64(rapid.IntRange(1, step+1).Draw(t, "job"))}
+				b.revoked[id] = true
+				delete(b.waiting, id)
+				b.run(t, leaving, RevokeMsg{ID: id})
+			}
+			sum := 0
+			for _, n := range b.waiting {
+				sum += n
+			}
+			assert.Equal(t, b.m.Waiting(), sum)
+			assert.Equal(t, b.m.Outstanding(), len(b.out))
+		}
+	})
+}
+
+func (b *book) run(t *rapid.T, leaving map[string]bool, msg Msg) {
+	if e, ok := msg.(EnqueueMsg); ok {
+		b.waiting[e.Job.ID] = e.Job.Tasks
+	}
+	for _, cmd := range b.m.Update(b.now, msg) {
+		switch cmd := cmd.(type) {
+		case StartCmd:
+			assert.Assert(t, !leaving[cmd.Server], "a leaving server got work")
+			assert.Assert(t, !b.revoked[cmd.Ref.ID], "a revoked job's task started")
+			b.out = append(b.out, cmd)
+			b.perHost[cmd.Server]++
+			assert.Assert(t, b.perHost[cmd.Server] <= 4, "more than this host's half of 8 connections")
+			b.waiting[cmd.Ref.ID]--
+		case RefuseCmd:
+			delete(b.waiting, cmd.ID)
+		case RetryCmd:
+			b.waiting[cmd.Ref.ID]++
+		case AcceptCmd, FailCmd, EjectCmd:
+		}
+	}
+}
+
+// finish ends one send in a random way.
+func (b *book) finish(t *rapid.T, leaving map[string]bool) {
+	if len(b.out) == 0 {
+		return
+	}
+	n := rapid.IntRange(0, len(b.out)-1).Draw(t, "send")
+	cmd := b.out[n]
+	b.out = append(b.out[:n:n], b.out[n+1:]...)
+	b.perHost[cmd.Server]--
+	b.run(t, leaving, DoneMsg{
+		Ref:    cmd.Ref,
+		Server: cmd.Server,
+		Result: Result(rapid.IntRange(int(Answered), int(Dropped)).Draw(t, "result")),
+		Reason: core.ReasonReset,
+		Again:  rapid.Bool().Draw(t, "idempotent"),
+		Took:   time.Millisecond,
+	})
+}
+
+func TestAdmission(t *testing.T) {
+	large := enqueue(9, 1)
+	large.Need = Size{Cores: 99}
+	sized := serverOf(0)
+	sized.Size = Size{Cores: 16}
+	tests := []struct {
+		name   string
+		before []Msg
+		msg    EnqueueMsg
+		want   core.Reason
+	}{
+		{
+			name: "accepted",
+			msg:  enqueue(1, 5),
+		},
+		{
+			name: "fits no server",
+			msg:  large,
+			want: core.ReasonFit,
+		},
+		{
+			name: "queue full",
+			msg:  enqueue(1, 101),
+			want: core.ReasonOverload,
+		},
+		{
+			name:   "quota used up",
+			before: []Msg{QuotaMsg{Quotas: map[string]int{"guild": 3}}, enqueue(1, 2)},
+			msg:    enqueue(2, 2),
+			want:   core.ReasonQuota,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(Window{Factor: 1}, sized)
+			for _, msg := range test.before {
+				m.Update(begin, msg)
+			}
+			var got core.Reason
+			for _, cmd := range m.Update(begin, test.msg) {
+				if refuse, ok := cmd.(RefuseCmd); ok {
+					got = refuse.Reason
+				}
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+// TestWaitPastDeadline: once run times are known, a job that can't be done in
+// time is refused at once.
+func TestWaitPastDeadline(t *testing.T) {
+	m := newModel(Window{Factor: 1}, serverOf(0))
+	for _, cmd := range m.Update(begin, enqueue(1, 1)) {
+		if start, ok := cmd.(StartCmd); ok {
+			m.Update(begin, DoneMsg{
+				Ref:    start.Ref,
+				Server: start.Server,
+				Result: Answered,
+				Took:   time.Second,
+			})
+		}
+	}
+	msg := enqueue(2, 20)
+	msg.Deadline = begin.Add(9 * time.Second)
+	refuse, ok := m.Update(begin, msg)[0].(RefuseCmd)
+	assert.Assert(t, ok)
+	assert.Equal(t, refuse.Reason, core.ReasonWait)
+	assert.Equal(t, refuse.RetryAfter, time.Second)
+}
+
+// TestReturnsUnderTheSameAddress: a new ID is a new server, with clean health.
+func TestReturnsUnderTheSameAddress(t *testing.T) {
+	m := newModel(Least{}, serverOf(0))
+	for sequence := uint64(1); sequence <= 3; sequence++ {
+		for _, cmd := range m.Update(begin, enqueue(sequence, 1)) {
+			if start, ok := cmd.(StartCmd); ok {
+				m.Update(begin, DoneMsg{
+					Ref:    start.Ref,
+					Server: start.Server,
+					Result: Failed,
+				})
+			}
+		}
+	}
+	_, usable := m.Servers(begin)
+	assert.Equal(t, usable, 0)
+	again := serverOf(0)
+	again.ID = "s0-again"
+	m.Update(begin, ServersMsg{Servers: []Server{again}})
+	_, usable = m.Servers(begin)
+	assert.Equal(t, usable, 1)
+}
+
+// BenchmarkStart measures one start and its answer at a number of servers.
+func BenchmarkStart(b *testing.B) {
+	for _, servers := range []int{50, 1100} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			list := make([]Server, 0, servers)
+			for n := range servers {
+				list = append(list, serverOf(n))
+			}
+			m := newModel(Window{Factor: 2, Least: 1}, list...)
+			m.Update(begin, FleetMsg{
+				Hosts:    9,
+				Capacity: 9,
+			})
+			sequence := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				sequence++
+				for _, cmd := range m.Update(begin, enqueue(sequence, 1)) {
+					if start, ok := cmd.(StartCmd); ok {
+						m.Update(begin, DoneMsg{
+							Ref:    start.Ref,
+							Server: start.Server,
+							Result: Answered,
+							Took:   time.Millisecond,
+						})
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/place/seed_test.go
@@ -0,0 +1,5 @@
+package place
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- /dev/null
+++ b/core/queue/seed_test.go
@@ -0,0 +1,5 @@
+package queue
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- /dev/null
+++ b/core/quota/seed_test.go
@@ -0,0 +1,5 @@
+package quota
+
+import "rosemarywalk/internal/seed"
+
+func init() { seed.Fix() }
--- a/io/member/plugin.go
+++ b/io/member/plugin.go
@@ -60,8 +60,8 @@
 				},
 				{
 					Name:    "known",
-					Default: "8",
-					Help:    "Entries about other hosts that ride on a heartbeat.",
+					Default: "4",
+					Help:    "Entries about other hosts that ride on a heartbeat in turn.",
 					Kind: settings.Integer{
 						Min: 0,
 						Max: 1000,
