--- a/cmd/rosemarywalk/operator.go
+++ b/cmd/rosemarywalk/operator.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -63,10 +64,10 @@
 		return err
 	}
 	out := table()
-	fmt.Fprintln(out, "ADDRESS\tDOMAIN\tRUNNING\tWAITING\tOUT\tSERVERS\tUSABLE\tLISTING\tREVISION\tERROR")
+	fmt.Fprintln(out, "ADDRESS\tDOMAIN\tRUNNING\tWAITING\tOUT\tSERVERS\tUSABLE\tLISTING\tREVISION\tHOME OF\tERROR")
 	for _, s := range statuses {
-		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Address, s.Domain, s.Running, s.Waiting,
-			s.Outstanding, s.Servers, s.Usable, s.Listing, s.Revision, s.Error)
+		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.Address, s.Domain, s.Running, s.Waiting,
+			s.Outstanding, s.Servers, s.Usable, s.Listing, s.Revision, strings.Join(s.Homes, ","), s.Error)
 	}
 	return out.Flush()
 }
--- /dev/null
+++ b/cmd/standin/experiment.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"rosemarywalk/standin/experiment"
+)
+
+// experimentCmd runs an experiment.
+type experimentCmd struct {
+	File   string `arg:"" help:"INI file of the experiment." type:"existingfile"`
+	Binary string `help:"The rosemarywalk program." required:"" type:"existingfile"`
+	CSV    string `help:"File to write the results to as CSV."`
+}
+
+// Run runs it and prints a table.
+func (c *experimentCmd) Run() error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Annotate(err, "read experiment")
+	}
+	plan, err := experiment.Parse(c.File, raw)
+	if err != nil {
+		return err
+	}
+	results, err := experiment.Run(context.Background(), plan, c.Binary, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := experiment.Table(os.Stdout, results); err != nil {
+		return err
+	}
+	if c.CSV == "" {
+		return nil
+	}
+	return writeCSV(c.CSV, results)
+}
+
+func writeCSV(name string, results []experiment.Result) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Annotate(err, "write CSV")
+	}
+	defer file.Close()
+	w := csv.NewWriter(file)
+	_ = w.Write([]string{"variant", "load", "seed", "mean", "p50", "p99", "p999", "tasks_s", "wasted"})
+	number := func(x float64) string { return strconv.FormatFloat(x, 'f', 4, 64) }
+	for _, r := range results {
+		_ = w.Write([]string{
+			r.Variant, number(r.Load), fmt.Sprint(r.Seed), number(r.Report.Mean()), number(r.Report.Quantile(50)),
+			number(r.Report.Quantile(99)), number(r.Report.Quantile(99.9)), number(r.Throughput), number(r.WastedPerTask()),
+		})
+	}
+	w.Flush()
+	return errors.Annotate(w.Error(), "write CSV")
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,8 @@
 	Platform platformCmd `cmd:"" help:"Run a platform: table, object store and host list."`
 	Server   serverCmd   `cmd:"" help:"Run backend servers of a service."`
 	Load     loadCmd     `cmd:"" help:"Send open-loop jobs to hosts and print response time over the ideal."`
+
+	Experiment experimentCmd `cmd:"" help:"Run hosts against stand-ins for each variant of a file, and print a table."`
 }
 
 func main() {
--- a/core/job/msg.go
+++ b/core/job/msg.go
@@ -72,7 +72,7 @@
 // TickMsg lets deadlines and retention pass.
 type TickMsg struct{}
 
-// AdoptMsg hands over the memory of an incarnation that stopped.
+// AdoptMsg hands over an incarnation that was sealed: it starts nothing more.
 type AdoptMsg struct {
 	Incarnation ticket.Incarnation
 	Ledger      *ticket.Ledger
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -178,8 +178,8 @@
 				Address:     addressOf(n),
 				Domain:      "b",
 				Count:       1,
+				Stopping:    n == 2,
 			},
-			Stopping: n == 2,
 		})
 	}
 	m.Update(begin.Add(10*time.Second), TickMsg{})
--- a/core/place/msg.go
+++ b/core/place/msg.go
@@ -40,10 +40,10 @@
 // ServersMsg replaces the list of backend servers.
 type ServersMsg struct{ Servers []Server }
 
-// FleetMsg says how many hosts share the servers.
+// FleetMsg says how many queues share the servers, and how.
 type FleetMsg struct {
-	Hosts    int // live hosts
-	Capacity int // hosts that the connections are divided over
+	Queues int     // hosts that queue for the service
+	Part   float64 // this host's part of each server's connections
 }
 
 // WeightsMsg sets the teams' weights.
--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -19,13 +19,17 @@
 func (Least) policy()  {}
 func (Window) policy() {}
 
-// limit returns how many tasks the host may have outstanding.
-func limit(p Policy, slots, hosts int) int {
+// limit returns how many tasks the host may have outstanding when a number of
+// hosts queue for the same slots. A host that queues alone sees every task,
+// and gains nothing from letting some wait at a server instead of here; the
+// more queues there are, the more of the factor is needed to use idle slots.
+func limit(p Policy, slots, queues int) int {
 	switch p := p.(type) {
 	case Random, Least:
 		return unlimited
 	case Window:
-		share := p.Factor * float64(slots) / float64(max(1, hosts))
+		unseen := 1 - 1/float64(queues)
+		share := (1 + (p.Factor-1)*unseen) * float64(slots) / float64(queues)
 		return max(p.Least, int(share+roundUp))
 	}
 	return 0
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -156,6 +156,15 @@
 	return t
 }
 
+// Peek returns the job whose task Next would hand out.
+func (q *Queue) Peek() (ticket.ID, bool) {
+	t := q.turn()
+	if t == nil {
+		return ticket.ID{}, false
+	}
+	return t.jobs[0].job.ID, true
+}
+
 // Next hands out the task that should start next.
 func (q *Queue) Next() (Ref, bool) {
 	t := q.turn()
--- a/core/reason.go
+++ b/core/reason.go
@@ -6,7 +6,6 @@
 // The reasons that a host gives to callers and counts in its metrics.
 const (
 	ReasonDraining    Reason = "draining"    // the host is shutting down
-	ReasonRetired     Reason = "retired"     // the issuing host is gone and its heir starts nothing
 	ReasonDeadline    Reason = "deadline"    // the job's deadline passed
 	ReasonOverload    Reason = "overload"    // the queue is full
 	ReasonWait        Reason = "wait"        // the estimated wait passes the deadline
@@ -35,7 +34,7 @@
 // Reasons lists every reason, so that each counter exists from the start.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonDraining, ReasonRetired, ReasonDeadline, ReasonOverload,
+		ReasonDraining, ReasonDeadline, ReasonOverload,
 		ReasonWait, ReasonFit, ReasonQuota, ReasonService, ReasonStore,
 		ReasonConnect, ReasonBusy, ReasonReset, ReasonTimeout, ReasonStatus,
 		ReasonMalformed, ReasonLarge, ReasonCanceled, ReasonSibling,
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -71,7 +71,7 @@
 		}
 		count = n
 	}
-	tickets, err := h.service.Tickets(count)
+	tickets, err := h.service.Tickets(r.Context(), r.URL.Query().Get("service"), count)
 	if err != nil {
 		write(w, invalid(http.StatusInternalServerError, err))
 		return
@@ -88,7 +88,7 @@
 	if !ok {
 		return
 	}
-	h.spare(w)
+	h.spare(w, r)
 	write(w, h.service.Do(r.Context(), wire.Call{
 		Verb:   verbSubmit,
 		Ticket: t,
@@ -114,11 +114,12 @@
 		return "", false
 	}
 	// Bad input must not use up a key.
-	if _, err := parseJob(body, h.service.limits); err != nil {
+	sub, err := parseJob(body, h.service.limits)
+	if err != nil {
 		write(w, invalid(http.StatusBadRequest, err))
 		return "", false
 	}
-	return h.claim(w, r, key)
+	return h.claim(w, r, key, sub.Service)
 }
 
 // keyBytesMost bounds an idempotency key.
@@ -126,8 +127,8 @@
 
 // claim can't say "not run" when the table doesn't answer: an earlier
 // submission with this key may have run at any host.
-func (h *Handler) claim(w http.ResponseWriter, r *http.Request, key string) (string, bool) {
-	fresh, err := h.service.Tickets(1)
+func (h *Handler) claim(w http.ResponseWriter, r *http.Request, key, service string) (string, bool) {
+	fresh, err := h.service.Tickets(r.Context(), service, 1)
 	if err != nil {
 		write(w, invalid(http.StatusInternalServerError, err))
 		return "", false
@@ -142,8 +143,8 @@
 }
 
 // spare saves the caller a round trip for its next ticket.
-func (h *Handler) spare(w http.ResponseWriter) {
-	if spare, err := h.service.Tickets(1); err == nil {
+func (h *Handler) spare(w http.ResponseWriter, r *http.Request) {
+	if spare, err := h.service.Tickets(r.Context(), "", 1); err == nil {
 		w.Header().Set("Spare-Ticket", spare[0])
 	}
 }
@@ -160,7 +161,7 @@
 	}
 	t := r.Header.Get(HeaderTicket)
 	if t == "" {
-		own, err := h.service.Tickets(1)
+		own, err := h.service.Tickets(r.Context(), mux.Vars(r)["service"], 1)
 		if err != nil {
 			write(w, invalid(http.StatusInternalServerError, err))
 			return
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -135,7 +135,7 @@
 
 func waitingHelps(reason core.Reason) bool {
 	switch reason {
-	case core.ReasonDraining, core.ReasonRetired, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable:
+	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable:
 		return true
 	}
 	return false
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,6 +25,7 @@
 	verbLook    = "look"
 	verbCancel  = "cancel"
 	verbExplain = "explain"
+	verbTickets = "tickets"
 )
 
 // Peers sends a frame to another host and waits for the answer.
@@ -30,9 +33,11 @@
 	Call(ctx context.Context, address string, f wire.Frame) (wire.Frame, error)
 }
 
-// Heirs knows which host answers for a stopped incarnation.
-type Heirs interface {
+// Fleet knows which host answers for a stopped incarnation, and which one
+// queues for a service.
+type Fleet interface {
 	Heir(inc ticket.Incarnation) (address string, known bool)
+	Home(service string) (address string, own bool)
 }
 
 // Owners tells which team owns a service, from the configuration in force.
@@ -45,27 +50,51 @@
 	key        ticket.Key
 	dispatcher *dispatch.Dispatcher
 	peers      Peers
-	heirs      Heirs
+	fleet      Fleet
 	owners     Owners
 	counters   *telemetry.Counters
 	limits     Limits
+	stock      *stock
+	last       atomic.Value // string: the service that callers here used last
 }
 
 // NewService returns a Service.
-func NewService(key ticket.Key, d *dispatch.Dispatcher, peers Peers, heirs Heirs, owners Owners, counters *telemetry.Counters, limits Limits) *Service {
-	return &Service{
+func NewService(key ticket.Key, d *dispatch.Dispatcher, peers Peers, fleet Fleet, owners Owners, counters *telemetry.Counters, limits Limits) *Service {
+	s := &Service{
 		key:        key,
 		dispatcher: d,
 		peers:      peers,
-		heirs:      heirs,
+		fleet:      fleet,
 		owners:     owners,
 		counters:   counters,
 		limits:     limits,
 	}
+	s.stock = newStock(s.fetch)
+	return s
 }
 
-// Tickets returns n fresh tickets of this host.
-func (s *Service) Tickets(n int) ([]string, error) {
+// Tickets returns n fresh tickets for a service, issued by its home, or by
+// this host when the home can't be asked. Without a service it is the one that
+// callers used here last.
+func (s *Service) Tickets(ctx context.Context, service string, n int) ([]string, error) {
+	if service == "" {
+		service, _ = s.last.Load().(string)
+	}
+	if service == "" {
+		return s.own(n)
+	}
+	address, own := s.fleet.Home(service)
+	if own {
+		return s.own(n)
+	}
+	if tickets, ok := s.stock.take(ctx, address, service, n); ok {
+		return tickets, nil
+	}
+	return s.own(n)
+}
+
+// own returns n fresh tickets of this host.
+func (s *Service) own(n int) ([]string, error) {
 	tickets := make([]string, 0, n)
 	for range n {
 		text, err := s.key.Encode(s.dispatcher.Issue())
@@ -77,14 +106,53 @@
 	return tickets, nil
 }
 
+// fetch asks another host for tickets of its own.
+func (s *Service) fetch(ctx context.Context, address, service string, n int) ([]string, error) {
+	s.counters.Messages("tickets", 1)
+	answer, err := s.peers.Call(ctx, address, wire.Frame{Call: &wire.Call{
+		Verb:    verbTickets,
+		Service: service,
+		Count:   n,
+	}})
+	if err != nil {
+		return nil, errors.Annotate(err, "fetch tickets")
+	}
+	if answer.Reply == nil || answer.Reply.Status != http.StatusOK {
+		return nil, errors.New("the home gave no tickets")
+	}
+	var body ticketsBody
+	if err := json.Unmarshal(answer.Reply.Body, &body); err != nil || len(body.Tickets) != n {
+		return nil, errors.New("the home gave other tickets than asked for")
+	}
+	return body.Tickets, nil
+}
+
+// serveTickets gives tickets of this host to another one.
+func (s *Service) serveTickets(n int) Response {
+	if n < 1 || n > ticketsMost+stockBatch {
+		return invalid(http.StatusBadRequest, errors.NotValidf("count %d", n))
+	}
+	tickets, err := s.own(n)
+	if err != nil {
+		return invalid(http.StatusInternalServerError, err)
+	}
+	return respond(http.StatusOK, ticketsBody{Tickets: tickets})
+}
+
 // Do carries out one call, forwarding it to the ticket's owner if need be.
 func (s *Service) Do(ctx context.Context, call wire.Call) Response {
 	t, err := s.key.Decode(call.Ticket)
 	if err != nil {
 		return invalid(ticketStatus(err), err)
 	}
-	if s.dispatcher.Owns(t.ID.Incarnation) {
+	switch s.dispatcher.Ownership(t.ID.Incarnation) {
+	case dispatch.Owned:
 		return s.local(ctx, t, call)
+	case dispatch.Sealed:
+		if _, known := s.fleet.Heir(t.ID.Incarnation); !known {
+			return s.unreachable()
+		}
+	case dispatch.Foreign:
 	}
 	// Bad input is refused here; the owner need not see it.
 	if _, err := s.parse(call); err != nil {
@@ -111,6 +179,9 @@
 	case verbRequest:
 		sub = parseRequest(call.Service, call.Kind, call.Once, call.Body, s.limits)
 	}
+	if sub.Service != "" {
+		s.last.Store(sub.Service)
+	}
 	if sub.Team == "" {
 		sub.Team = s.owners.Owner(sub.Service)
 	}
@@ -185,13 +256,14 @@
 // it twice is harmless: the owner runs a ticket once.
 func (s *Service) forward(ctx context.Context, t ticket.Ticket, call wire.Call) Response {
 	address := t.Address
-	if heir, known := s.heirs.Heir(t.ID.Incarnation); known {
+	if heir, known := s.fleet.Heir(t.ID.Incarnation); known {
 		address = heir
 	}
 	for range hopsMost {
 		reply, err := s.call(ctx, address, call)
 		switch {
 		case err != nil:
+			s.stock.avoid(address)
 			return s.unreachable()
 		case reply.Status != 0:
 			return Response{
@@ -240,14 +312,23 @@
 
 // Serve answers a call that another host forwarded; it never forwards again.
 func (s *Service) Serve(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
+	if f.Call.Verb == verbTickets {
+		return frame(s.serveTickets(f.Call.Count)), true
+	}
 	t, err := s.key.Decode(f.Call.Ticket)
 	if err != nil {
 		return frame(invalid(ticketStatus(err), err)), true
 	}
-	if s.dispatcher.Owns(t.ID.Incarnation) {
+	heir, known := s.fleet.Heir(t.ID.Incarnation)
+	switch s.dispatcher.Ownership(t.ID.Incarnation) {
+	case dispatch.Owned:
 		return frame(s.local(ctx, t, *f.Call)), true
+	case dispatch.Sealed:
+		if !known {
+			return frame(s.unreachable()), true
+		}
+	case dispatch.Foreign:
 	}
-	heir, _ := s.heirs.Heir(t.ID.Incarnation)
 	return wire.Frame{Reply: &wire.Reply{Heir: heir}}, true
 }
 
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 
@@ -62,9 +63,20 @@
 	http *http.Client
 
 	mu      sync.Mutex
+	service string // that tickets are fetched for
 	tickets []string
 }
 
+// WithService returns a client whose tickets come from a service's home, so
+// that a job is queued where all others of the service are.
+func (c *Client) WithService(service string) *Client {
+	return &Client{
+		base:    c.base,
+		http:    c.http,
+		service: service,
+	}
+}
+
 // New returns a client for the host at a base URL.
 func New(base string, transport http.RoundTripper) *Client {
 	return &Client{
@@ -104,7 +116,7 @@
 
 // Tickets fetches n fresh tickets.
 func (c *Client) Tickets(ctx context.Context, n int) ([]string, error) {
-	status, _, raw, err := c.do(ctx, http.MethodPost, "/tickets?count="+strconv.Itoa(n), nil, nil)
+	status, _, raw, err := c.do(ctx, http.MethodPost, "/tickets?service="+url.QueryEscape(c.service)+"&count="+strconv.Itoa(n), nil, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +141,18 @@
 // SubmitRaw sends a job's JSON as it is.
 func (c *Client) SubmitRaw(ctx context.Context, ticket string, raw []byte) (Outcome, error) {
 	header := http.Header{"Ticket": {ticket}}
-	return outcome(c.do(ctx, http.MethodPost, "/jobs", header, raw))
+	o, err := outcome(c.do(ctx, http.MethodPost, "/jobs", header, raw))
+	// The other tickets held are likely of the same host, which is stopping.
+	if o.Reason == core.ReasonDraining {
+		c.flush()
+	}
+	return o, err
+}
+
+func (c *Client) flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets = nil
 }
 
 // SubmitKey sends a job under an idempotency key of the caller's own.
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -46,12 +46,13 @@
 
 	shards   []*shard
 	draining atomic.Bool
+	sealed   atomic.Bool
 	bytes    atomic.Int64
 
 	mu     sync.RWMutex
 	pools  map[string]*pool
 	loaded bool // a list of backend servers was seen
-	fleet  place.FleetMsg
+	role   func(service string) place.FleetMsg
 	quotas map[string]int
 	weight map[string]float64
 }
@@ -66,9 +67,11 @@
 		log:      log.WithName("dispatch"),
 		now:      time.Now,
 		pools:    map[string]*pool{},
-		fleet: place.FleetMsg{
-			Hosts:    1,
-			Capacity: 1,
+		role: func(string) place.FleetMsg {
+			return place.FleetMsg{
+				Queues: 1,
+				Part:   1,
+			}
 		},
 	}
 	retention := config.Retention
@@ -85,12 +88,28 @@
 // Issue returns a fresh ticket of this host.
 func (d *Dispatcher) Issue() ticket.Ticket { return d.issuer.Issue() }
 
-// Owns reports whether this host answers for an incarnation's tickets.
-func (d *Dispatcher) Owns(inc ticket.Incarnation) bool {
+// Ownership is what this host is to an incarnation's tickets.
+type Ownership uint8
+
+// The kinds of ownership.
+const (
+	Foreign Ownership = iota // another host answers for them
+	Owned                    // this host answers for them
+	Sealed                   // this host did, and is handing them over
+)
+
+// Ownership returns what this host is to an incarnation's tickets.
+func (d *Dispatcher) Ownership(inc ticket.Incarnation) Ownership {
 	s := d.shards[0]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.model.Owns(inc)
+	switch {
+	case !s.model.Owns(inc):
+		return Foreign
+	case d.sealed.Load():
+		return Sealed
+	}
+	return Owned
 }
 
 func (d *Dispatcher) shard(id ticket.ID) *shard {
@@ -103,6 +122,11 @@
 func (d *Dispatcher) Submit(ctx context.Context, id ticket.ID, sub Submission) (job.Outcome, bool) {
 	s := d.shard(id)
 	s.mu.Lock()
+	// Under the lock, so that a ticket is either in what Seal returns or unused.
+	if d.sealed.Load() {
+		s.mu.Unlock()
+		return job.Failed(core.RanMaybe, core.ReasonUnreachable), true
+	}
 	cmds := s.model.Update(d.now(), job.SubmitMsg{
 		ID:          id,
 		Fingerprint: sub.Fingerprint,
@@ -442,7 +466,7 @@
 	pools := maps.Clone(d.pools)
 	for service := range services {
 		if pools[service] == nil {
-			pools[service] = d.newPool(uint64(len(pools)))
+			pools[service] = d.newPool(service, uint64(len(pools)))
 		}
 	}
 	d.pools = pools
@@ -453,10 +477,10 @@
 }
 
 // newPool runs under d.mu.
-func (d *Dispatcher) newPool(number uint64) *pool {
+func (d *Dispatcher) newPool(service string, number uint64) *pool {
 	seed := d.config.Seed + number
 	m := place.New(d.config.Policy, d.config.Limits, rand.New(rand.NewPCG(seed, seed)))
-	m.Update(d.now(), d.fleet)
+	m.Update(d.now(), d.role(service))
 	m.Update(d.now(), place.WeightsMsg{Weights: d.weight})
 	m.Update(d.now(), place.QuotaMsg{Quotas: d.quotas})
 	return &pool{model: m}
--- a/io/dispatch/fleet.go
+++ b/io/dispatch/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"rosemarywalk/core"
@@ -10,19 +12,20 @@
 	"rosemarywalk/core/ticket"
 )
 
-// SetFleet says how many hosts are alive and how many the connections to
-// backend servers are divided over.
-func (d *Dispatcher) SetFleet(hosts, capacity int) {
-	msg := place.FleetMsg{
-		Hosts:    hosts,
-		Capacity: capacity,
-	}
+// SetRoles says, by service, how many hosts queue for it and this host's part
+// of the connections to its backend servers.
+func (d *Dispatcher) SetRoles(role func(service string) place.FleetMsg) {
 	d.mu.Lock()
-	d.fleet = msg
+	d.role = role
 	d.mu.Unlock()
-	d.tell(msg)
+	for service, p := range d.allPools() {
+		d.runPool(p, p.update(d.now(), role(service)))
+	}
 }
 
+// Services returns the names of the services known, sorted.
+func (d *Dispatcher) Services() []string { return slices.Sorted(maps.Keys(d.allPools())) }
+
 // SetWeights sets the teams' weights.
 func (d *Dispatcher) SetWeights(weights map[string]float64) {
 	d.mu.Lock()
@@ -94,18 +97,40 @@
 	return n
 }
 
-// Legacy returns the memory of this host's incarnation, for its heir.
-func (d *Dispatcher) Legacy() (*ticket.Ledger, []job.Held) {
-	ledger := ticket.NewLedger()
-	var held []job.Held
-	for _, s := range d.shards {
-		s.mu.Lock()
-		l, h := s.model.Legacy(d.issuer.Incarnation())
-		ledger.Merge(l)
-		s.mu.Unlock()
-		held = append(held, h...)
+// Estate is an incarnation that this host answers for.
+type Estate struct {
+	Incarnation ticket.Incarnation
+	Ledger      *ticket.Ledger
+	Held        []job.Held
+}
+
+// Seal makes this host start nothing and answer for nothing more, and returns
+// all that it answered for. It must be drained.
+func (d *Dispatcher) Seal() []Estate {
+	d.sealed.Store(true)
+	var estates []Estate
+	for _, inc := range d.incarnations() {
+		estate := Estate{
+			Incarnation: inc,
+			Ledger:      ticket.NewLedger(),
+		}
+		for _, s := range d.shards {
+			s.mu.Lock()
+			l, h := s.model.Legacy(inc)
+			estate.Ledger.Merge(l)
+			s.mu.Unlock()
+			estate.Held = append(estate.Held, h...)
+		}
+		estates = append(estates, estate)
 	}
-	return ledger, held
+	return estates
+}
+
+func (d *Dispatcher) incarnations() []ticket.Incarnation {
+	s := d.shards[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.model.Incarnations()
 }
 
 // Adopt takes over a stopped incarnation's memory; repeating it is harmless.
--- a/io/dispatch/plugin.go
+++ b/io/dispatch/plugin.go
@@ -197,9 +197,7 @@
 }
 
 func newDispatcher(s settings.Settings, inc ticket.Incarnation, issuer *ticket.Issuer, client *executor.Client, counters *telemetry.Counters, log logr.Logger) *Dispatcher {
-	d := New(configOf(s, inc), issuer, client, counters, log)
-	d.SetFleet(1, s.Integer("fleet", "hosts"))
-	return d
+	return New(configOf(s, inc), issuer, client, counters, log)
 }
 
 func run(lc fx.Lifecycle, d *Dispatcher) {
--- a/io/drain/legacy.go
+++ b/io/drain/legacy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"rosemarywalk/core"
 	"rosemarywalk/core/job"
@@ -23,31 +24,39 @@
 	legacyTry = 3 * time.Second
 )
 
-// handOver gives the ledger and the held answers to exactly one peer. Once a
-// part was sent, no other peer is tried: two heirs could contradict each other.
+// handOver gives all that this host answers for to exactly one peer. Once a
+// part was sent, no other peer is tried: two heirs could start a ticket twice.
 func (s *stopper) handOver(ctx context.Context) {
+	heirs := s.Fleet.Heirs()
+	if len(heirs) == 0 {
+		s.log.Info("no hand-over, there is no peer")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.handover)
 	defer cancel()
-	ledger, held := s.Dispatcher.Legacy()
-	raw, err := ledger.Bytes()
-	if err != nil {
-		s.log.Error(err, "no hand-over")
-		return
+	for _, estate := range s.Dispatcher.Seal() {
+		s.handOverOne(ctx, heirs[0].Address, estate)
 	}
-	heirs := s.Fleet.Heirs()
-	if len(heirs) == 0 || ledger.Count() == 0 {
-		s.log.Info("no hand-over", "peers", len(heirs), "tickets", ledger.Count())
+}
+
+func (s *stopper) handOverOne(ctx context.Context, to string, estate dispatch.Estate) {
+	turn := s.Fleet.Turns(estate.Incarnation) + 1
+	list, err := parts(estate, turn)
+	if err != nil {
+		s.log.Error(err, "no hand-over", "incarnation", estate.Incarnation.String())
 		return
 	}
-	to := heirs[0].Address
-	for _, part := range parts(s.Incarnation, raw, held) {
+	for _, part := range list {
 		if !s.deliver(ctx, to, part) {
-			s.log.Info("hand-over is unclear", "heir", to, "tickets", ledger.Count())
+			s.log.Info("hand-over is unclear", "heir", to, "incarnation", estate.Incarnation.String())
 			return
 		}
 	}
-	s.Fleet.SetHeir(s.Incarnation, to)
-	s.log.Info("handed over", "heir", to, "tickets", ledger.Count(), "answers", len(held))
+	s.Fleet.SetHeir(estate.Incarnation, member.Heir{
+		Address: to,
+		Turn:    turn,
+	})
+	s.log.Info("handed over", "heir", to, "tickets", estate.Ledger.Count(), "answers", len(estate.Held))
 }
 
 // deliver sends one part to one peer until it is acknowledged.
@@ -66,16 +75,21 @@
 
 // parts splits a hand-over. Each part has the whole ledger, so that an heir
 // with only some of the parts never takes a used ticket for an unused one.
-func parts(inc ticket.Incarnation, ledger []byte, held []job.Held) []wire.Legacy {
+func parts(estate dispatch.Estate, turn int) ([]wire.Legacy, error) {
+	ledger, err := estate.Ledger.Bytes()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	fresh := func() wire.Legacy {
 		return wire.Legacy{
-			Host:   inc.String(),
+			Host:   estate.Incarnation.String(),
 			Ledger: ledger,
+			Turn:   turn,
 		}
 	}
 	list := []wire.Legacy{fresh()}
 	size := 0
-	for _, h := range held {
+	for _, h := range estate.Held {
 		if size > legacyBytes {
 			list = append(list, fresh())
 			size = 0
@@ -84,7 +98,7 @@
 		last.Held = append(last.Held, wireOf(h))
 		size += h.Outcome.Size()
 	}
-	return list
+	return list, nil
 }
 
 func wireOf(h job.Held) wire.Held {
@@ -167,7 +181,10 @@
 		held = append(held, heldOf(inc, w))
 	}
 	h.dispatcher.Adopt(inc, ledger, held)
-	h.fleet.SetHeir(inc, h.address)
+	h.fleet.SetHeir(inc, member.Heir{
+		Address: h.address,
+		Turn:    f.Legacy.Turn,
+	})
 	h.log.Info("took over", "from", f.Legacy.Host, "tickets", ledger.Count(), "answers", len(held))
 	return wire.Frame{Reply: &wire.Reply{}}, true
 }
--- a/io/executor/client.go
+++ b/io/executor/client.go
@@ -19,7 +19,7 @@
 const HeaderTask = "Task"
 
 const (
-	idleTimeout    = 20 * time.Second
+	idleTimeout    = 5 * time.Second
 	contentDefault = "application/json"
 )
 
--- a/io/executor/plugin.go
+++ b/io/executor/plugin.go
@@ -54,9 +54,10 @@
 }
 
 func newClient(lc fx.Lifecycle, s settings.Settings) *Client {
-	share := max(1, s.Integer(section, "connections")/s.Integer("fleet", "hosts"))
+	// The dispatcher keeps to this host's part; a home's part is never larger
+	// than this, so the transport itself holds nothing back.
 	c := New(Limits{
-		Connections: share,
+		Connections: s.Integer(section, "connections"),
 		Answer:      s.Integer(section, "answer"),
 	}, local.Dialer(s, s.Duration(section, "dial")))
 	lc.Append(fx.StopHook(c.Close))
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -49,15 +49,23 @@
 		Settings: settings.Section{
 			Name: sectionFleet,
 			Help: "All hosts together.",
-			Keys: []settings.Key{{
-				Name:    "hosts",
-				Default: "9",
-				Help:    "The most hosts that run at once; connections to backend servers are divided by it.",
-				Kind: settings.Integer{
-					Min: 1,
-					Max: 1000,
+			Keys: []settings.Key{
+				{
+					Name:    "hosts",
+					Default: "9",
+					Help:    "The most hosts that run at once; connections to backend servers are divided by it.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 1000,
+					},
 				},
-			}},
+				{
+					Name:    "home",
+					Default: "fleet",
+					Help:    "How many hosts share one queue for a service: its home. A region is the part of a domain's name before a slash.",
+					Kind:    settings.Choice{Of: []string{"host", "domain", "region", "fleet"}},
+				},
+			},
 		},
 		Module: fx.Options(),
 	})
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-logr/logr"
 
+	"rosemarywalk/core/home"
 	"rosemarywalk/core/member"
+	"rosemarywalk/core/place"
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/telemetry"
@@ -20,9 +22,9 @@
 	Send(ctx context.Context, address string, f wire.Frame) error
 }
 
-// Sizer takes how many hosts are alive, and this host's share of each quota.
+// Sizer takes this host's role for each service and its share of each quota.
 type Sizer interface {
-	SetFleet(hosts, capacity int)
+	SetRoles(role func(service string) place.FleetMsg)
 	SetQuotas(quotas map[string]int)
 	Demand() map[string]int
 }
@@ -38,10 +40,17 @@
 	Watch(changed func(quotas map[string]int))
 }
 
+// Heir is the host that answers for a stopped incarnation.
+type Heir struct {
+	Address string // peer address
+	Turn    int    // hand-overs that the incarnation has been through
+}
+
 // Fleet is this host's view of all hosts.
 type Fleet struct {
 	period    time.Duration
-	capacity  int
+	hosts     int // the most that run at once
+	scope     home.Scope
 	peers     Peers
 	sizer     Sizer
 	directory *platform.Directory
@@ -50,20 +59,20 @@
 	log       logr.Logger
 	now       func() time.Time
 
-	mu       sync.Mutex
-	model    *member.Model
-	heirs    map[ticket.Incarnation]string // peer addresses
-	recent   []ticket.Incarnation          // keys of heirs, oldest first
-	stopping bool
-	pulling  map[string]bool
-	demands  map[string]map[string]int // by peer address and team, as last reported
+	mu      sync.Mutex
+	model   *member.Model
+	heirs   map[ticket.Incarnation]Heir
+	recent  []ticket.Incarnation // keys of heirs, oldest first
+	pulling map[string]bool
+	demands map[string]map[string]int // by peer address and team, as last reported
 }
 
 // Parts is what a Fleet works with.
 type Parts struct {
 	Model     *member.Model
 	Period    time.Duration
-	Capacity  int
+	Hosts     int // the most that run at once
+	Scope     home.Scope
 	Peers     Peers
 	Sizer     Sizer
 	Directory *platform.Directory
@@ -76,7 +85,8 @@
 func New(p Parts) *Fleet {
 	f := &Fleet{
 		period:    p.Period,
-		capacity:  p.Capacity,
+		hosts:     p.Hosts,
+		scope:     p.Scope,
 		peers:     p.Peers,
 		sizer:     p.Sizer,
 		directory: p.Directory,
@@ -85,11 +95,12 @@
 		log:       p.Log.WithName("member"),
 		now:       time.Now,
 		model:     p.Model,
-		heirs:     map[ticket.Incarnation]string{},
+		heirs:     map[ticket.Incarnation]Heir{},
 		pulling:   map[string]bool{},
 		demands:   map[string]map[string]int{},
 	}
 	p.Rows.Watch(f.reshare)
+	p.Sizer.SetRoles(f.role)
 	return f
 }
 
@@ -100,6 +111,31 @@
 	return f.model.Live()
 }
 
+// Home returns the peer address of the host that queues for a service, and
+// whether that is this host.
+func (f *Fleet) Home(service string) (address string, own bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self := f.model.Self()
+	chosen := home.Choose(f.scope, service, self, f.model.Live())
+	return chosen.Address, chosen.Address == self.Address
+}
+
+// role returns what this host is for a service.
+func (f *Fleet) role(service string) place.FleetMsg {
+	_, own := f.Home(service)
+	live := f.Live()
+	homes := home.Count(f.scope, live)
+	queues := homes
+	if !own {
+		queues = len(live)
+	}
+	return place.FleetMsg{
+		Queues: queues,
+		Part:   home.Part(f.scope, own, homes, f.hosts),
+	}
+}
+
 // Heirs returns the hosts that could take over this one's memory.
 func (f *Fleet) Heirs() []member.Host {
 	f.mu.Lock()
@@ -111,23 +147,34 @@
 func (f *Fleet) Heir(inc ticket.Incarnation) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	address, known := f.heirs[inc]
-	return address, known
+	heir, known := f.heirs[inc]
+	return heir.Address, known
+}
+
+// Turns returns how many hand-overs an incarnation has been through.
+func (f *Fleet) Turns(inc ticket.Incarnation) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heirs[inc].Turn
 }
 
 // SetHeir notes which host answers for a stopped incarnation.
-func (f *Fleet) SetHeir(inc ticket.Incarnation, address string) {
+func (f *Fleet) SetHeir(inc ticket.Incarnation, heir Heir) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addHeir(inc, address)
+	f.addHeir(inc, heir)
 }
 
 // addHeir runs under the lock and forgets the oldest beyond a bound.
-func (f *Fleet) addHeir(inc ticket.Incarnation, address string) {
-	if _, known := f.heirs[inc]; !known {
+func (f *Fleet) addHeir(inc ticket.Incarnation, heir Heir) {
+	old, known := f.heirs[inc]
+	if known && old.Turn >= heir.Turn {
+		return
+	}
+	if !known {
 		f.recent = append(f.recent, inc)
 	}
-	f.heirs[inc] = address
+	f.heirs[inc] = heir
 	if len(f.recent) > heirsKept {
 		delete(f.heirs, f.recent[0])
 		f.recent = f.recent[1:]
@@ -137,8 +184,9 @@
 // Stop tells the fleet, with the next heartbeat, that this host stops.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
-	f.stopping = true
+	cmds := f.model.Update(f.now(), member.StopMsg{})
 	f.mu.Unlock()
+	f.run(cmds, wire.Beat{})
 	f.tick()
 }
 
@@ -189,12 +237,13 @@
 	beat.Address = self.Address
 	beat.Domain = self.Domain
 	beat.Count = self.Count
-	beat.Stopping = f.stopping
+	beat.Stopping = self.Stopping
 	beat.Demand = demandOf(f.demands[self.Address])
 	for _, inc := range f.recent[max(0, len(f.recent)-heirsSent):] {
 		beat.Heirs = append(beat.Heirs, wire.Heir{
 			Host:    inc.String(),
-			Address: f.heirs[inc],
+			Address: f.heirs[inc].Address,
+			Turn:    f.heirs[inc].Turn,
 		})
 	}
 	return beat
@@ -213,7 +262,7 @@
 			own.Known = knownOf(cmd.Known)
 			go f.send(cmd.Address, own)
 		case member.LiveCmd:
-			f.sizer.SetFleet(len(cmd.Hosts), f.capacity)
+			f.sizer.SetRoles(f.role)
 			f.log.Info("fleet changed", "live", len(cmd.Hosts))
 		}
 	}
@@ -232,10 +281,11 @@
 	known := make([]wire.Known, 0, len(hosts))
 	for _, h := range hosts {
 		known = append(known, wire.Known{
-			Host:    h.Incarnation,
-			Address: h.Address,
-			Domain:  h.Domain,
-			Count:   h.Count,
+			Host:     h.Incarnation,
+			Address:  h.Address,
+			Domain:   h.Domain,
+			Count:    h.Count,
+			Stopping: h.Stopping,
 		})
 	}
 	return known
@@ -250,8 +300,8 @@
 			Address:     b.Address,
 			Domain:      b.Domain,
 			Count:       b.Count,
+			Stopping:    b.Stopping,
 		},
-		Stopping: b.Stopping,
 	}
 	for _, k := range b.Known {
 		msg.Known = append(msg.Known, member.Host{
@@ -259,6 +309,7 @@
 			Address:     k.Address,
 			Domain:      k.Domain,
 			Count:       k.Count,
+			Stopping:    k.Stopping,
 		})
 	}
 	f.mu.Lock()
@@ -277,7 +328,10 @@
 func (f *Fleet) learnHeirs(heirs []wire.Heir) {
 	for _, h := range heirs {
 		if inc, err := ticket.ParseIncarnation(h.Host); err == nil {
-			f.addHeir(inc, h.Address)
+			f.addHeir(inc, Heir{
+				Address: h.Address,
+				Turn:    h.Turn,
+			})
 		}
 	}
 }
--- a/io/member/plugin.go
+++ b/io/member/plugin.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/core/home"
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/config"
@@ -105,7 +106,8 @@
 	return New(Parts{
 		Model:     member.New(self, limits, rand.New(rand.NewPCG(seed, seed))),
 		Period:    n.Settings.Duration(section, "period"),
-		Capacity:  n.Settings.Integer("fleet", "hosts"),
+		Hosts:     n.Settings.Integer("fleet", "hosts"),
+		Scope:     scopeOf(n.Settings),
 		Peers:     n.Links,
 		Sizer:     n.Dispatcher,
 		Directory: n.Directory,
@@ -115,6 +117,18 @@
 	})
 }
 
+func scopeOf(s settings.Settings) home.Scope {
+	switch s.Text("fleet", "home") {
+	case "domain":
+		return home.Domain{}
+	case "region":
+		return home.Region{}
+	case "fleet":
+		return home.Fleet{}
+	}
+	return home.Host{}
+}
+
 // served is what the plug-in serves on peer links.
 type served struct {
 	fx.Out
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -32,6 +32,7 @@
 // Fleet knows the live hosts.
 type Fleet interface {
 	Live() []member.Host
+	Home(service string) (address string, own bool)
 }
 
 // Peers asks other hosts.
@@ -53,6 +54,7 @@
 	Servers     int                `json:"servers"`
 	Usable      int                `json:"usable"`
 	Heirs       int                `json:"heirs"` // stopped hosts that this one answers for
+	Homes       []string           `json:"homes"` // services that this host queues for
 	InForce     []document.InForce `json:"inforce"`
 }
 
@@ -94,10 +96,21 @@
 		Servers:     load.Servers,
 		Usable:      load.Usable,
 		Heirs:       load.Adopted,
+		Homes:       h.homes(),
 		InForce:     h.store.InForce(),
 	}
 }
 
+func (h *Handler) homes() []string {
+	var homes []string
+	for _, service := range h.dispatcher.Services() {
+		if _, own := h.fleet.Home(service); own {
+			homes = append(homes, service)
+		}
+	}
+	return homes
+}
+
 // ServeAsk describes this host to another one.
 func (h *Handler) ServeAsk(_ context.Context, _ wire.Frame) (wire.Frame, bool) {
 	raw, err := json.Marshal(h.status())
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -40,3 +40,14 @@
 	}
 	return ""
 }
+
+// kindOf names a frame for the counters.
+func kindOf(f wire.Frame) string {
+	switch part := partOf(f); {
+	case part != "":
+		return string(part)
+	case f.Rows != nil:
+		return "rows"
+	}
+	return "reply"
+}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
 
@@ -26,8 +27,9 @@
 
 // link is one WebSocket connection with its pending calls.
 type link struct {
-	conn    *websocket.Conn
-	silence time.Duration
+	conn     *websocket.Conn
+	silence  time.Duration
+	counters *telemetry.Counters
 
 	mu      sync.Mutex
 	next    int
@@ -36,13 +38,14 @@
 	done    chan struct{}
 }
 
-func newLink(conn *websocket.Conn, silence time.Duration) *link {
+func newLink(conn *websocket.Conn, silence time.Duration, counters *telemetry.Counters) *link {
 	conn.SetReadLimit(frameBytesMax)
 	return &link{
-		conn:    conn,
-		silence: silence,
-		pending: map[int]chan wire.Frame{},
-		done:    make(chan struct{}),
+		conn:     conn,
+		silence:  silence,
+		counters: counters,
+		pending:  map[int]chan wire.Frame{},
+		done:     make(chan struct{}),
 	}
 }
 
@@ -95,6 +98,7 @@
 	if err != nil {
 		return errors.Annotate(err, "encode frame")
 	}
+	l.counters.Bytes(kindOf(f), len(raw))
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, errors.WithType(err, ErrNoLink)
 	}
-	s.link = newLink(conn, l.silence)
+	s.link = newLink(conn, l.silence, l.counters)
 	go s.link.read(s.link.deliver)
 	go s.link.watch()
 	return s.link, nil
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -82,7 +82,9 @@
 	Handlers []Handler `group:"handlers"`
 }
 
-func newServer(h handlers, log logr.Logger) *Server { return NewServer(h.Handlers, log) }
+func newServer(h handlers, counters *telemetry.Counters, log logr.Logger) *Server {
+	return NewServer(h.Handlers, counters, log)
+}
 
 func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, log logr.Logger) {
 	web := server.New("peer", s.Text(section, "listen"), handler, log)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,12 +10,14 @@
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 
+	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
 
 // Server takes links from other hosts.
 type Server struct {
 	handlers map[Part]Handler
+	counters *telemetry.Counters
 	log      logr.Logger
 
 	active atomic.Int64 // calls whose answers aren't written yet
@@ -25,9 +27,10 @@
 }
 
 // NewServer returns a server for the given handlers.
-func NewServer(handlers []Handler, log logr.Logger) *Server {
+func NewServer(handlers []Handler, counters *telemetry.Counters, log logr.Logger) *Server {
 	s := &Server{
 		handlers: map[Part]Handler{},
+		counters: counters,
 		log:      log.WithName("peer"),
 		links:    map[*link]bool{},
 	}
@@ -44,7 +47,7 @@
 		s.log.V(1).Info("link refused", "error", err.Error())
 		return
 	}
-	l := newLink(conn, 0)
+	l := newLink(conn, 0, s.counters)
 	s.track(l, true)
 	defer s.track(l, false)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -23,6 +23,7 @@
 	retries  *prometheus.CounterVec
 	failures *prometheus.CounterVec
 	messages *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
 	starts   prometheus.Counter
 	jobs     *prometheus.CounterVec
 }
@@ -34,6 +35,7 @@
 		retries:  vector("retries_total", "Tasks and calls tried again.", "reason"),
 		failures: vector("failures_total", "Jobs that failed after being accepted.", "reason"),
 		messages: vector("messages_total", "Messages that carried no task and no answer.", "kind"),
+		bytes:    vector("link_bytes_total", "Bytes written to peer links.", "kind"),
 		jobs:     vector("jobs_total", "Jobs finished.", "state"),
 		starts: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
@@ -46,7 +48,7 @@
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.jobs, c.starts)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.starts)
 	return c
 }
 
@@ -74,6 +76,9 @@
 	c.messages.WithLabelValues(kind).Add(float64(n))
 }
 
+// Bytes counts bytes written to a peer link, by what the frame carries.
+func (c *Counters) Bytes(kind string, n int) { c.bytes.WithLabelValues(kind).Add(float64(n)) }
+
 // Started counts a task sent to a backend server.
 func (c *Counters) Started() { c.starts.Inc() }
 
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -58,6 +58,9 @@
 	// Payload, unchanged.
 	Body []byte `cbor:"body" json:"body"`
 
+	// How many tickets are wanted.
+	Count int `cbor:"count" json:"count"`
+
 	// Content type of body.
 	Kind string `cbor:"kind" json:"kind"`
 
@@ -70,7 +73,7 @@
 	// Signed text form of the ticket.
 	Ticket string `cbor:"ticket" json:"ticket"`
 
-	// submit, request, look, cancel or explain.
+	// submit, request, look, cancel, explain or tickets.
 	Verb string `cbor:"verb" json:"verb"`
 
 	// Longest wait for an outcome, in milliseconds.
@@ -135,6 +138,9 @@
 
 	// The stopped incarnation.
 	Host string `cbor:"host" json:"host"`
+
+	// How many hand-overs the incarnation has been through; the highest is right.
+	Turn int `cbor:"turn" json:"turn"`
 }
 
 // Held is one finished job of a Legacy.
@@ -174,6 +180,9 @@
 
 	// Incarnation of the host.
 	Host string `cbor:"host" json:"host"`
+
+	// Whether the host began a planned stop.
+	Stopping bool `cbor:"stopping" json:"stopping"`
 }
 
 // Legacy hands over the memory of an incarnation that stopped.
@@ -186,6 +195,9 @@
 
 	// Serialized used sequence numbers.
 	Ledger []byte `cbor:"ledger" json:"ledger"`
+
+	// How many hand-overs this one makes.
+	Turn int `cbor:"turn" json:"turn"`
 }
 
 // Mark is a row's version.
--- /dev/null
+++ b/proof/home_test.go
@@ -0,0 +1,140 @@
+package proof
+
+import (
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/standin/proxy"
+)
+
+// homeOf returns a host that queues for a service.
+func (f *fleet) homeOf(service string) *hostProcess {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		own, _, err := h.status()
+		assert.NilError(f.t, err)
+		for _, s := range own.Homes {
+			if s == service {
+				return h
+			}
+		}
+	}
+	f.t.Fatalf("no home for %s", service)
+	return nil
+}
+
+// others returns all hosts but one.
+func (f *fleet) others(h *hostProcess) []*hostProcess {
+	var others []*hostProcess
+	for _, o := range f.hosts {
+		if o != h {
+			others = append(others, o)
+		}
+	}
+	return others
+}
+
+// TestHoldServesWithoutHome: when a service's home is gone in any way, the
+// other hosts serve on, and nothing starts twice.
+func TestHoldServesWithoutHome(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *fleet, home *hostProcess)
+	}{
+		{
+			name:  "killed",
+			fault: func(_ *fleet, home *hostProcess) { home.kill() },
+		},
+		{
+			name:  "frozen",
+			fault: func(_ *fleet, home *hostProcess) { home.signal(syscall.SIGSTOP) },
+		},
+		{
+			name:  "cut off",
+			fault: func(_ *fleet, home *hostProcess) { home.link.Set(proxy.Any, proxy.Cut()) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, options{
+				hosts:   3,
+				servers: 3,
+				slots:   8,
+				home:    "fleet",
+			})
+			home := f.homeOf(service)
+			others := f.others(home)
+			o, err := others[0].client().WithService(service).Submit(background(t), ticketFor(t, others[0]), job(10, 5))
+			assert.NilError(t, err)
+			checkAnswers(t, o, 10)
+			test.fault(f, home)
+			for _, h := range others {
+				// Tickets in stock may be the home's, until it is known to be dead.
+				eventually(t, h.name+" serves", func() bool {
+					o, err := h.client().Submit(background(t), ticketFor(t, h), job(10, 5))
+					return err == nil && o.Complete()
+				})
+			}
+			_, twice := f.starts()
+			assert.Equal(t, twice, 0)
+		})
+	}
+}
+
+// ticketFor fetches one ticket for the proofs' service.
+func ticketFor(t *testing.T, h *hostProcess) string {
+	t.Helper()
+	tickets, err := h.client().WithService(service).Tickets(background(t), 1)
+	assert.NilError(t, err)
+	return tickets[0]
+}
+
+// TestHoldConnections: all hosts together keep to a server's connections, also
+// while a home moves under load.
+func TestHoldConnections(t *testing.T) {
+	const connections = 64
+	for _, scope := range []string{"host", "fleet"} {
+		t.Run("home is the "+scope, func(t *testing.T) {
+			f := newFleet(t, options{
+				hosts:    3,
+				servers:  2,
+				slots:    64,
+				home:     scope,
+				settings: "[dispatch]\nwindow = 100\n[drain]\nlinger = 200ms",
+			})
+			var stop atomic.Bool
+			var wg sync.WaitGroup
+			for i := range 30 {
+				wg.Go(func() {
+					for n := 0; !stop.Load(); n++ {
+						h := f.hosts[(i+n)%3]
+						if !h.ready() {
+							continue
+						}
+						tickets, err := h.client().WithService(service).Tickets(background(t), 1)
+						if err == nil {
+							_, _ = h.client().Submit(background(t), tickets[0], job(50, 50))
+						}
+					}
+				})
+			}
+			time.Sleep(2 * time.Second)
+			home := f.homeOf(service)
+			home.signal(syscall.SIGTERM)
+			home.stopped()
+			time.Sleep(2 * time.Second)
+			stop.Store(true)
+			wg.Wait()
+			for _, s := range f.servers {
+				most := s.Starts().Connections
+				assert.Assert(t, most <= connections, "%d connections at once", most)
+				assert.Assert(t, most > connections/4, "only %d connections, the load was not real", most)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/experiment/fault.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"rosemarywalk/standin/platform"
+	"rosemarywalk/standin/server"
+)
+
+// inject carries out the plan's faults at their times, until it is stopped.
+func (f *fleet) inject(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		begin := time.Now()
+		for _, fault := range f.plan.Faults {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(begin.Add(fault.At))):
+				f.apply(fault.What)
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// apply understands "servers A-B MODE", "servers A-B slow FACTOR",
+// "platform down", "platform up" and "host N kill".
+func (f *fleet) apply(what string) {
+	var first, last, n int
+	var mode string
+	var slow float64
+	switch {
+	case matches(what, "servers %d-%d slow %g", &first, &last, &slow):
+		f.behave(first, last, server.Behavior{
+			Mode: server.ModeOK,
+			Slow: slow,
+		})
+	case matches(what, "servers %d-%d %s", &first, &last, &mode):
+		f.behave(first, last, server.Behavior{Mode: mode})
+	case matches(what, "host %d kill", &n):
+		_ = f.processes[n].Process.Signal(syscall.SIGKILL)
+	case what == "platform down":
+		f.platform.SetFaults(platform.Faults{Down: true})
+	case what == "platform up":
+		f.platform.SetFaults(platform.Faults{})
+	}
+}
+
+func matches(what, format string, into ...any) bool {
+	n, err := fmt.Sscanf(what, format, into...)
+	return err == nil && n == len(into)
+}
+
+func (f *fleet) behave(first, last int, b server.Behavior) {
+	for i := first; i <= last && i < len(f.servers); i++ {
+		f.servers[i].SetBehavior(b)
+	}
+}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"rosemarywalk/io/client"
@@ -66,7 +67,7 @@
 		report:  newReport(),
 	}
 	for _, h := range hosts {
-		r.clients = append(r.clients, client.New(h, newTransport()))
+		r.clients = append(r.clients, client.New(h, newTransport()).WithService(service))
 	}
 	for _, c := range r.clients {
 		if err := fill(ctx, c); err != nil {
@@ -127,11 +128,10 @@
 }
 
 func (r *runner) submit(ctx context.Context, c *client.Client, p planned) (client.Outcome, error) {
-	ticket, err := c.Ticket(ctx)
-	if err != nil {
-		return client.Outcome{}, err
+	job := client.Job{
+		Service:  r.service,
+		Deadline: int(r.profile.Deadline / time.Millisecond),
 	}
-	job := client.Job{Service: r.service}
 	for _, run := range p.runs {
 		body, err := json.Marshal(taskBody{Run: int(run / time.Millisecond)})
 		if err != nil {
@@ -139,6 +139,13 @@
 		}
 		job.Tasks = append(job.Tasks, client.Task{Body: body})
 	}
+	if r.profile.Keyed {
+		return c.SubmitKey(ctx, uuid.NewString(), job)
+	}
+	ticket, err := c.Ticket(ctx)
+	if err != nil {
+		return client.Outcome{}, err
+	}
 	return c.Submit(ctx, ticket, job)
 }
 
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -17,6 +17,8 @@
 	RunMean  time.Duration // of one task
 	RunMin   time.Duration
 	RunMax   time.Duration
+	Deadline time.Duration // of every job; 0 for the hosts' default
+	Keyed    bool          // jobs carry idempotency keys instead of tickets
 }
 
 // sigma is the spread of the lognormal run times.
@@ -59,14 +61,30 @@
 func (p Profile) runs(rng *rand.Rand) []time.Duration {
 	n := p.tasks(rng)
 	runs := make([]time.Duration, 0, n)
-	mu := math.Log(p.RunMean.Seconds()) - sigma*sigma/2
 	for range n {
-		run := time.Duration(math.Exp(mu+sigma*rng.NormFloat64()) * float64(time.Second))
-		runs = append(runs, min(p.RunMax, max(p.RunMin, run)).Round(time.Millisecond))
+		runs = append(runs, p.run(rng))
 	}
 	return runs
 }
 
+// run draws one lognormal run time.
+func (p Profile) run(rng *rand.Rand) time.Duration {
+	mu := math.Log(p.RunMean.Seconds()) - sigma*sigma/2
+	run := time.Duration(math.Exp(mu+sigma*rng.NormFloat64()) * float64(time.Second))
+	return min(p.RunMax, max(p.RunMin, run)).Round(time.Millisecond)
+}
+
+// MeanRun returns the mean run time after cutting off at both ends, by drawing.
+func (p Profile) MeanRun() time.Duration {
+	const draws = 200000
+	rng := rand.New(rand.NewPCG(1, 1))
+	var sum time.Duration
+	for range draws {
+		sum += p.run(rng)
+	}
+	return sum / draws
+}
+
 // tasks draws a job's size, even on a logarithmic scale: many small, few large.
 func (p Profile) tasks(rng *rand.Rand) int {
 	low, high := math.Log(float64(p.TasksMin)), math.Log(float64(p.TasksMax)+1)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -157,9 +157,14 @@
 }
 
 func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
+	write(w, p.Counts())
+}
+
+// Counts returns how often the platform was used so far.
+func (p *Platform) Counts() Counts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	write(w, p.counts)
+	return p.counts
 }
 
 func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
