--- /dev/null
+++ b/cmd/rosemarywalk/main_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/io/settings"
+	"rosemarywalk/kernel"
+)
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	good, bad := filepath.Join(dir, "good.ini"), filepath.Join(dir, "bad.ini")
+	assert.NilError(t, os.WriteFile(good, []byte("[guild]\nservices = valuation\n"), 0o600))
+	assert.NilError(t, os.WriteFile(bad, []byte("[guild]\nservice = valuation\n"), 0o600))
+	tests := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{
+			name: "done",
+			args: []string{"config", "check", good},
+			want: exitDone,
+		},
+		{
+			name: "findings",
+			args: []string{"config", "check", bad},
+			want: exitFailed,
+		},
+		{
+			name: "bad settings",
+			args: []string{"serve", "--settings", bad},
+			want: exitFailed,
+		},
+		{
+			name: "no host there",
+			args: []string{"hosts", "--host", "http://127.0.0.1:1"},
+			want: exitFailed,
+		},
+		{
+			name: "unknown command",
+			args: []string{"dance"},
+			want: exitUsage,
+		},
+		{
+			name: "missing flag",
+			args: []string{"serve"},
+			want: exitUsage,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, run(test.args), test.want)
+		})
+	}
+}
+
+// TestDefaultsAreAccepted: serve accepts what settings prints.
+func TestDefaultsAreAccepted(t *testing.T) {
+	_, err := settings.Parse("default.ini", []byte(settings.Annotated(kernel.Schema())), kernel.Schema())
+	assert.NilError(t, err)
+}
+
+// TestDemo: the README's first command completes its job.
+func TestDemo(t *testing.T) {
+	assert.Equal(t, run([]string{"demo"}), exitDone)
+}
