Proofs checked by taking mechanisms out; names of the field; operators' pages

Cause: a proof that passes may rest on nothing. proof/mutate takes 30 mechanisms out of a copy of the source, one at a time, and runs the proof.

TestHoldPlannedStop passed with the wait for running jobs taken out, because its jobs of 30 ms were over within the linger. Every third caller now sends jobs that outlast it.

Also: a caller that leaves no longer makes this host avoid a home; a ticket cache, a successor and a hand-over in place of a stock, an heir and a legacy.

--- a/cmd/rosemarywalk/main_test.go
+++ b/cmd/rosemarywalk/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -69,3 +70,23 @@
 func TestDemo(t *testing.T) {
 	assert.Equal(t, run([]string{"demo"}), exitDone)
 }
+
+// TestExampleSettings: the settings files that are shipped are accepted.
+func TestExampleSettings(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.ini")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		_, err = settings.Parse(file, raw, kernel.Schema())
+		assert.NilError(t, err)
+	}
+}
+
+// TestSettingsPage: the page on settings has what settings prints.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(page), settings.Annotated(kernel.Schema())), "docs/SETTINGS.md is out of date")
+}
--- a/core/job/model.go
+++ b/core/job/model.go
@@ -401,8 +401,8 @@
 	return Outcome{}, false, false
 }
 
-// Legacy returns the ledger and held outcomes of an incarnation for its heir.
-func (m *Model) Legacy(inc ticket.Incarnation) (*ticket.Ledger, []Held) {
+// Handover returns the ledger and held outcomes of an incarnation for its successor.
+func (m *Model) Handover(inc ticket.Incarnation) (*ticket.Ledger, []Held) {
 	var held []Held
 	for _, f := range m.held {
 		r := m.records[f.id]
--- a/core/job/model_test.go
+++ b/core/job/model_test.go
@@ -228,7 +228,7 @@
 	}
 }
 
-// TestAdopted: the heir runs an unused ticket of a sealed host, once.
+// TestAdopted: the successor runs an unused ticket of a sealed host, once.
 func TestAdopted(t *testing.T) {
 	m := New(own, Retention{
 		Age:   time.Minute,
--- a/core/member/model.go
+++ b/core/member/model.go
@@ -302,8 +302,8 @@
 	return holders
 }
 
-// Heirs returns live hosts that aren't stopping, own failure domain first.
-func (m *Model) Heirs() []Host {
+// Successors returns live hosts that aren't stopping, own failure domain first.
+func (m *Model) Successors() []Host {
 	var own, foreign []Host
 	for _, p := range m.sorted() {
 		if !p.alive || p.host.Stopping {
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -36,7 +36,7 @@
 // Fleet knows which host answers for a stopped incarnation, and which one
 // queues for a service.
 type Fleet interface {
-	Heir(inc ticket.Incarnation) (address string, known bool)
+	Successor(inc ticket.Incarnation) (address string, known bool)
 	Home(service string) (address string, own bool)
 }
 
@@ -54,7 +54,7 @@
 	owners     Owners
 	counters   *telemetry.Counters
 	limits     Limits
-	stock      *stock
+	cache      *cache
 	last       atomic.Value // string: the service that callers here used last
 }
 
@@ -69,7 +69,7 @@
 		counters:   counters,
 		limits:     limits,
 	}
-	s.stock = newStock(s.fetch)
+	s.cache = newCache(s.fetch)
 	return s
 }
 
@@ -87,7 +87,7 @@
 	if own {
 		return s.own(n)
 	}
-	if tickets, ok := s.stock.take(ctx, address, service, n); ok {
+	if tickets, ok := s.cache.take(ctx, address, service, n); ok {
 		return tickets, nil
 	}
 	return s.own(n)
@@ -129,7 +129,7 @@
 
 // serveTickets gives tickets of this host to another one.
 func (s *Service) serveTickets(n int) Response {
-	if n < 1 || n > ticketsMost+stockBatch {
+	if n < 1 || n > ticketsMost+cacheBatch {
 		return invalid(http.StatusBadRequest, errors.NotValidf("count %d", n))
 	}
 	tickets, err := s.own(n)
@@ -149,7 +149,7 @@
 	case dispatch.Owned:
 		return s.local(ctx, t, call)
 	case dispatch.Sealed:
-		if _, known := s.fleet.Heir(t.ID.Incarnation); !known {
+		if _, known := s.fleet.Successor(t.ID.Incarnation); !known {
 			return s.unreachable()
 		}
 	case dispatch.Foreign:
@@ -252,19 +252,18 @@
 	})
 }
 
-// forward sends a call to the ticket's owner, or to the owner's heir. Sending
+// forward sends a call to the ticket's owner, or to the owner's successor. Sending
 // it twice is harmless: the owner runs a ticket once.
 func (s *Service) forward(ctx context.Context, t ticket.Ticket, call wire.Call) Response {
 	address := t.Address
-	if heir, known := s.fleet.Heir(t.ID.Incarnation); known {
-		address = heir
+	if successor, known := s.fleet.Successor(t.ID.Incarnation); known {
+		address = successor
 	}
 	for range hopsMost {
 		reply, err := s.call(ctx, address, call)
 		switch {
 		case err != nil:
-			s.stock.avoid(address)
-			return s.unreachable()
+			return s.failedCall(ctx, address)
 		case reply.Status != 0:
 			return Response{
 				Status: reply.Status,
@@ -272,15 +271,24 @@
 				Body:   reply.Body,
 				After:  time.Duration(reply.After) * time.Millisecond,
 			}
-		case reply.Heir == "" || reply.Heir == address:
+		case reply.Successor == "" || reply.Successor == address:
 			return s.lost()
 		}
-		address = reply.Heir
+		address = reply.Successor
+	}
+	return s.unreachable()
+}
+
+// failedCall keeps this host from handing out the other one's tickets, unless
+// it was the caller that left.
+func (s *Service) failedCall(ctx context.Context, address string) Response {
+	if ctx.Err() == nil {
+		s.cache.avoid(address)
 	}
 	return s.unreachable()
 }
 
-// hopsMost bounds the chain of heirs that a call follows.
+// hopsMost bounds the chain of successors that a call follows.
 const hopsMost = 4
 
 func (s *Service) call(ctx context.Context, address string, call wire.Call) (*wire.Reply, error) {
@@ -319,7 +327,7 @@
 	if err != nil {
 		return frame(invalid(ticketStatus(err), err)), true
 	}
-	heir, known := s.fleet.Heir(t.ID.Incarnation)
+	successor, known := s.fleet.Successor(t.ID.Incarnation)
 	switch s.dispatcher.Ownership(t.ID.Incarnation) {
 	case dispatch.Owned:
 		return frame(s.local(ctx, t, *f.Call)), true
@@ -329,7 +337,7 @@
 		}
 	case dispatch.Foreign:
 	}
-	return wire.Frame{Reply: &wire.Reply{Heir: heir}}, true
+	return wire.Frame{Reply: &wire.Reply{Successor: successor}}, true
 }
 
 func frame(r Response) wire.Frame {
--- a/io/dispatch/fleet.go
+++ b/io/dispatch/fleet.go
@@ -97,8 +97,8 @@
 	return n
 }
 
-// Estate is an incarnation that this host answers for.
-type Estate struct {
+// Snapshot is an incarnation that this host answers for.
+type Snapshot struct {
 	Incarnation ticket.Incarnation
 	Ledger      *ticket.Ledger
 	Held        []job.Held
@@ -106,24 +106,24 @@
 
 // Seal makes this host start nothing and answer for nothing more, and returns
 // all that it answered for. It must be drained.
-func (d *Dispatcher) Seal() []Estate {
+func (d *Dispatcher) Seal() []Snapshot {
 	d.sealed.Store(true)
-	var estates []Estate
+	var snapshots []Snapshot
 	for _, inc := range d.incarnations() {
-		estate := Estate{
+		snapshot := Snapshot{
 			Incarnation: inc,
 			Ledger:      ticket.NewLedger(),
 		}
 		for _, s := range d.shards {
 			s.mu.Lock()
-			l, h := s.model.Legacy(inc)
-			estate.Ledger.Merge(l)
+			l, h := s.model.Handover(inc)
+			snapshot.Ledger.Merge(l)
 			s.mu.Unlock()
-			estate.Held = append(estate.Held, h...)
+			snapshot.Held = append(snapshot.Held, h...)
 		}
-		estates = append(estates, estate)
+		snapshots = append(snapshots, snapshot)
 	}
-	return estates
+	return snapshots
 }
 
 func (d *Dispatcher) incarnations() []ticket.Incarnation {
--- a/io/drain/legacy.go
+++ b/io/drain/handover.go
@@ -16,81 +16,81 @@
 )
 
 const (
-	// legacyBytes bounds one part of a hand-over.
-	legacyBytes = 4 << 20
-	// legacyPause is the pause before the same part is sent again.
-	legacyPause = 200 * time.Millisecond
-	// legacyTry bounds one try.
-	legacyTry = 3 * time.Second
+	// partBytes bounds one part of a hand-over.
+	partBytes = 4 << 20
+	// tryPause is the pause before the same part is sent again.
+	tryPause = 200 * time.Millisecond
+	// tryTimeout bounds one try.
+	tryTimeout = 3 * time.Second
 )
 
 // handOver gives all that this host answers for to exactly one peer. Once a
-// part was sent, no other peer is tried: two heirs could start a ticket twice.
+// part was sent, no other peer is tried: two successors could start a ticket twice.
 func (s *stopper) handOver(ctx context.Context) {
-	heirs := s.Fleet.Heirs()
-	if len(heirs) == 0 {
+	successors := s.Fleet.Successors()
+	if len(successors) == 0 {
 		s.log.Info("no hand-over, there is no peer")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.handover)
 	defer cancel()
-	for _, estate := range s.Dispatcher.Seal() {
-		s.handOverOne(ctx, heirs[0].Address, estate)
+	for _, snapshot := range s.Dispatcher.Seal() {
+		s.handOverOne(ctx, successors[0].Address, snapshot)
 	}
 }
 
-func (s *stopper) handOverOne(ctx context.Context, to string, estate dispatch.Estate) {
-	turn := s.Fleet.Turns(estate.Incarnation) + 1
-	list, err := parts(estate, turn)
+func (s *stopper) handOverOne(ctx context.Context, to string, snapshot dispatch.Snapshot) {
+	turn := s.Fleet.Turns(snapshot.Incarnation) + 1
+	list, err := parts(snapshot, turn)
 	if err != nil {
-		s.log.Error(err, "no hand-over", "incarnation", estate.Incarnation.String())
+		s.log.Error(err, "no hand-over", "incarnation", snapshot.Incarnation.String())
 		return
 	}
 	for _, part := range list {
 		if !s.deliver(ctx, to, part) {
-			s.log.Info("hand-over is unclear", "heir", to, "incarnation", estate.Incarnation.String())
+			s.log.Info("hand-over is unclear", "successor", to, "incarnation", snapshot.Incarnation.String())
 			return
 		}
 	}
-	s.Fleet.SetHeir(estate.Incarnation, member.Heir{
+	s.Fleet.SetSuccessor(snapshot.Incarnation, member.Successor{
 		Address: to,
 		Turn:    turn,
 	})
-	s.log.Info("handed over", "heir", to, "tickets", estate.Ledger.Count(), "answers", len(estate.Held))
+	s.log.Info("handed over", "successor", to, "tickets", snapshot.Ledger.Count(), "answers", len(snapshot.Held))
 }
 
 // deliver sends one part to one peer until it is acknowledged.
-func (s *stopper) deliver(ctx context.Context, to string, part wire.Legacy) bool {
+func (s *stopper) deliver(ctx context.Context, to string, part wire.Handover) bool {
 	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, legacyTry)
-		answer, err := s.Links.Call(try, to, wire.Frame{Legacy: &part})
+		try, cancel := context.WithTimeout(ctx, tryTimeout)
+		answer, err := s.Links.Call(try, to, wire.Frame{Handover: &part})
 		cancel()
 		if err == nil && answer.Reply != nil {
 			return true
 		}
-		pause(ctx, legacyPause)
+		pause(ctx, tryPause)
 	}
 	return false
 }
 
-// parts splits a hand-over. Each part has the whole ledger, so that an heir
+// parts splits a hand-over. Each part has the whole ledger, so that a successor
 // with only some of the parts never takes a used ticket for an unused one.
-func parts(estate dispatch.Estate, turn int) ([]wire.Legacy, error) {
-	ledger, err := estate.Ledger.Bytes()
+func parts(snapshot dispatch.Snapshot, turn int) ([]wire.Handover, error) {
+	ledger, err := snapshot.Ledger.Bytes()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	fresh := func() wire.Legacy {
-		return wire.Legacy{
-			Host:   estate.Incarnation.String(),
+	fresh := func() wire.Handover {
+		return wire.Handover{
+			Host:   snapshot.Incarnation.String(),
 			Ledger: ledger,
 			Turn:   turn,
 		}
 	}
-	list := []wire.Legacy{fresh()}
+	list := []wire.Handover{fresh()}
 	size := 0
-	for _, h := range estate.Held {
-		if size > legacyBytes {
+	for _, h := range snapshot.Held {
+		if size > partBytes {
 			list = append(list, fresh())
 			size = 0
 		}
@@ -158,33 +158,33 @@
 	return held
 }
 
-// heir takes hand-overs from other hosts.
-type heir struct {
+// successor takes hand-overs from other hosts.
+type successor struct {
 	dispatcher *dispatch.Dispatcher
 	fleet      *member.Fleet
 	address    string
 	log        logr.Logger
 }
 
-func (h *heir) serve(_ context.Context, f wire.Frame) (wire.Frame, bool) {
-	inc, err := ticket.ParseIncarnation(f.Legacy.Host)
+func (h *successor) serve(_ context.Context, f wire.Frame) (wire.Frame, bool) {
+	inc, err := ticket.ParseIncarnation(f.Handover.Host)
 	if err != nil {
 		return wire.Frame{}, false
 	}
-	ledger, err := ticket.ReadLedger(f.Legacy.Ledger)
+	ledger, err := ticket.ReadLedger(f.Handover.Ledger)
 	if err != nil {
-		h.log.Error(err, "hand-over can't be read", "from", f.Legacy.Host)
+		h.log.Error(err, "hand-over can't be read", "from", f.Handover.Host)
 		return wire.Frame{}, false
 	}
-	held := make([]job.Held, 0, len(f.Legacy.Held))
-	for _, w := range f.Legacy.Held {
+	held := make([]job.Held, 0, len(f.Handover.Held))
+	for _, w := range f.Handover.Held {
 		held = append(held, heldOf(inc, w))
 	}
 	h.dispatcher.Adopt(inc, ledger, held)
-	h.fleet.SetHeir(inc, member.Heir{
+	h.fleet.SetSuccessor(inc, member.Successor{
 		Address: h.address,
-		Turn:    f.Legacy.Turn,
+		Turn:    f.Handover.Turn,
 	})
-	h.log.Info("took over", "from", f.Legacy.Host, "tickets", ledger.Count(), "answers", len(held))
+	h.log.Info("took over", "from", f.Handover.Host, "tickets", ledger.Count(), "answers", len(held))
 	return wire.Frame{Reply: &wire.Reply{}}, true
 }
--- a/io/drain/plugin.go
+++ b/io/drain/plugin.go
@@ -94,18 +94,18 @@
 type served struct {
 	fx.Out
 
-	Legacy peer.Handler `group:"handlers"`
+	Handover peer.Handler `group:"handlers"`
 }
 
 func newHandlers(d *dispatch.Dispatcher, f *member.Fleet, s settings.Settings, log logr.Logger) served {
-	h := &heir{
+	h := &successor{
 		dispatcher: d,
 		fleet:      f,
 		address:    local.PeerAddress(s),
 		log:        log.WithName(section),
 	}
-	return served{Legacy: peer.Handler{
-		Part:  peer.PartLegacy,
+	return served{Handover: peer.Handler{
+		Part:  peer.PartHandover,
 		Serve: h.serve,
 	}}
 }
--- a/io/member/doc.go
+++ b/io/member/doc.go
@@ -1,3 +1,3 @@
 // Package member is the plug-in that sends and takes heartbeats, and with
-// them the news that rides along: newer host lists and heirs.
+// them the news that rides along: newer host lists and successors.
 package member
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -40,8 +40,8 @@
 	Watch(changed func(quotas map[string]int))
 }
 
-// Heir is the host that answers for a stopped incarnation.
-type Heir struct {
+// Successor is the host that answers for a stopped incarnation.
+type Successor struct {
 	Address string // peer address
 	Turn    int    // hand-overs that the incarnation has been through
 }
@@ -59,12 +59,12 @@
 	log       logr.Logger
 	now       func() time.Time
 
-	mu      sync.Mutex
-	model   *member.Model
-	heirs   map[ticket.Incarnation]Heir
-	recent  []ticket.Incarnation // keys of heirs, oldest first
-	pulling map[string]bool
-	demands map[string]map[string]int // by peer address and team, as last reported
+	mu         sync.Mutex
+	model      *member.Model
+	successors map[ticket.Incarnation]Successor
+	recent     []ticket.Incarnation // keys of successors, oldest first
+	pulling    map[string]bool
+	demands    map[string]map[string]int // by peer address and team, as last reported
 }
 
 // Parts is what a Fleet works with.
@@ -84,20 +84,20 @@
 // New returns a view that knows only this host.
 func New(p Parts) *Fleet {
 	f := &Fleet{
-		period:    p.Period,
-		hosts:     p.Hosts,
-		scope:     p.Scope,
-		peers:     p.Peers,
-		sizer:     p.Sizer,
-		directory: p.Directory,
-		rows:      p.Rows,
-		counters:  p.Counters,
-		log:       p.Log.WithName("member"),
-		now:       time.Now,
-		model:     p.Model,
-		heirs:     map[ticket.Incarnation]Heir{},
-		pulling:   map[string]bool{},
-		demands:   map[string]map[string]int{},
+		period:     p.Period,
+		hosts:      p.Hosts,
+		scope:      p.Scope,
+		peers:      p.Peers,
+		sizer:      p.Sizer,
+		directory:  p.Directory,
+		rows:       p.Rows,
+		counters:   p.Counters,
+		log:        p.Log.WithName("member"),
+		now:        time.Now,
+		model:      p.Model,
+		successors: map[ticket.Incarnation]Successor{},
+		pulling:    map[string]bool{},
+		demands:    map[string]map[string]int{},
 	}
 	p.Rows.Watch(f.reshare)
 	p.Sizer.SetRoles(f.role)
@@ -136,47 +136,47 @@
 	}
 }
 
-// Heirs returns the hosts that could take over this one's memory.
-func (f *Fleet) Heirs() []member.Host {
+// Successors returns the hosts that could take over this one's memory.
+func (f *Fleet) Successors() []member.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.model.Heirs()
+	return f.model.Successors()
 }
 
-// Heir returns the peer address of the host that answers for an incarnation.
-func (f *Fleet) Heir(inc ticket.Incarnation) (string, bool) {
+// Successor returns the peer address of the host that answers for an incarnation.
+func (f *Fleet) Successor(inc ticket.Incarnation) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	heir, known := f.heirs[inc]
-	return heir.Address, known
+	successor, known := f.successors[inc]
+	return successor.Address, known
 }
 
 // Turns returns how many hand-overs an incarnation has been through.
 func (f *Fleet) Turns(inc ticket.Incarnation) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.heirs[inc].Turn
+	return f.successors[inc].Turn
 }
 
-// SetHeir notes which host answers for a stopped incarnation.
-func (f *Fleet) SetHeir(inc ticket.Incarnation, heir Heir) {
+// SetSuccessor notes which host answers for a stopped incarnation.
+func (f *Fleet) SetSuccessor(inc ticket.Incarnation, successor Successor) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addHeir(inc, heir)
+	f.addSuccessor(inc, successor)
 }
 
-// addHeir runs under the lock and forgets the oldest beyond a bound.
-func (f *Fleet) addHeir(inc ticket.Incarnation, heir Heir) {
-	old, known := f.heirs[inc]
-	if known && old.Turn >= heir.Turn {
+// addSuccessor runs under the lock and forgets the oldest beyond a bound.
+func (f *Fleet) addSuccessor(inc ticket.Incarnation, successor Successor) {
+	old, known := f.successors[inc]
+	if known && old.Turn >= successor.Turn {
 		return
 	}
 	if !known {
 		f.recent = append(f.recent, inc)
 	}
-	f.heirs[inc] = heir
-	if len(f.recent) > heirsKept {
-		delete(f.heirs, f.recent[0])
+	f.successors[inc] = successor
+	if len(f.recent) > successorsKept {
+		delete(f.successors, f.recent[0])
 		f.recent = f.recent[1:]
 	}
 }
@@ -239,19 +239,19 @@
 	beat.Count = self.Count
 	beat.Stopping = self.Stopping
 	beat.Demand = demandOf(f.demands[self.Address])
-	for _, inc := range f.recent[max(0, len(f.recent)-heirsSent):] {
-		beat.Heirs = append(beat.Heirs, wire.Heir{
+	for _, inc := range f.recent[max(0, len(f.recent)-successorsSent):] {
+		beat.Successors = append(beat.Successors, wire.Successor{
 			Host:    inc.String(),
-			Address: f.heirs[inc].Address,
-			Turn:    f.heirs[inc].Turn,
+			Address: f.successors[inc].Address,
+			Turn:    f.successors[inc].Turn,
 		})
 	}
 	return beat
 }
 
 const (
-	heirsSent = 8    // the newest ones ride on each heartbeat
-	heirsKept = 2000 // several days of planned stops
+	successorsSent = 8    // the newest ones ride on each heartbeat
+	successorsKept = 2000 // several days of planned stops
 )
 
 func (f *Fleet) run(cmds []member.Cmd, beat wire.Beat) {
@@ -314,7 +314,7 @@
 	}
 	f.mu.Lock()
 	cmds := f.model.Update(f.now(), msg)
-	f.learnHeirs(b.Heirs)
+	f.learnSuccessors(b.Successors)
 	f.demands[b.Address] = demandBy(b.Demand)
 	f.mu.Unlock()
 	f.run(cmds, wire.Beat{})
@@ -324,11 +324,11 @@
 	return wire.Frame{}, false
 }
 
-// learnHeirs runs under the lock.
-func (f *Fleet) learnHeirs(heirs []wire.Heir) {
-	for _, h := range heirs {
+// learnSuccessors runs under the lock.
+func (f *Fleet) learnSuccessors(successors []wire.Successor) {
+	for _, h := range successors {
 		if inc, err := ticket.ParseIncarnation(h.Host); err == nil {
-			f.addHeir(inc, Heir{
+			f.addSuccessor(inc, Successor{
 				Address: h.Address,
 				Turn:    h.Turn,
 			})
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -53,8 +53,8 @@
 	Running     int                `json:"running"`
 	Servers     int                `json:"servers"`
 	Usable      int                `json:"usable"`
-	Heirs       int                `json:"heirs"` // stopped hosts that this one answers for
-	Homes       []string           `json:"homes"` // services that this host queues for
+	Successors  int                `json:"successors"` // stopped hosts that this one answers for
+	Homes       []string           `json:"homes"`      // services that this host queues for
 	InForce     []document.InForce `json:"inforce"`
 }
 
@@ -95,7 +95,7 @@
 		Running:     load.Running,
 		Servers:     load.Servers,
 		Usable:      load.Usable,
-		Heirs:       load.Adopted,
+		Successors:  load.Adopted,
 		Homes:       h.homes(),
 		InForce:     h.store.InForce(),
 	}
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -11,11 +11,11 @@
 
 // The parts of a frame that ask for something.
 const (
-	PartCall   Part = "call"
-	PartBeat   Part = "beat"
-	PartPull   Part = "pull"
-	PartLegacy Part = "legacy"
-	PartAsk    Part = "ask"
+	PartCall     Part = "call"
+	PartBeat     Part = "beat"
+	PartPull     Part = "pull"
+	PartHandover Part = "handover"
+	PartAsk      Part = "ask"
 )
 
 // Handler serves one part; plug-ins provide them in the fx group "handlers".
@@ -33,8 +33,8 @@
 		return PartBeat
 	case f.Pull != nil:
 		return PartPull
-	case f.Legacy != nil:
-		return PartLegacy
+	case f.Handover != nil:
+		return PartHandover
 	case f.Ask != nil:
 		return PartAsk
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -34,9 +34,6 @@
 	// Failure domain of the sender.
 	Domain string `cbor:"domain" json:"domain"`
 
-	// Which hosts answer for stopped incarnations.
-	Heirs []Heir `cbor:"heirs,omitempty" json:"heirs,omitempty,omitzero"`
-
 	// Incarnation of the sender.
 	Host string `cbor:"host" json:"host"`
 
@@ -51,6 +48,9 @@
 
 	// Whether the sender began a planned stop.
 	Stopping bool `cbor:"stopping" json:"stopping"`
+
+	// Which hosts answer for stopped incarnations.
+	Successors []Successor `cbor:"successors,omitempty" json:"successors,omitempty,omitzero"`
 }
 
 // Call asks the owner of a ticket to act on it.
@@ -115,12 +115,12 @@
 	// Call corresponds to the JSON schema field "call".
 	Call *Call `cbor:"call,omitempty" json:"call,omitempty,omitzero"`
 
+	// Handover corresponds to the JSON schema field "handover".
+	Handover *Handover `cbor:"handover,omitempty" json:"handover,omitempty,omitzero"`
+
 	// Number of a request; its answer carries the same. 0 needs no answer.
 	Id int `cbor:"id" json:"id"`
 
-	// Legacy corresponds to the JSON schema field "legacy".
-	Legacy *Legacy `cbor:"legacy,omitempty" json:"legacy,omitempty,omitzero"`
-
 	// Pull corresponds to the JSON schema field "pull".
 	Pull *Pull `cbor:"pull,omitempty" json:"pull,omitempty,omitzero"`
 
@@ -131,19 +131,22 @@
 	Rows *Rows `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
 }
 
-// Heir says which host answers for a stopped incarnation.
-type Heir struct {
-	// Peer address of the host that took over.
-	Address string `cbor:"address" json:"address"`
+// Handover hands over the memory of an incarnation that stopped.
+type Handover struct {
+	// Finished jobs whose answers are still held.
+	Held []Held `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
 
-	// The stopped incarnation.
+	// Incarnation of the host, in hexadecimal.
 	Host string `cbor:"host" json:"host"`
 
-	// How many hand-overs the incarnation has been through; the highest is right.
+	// Serialized used sequence numbers.
+	Ledger []byte `cbor:"ledger" json:"ledger"`
+
+	// How many hand-overs this one makes.
 	Turn int `cbor:"turn" json:"turn"`
 }
 
-// Held is one finished job of a Legacy.
+// Held is one finished job of a Handover.
 type Held struct {
 	// Answers in task order.
 	Answers []Answer `cbor:"answers,omitempty" json:"answers,omitempty,omitzero"`
@@ -185,21 +188,6 @@
 	Stopping bool `cbor:"stopping" json:"stopping"`
 }
 
-// Legacy hands over the memory of an incarnation that stopped.
-type Legacy struct {
-	// Finished jobs whose answers are still held.
-	Held []Held `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
-
-	// Incarnation of the host, in hexadecimal.
-	Host string `cbor:"host" json:"host"`
-
-	// Serialized used sequence numbers.
-	Ledger []byte `cbor:"ledger" json:"ledger"`
-
-	// How many hand-overs this one makes.
-	Turn int `cbor:"turn" json:"turn"`
-}
-
 // Mark is a row's version.
 type Mark struct {
 	// Row key in the table.
@@ -226,14 +214,14 @@
 	// Payload, unchanged.
 	Body []byte `cbor:"body" json:"body"`
 
-	// Peer address of the host that took over the incarnation.
-	Heir string `cbor:"heir" json:"heir"`
-
 	// Content type of body.
 	Kind string `cbor:"kind" json:"kind"`
 
 	// HTTP status; 0 when the answering host doesn't own the ticket.
 	Status int `cbor:"status" json:"status"`
+
+	// Peer address of the host that took over the incarnation.
+	Successor string `cbor:"successor" json:"successor"`
 }
 
 // Row is one team's section as the table holds it.
@@ -259,3 +247,15 @@
 	// Configuration rows.
 	Rows []Row `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
 }
+
+// Successor says which host answers for a stopped incarnation.
+type Successor struct {
+	// Peer address of the host that took over.
+	Address string `cbor:"address" json:"address"`
+
+	// The stopped incarnation.
+	Host string `cbor:"host" json:"host"`
+
+	// How many hand-overs the incarnation has been through; the highest is right.
+	Turn int `cbor:"turn" json:"turn"`
+}
--- a/proof/home_test.go
+++ b/proof/home_test.go
@@ -74,7 +74,7 @@
 			checkAnswers(t, o, 10)
 			test.fault(f, home)
 			for _, h := range others {
-				// Tickets in stock may be the home's, until it is known to be dead.
+				// Tickets in the cache may be the home's, until it is known to be dead.
 				eventually(t, h.name+" serves", func() bool {
 					o, err := h.client().Submit(background(t), ticketFor(t, h), job(10, 5))
 					return err == nil && o.Complete()
--- a/proof/mutate/main.go
+++ b/proof/mutate/main.go
@@ -33,7 +33,8 @@
 
 // cli is the command line.
 type cli struct {
-	Only string `help:"Run only the mutations whose name has this in it."`
+	Only    string `help:"Run only the mutations whose name has this in it."`
+	Workers int    `help:"Mutations at a time." default:"3"`
 }
 
 func main() {
@@ -42,23 +43,37 @@
 	ctx.FatalIfErrorf(c.Run())
 }
 
-// Run runs all mutations and fails when a proof didn't notice one.
+// result is what became of one mutation.
+type result struct {
+	mutation mutation
+	noticed  bool
+	first    string // assertion that failed
+	err      error
+}
+
+// Run runs all mutations, a few at a time, and fails when a proof didn't
+// notice one.
 func (c *cli) Run() error {
-	unnoticed := 0
-	for _, m := range mutations {
-		if !strings.Contains(m.name, c.Only) {
-			continue
-		}
-		noticed, last, err := try(m)
-		if err != nil {
-			return errors.Annotate(err, m.name)
+	todo, results := make(chan mutation), make(chan result)
+	for range c.Workers {
+		go func() {
+			for m := range todo {
+				results <- try(m)
+			}
+		}()
+	}
+	chosen := c.chosen()
+	go func() {
+		for _, m := range chosen {
+			todo <- m
 		}
-		verdict := "fails, as it should"
-		if !noticed {
-			verdict = "PASSES"
+		close(todo)
+	}()
+	unnoticed := 0
+	for range chosen {
+		if !report(<-results) {
 			unnoticed++
 		}
-		fmt.Printf("%-48s %-55s %s: %s\n", m.name, m.proof, verdict, last)
 	}
 	if unnoticed > 0 {
 		return errors.Errorf("%d mutations went unnoticed", unnoticed)
@@ -66,41 +81,74 @@
 	return nil
 }
 
+func (c *cli) chosen() []mutation {
+	var chosen []mutation
+	for _, m := range mutations {
+		if strings.Contains(m.name, c.Only) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// report prints a result and returns whether the proof did its work.
+func report(r result) bool {
+	verdict := "fails, as it should, at " + r.first
+	switch {
+	case r.err != nil:
+		verdict = "NOT RUN: " + r.err.Error()
+	case !r.noticed:
+		verdict = "PASSES"
+	}
+	fmt.Printf("%s | %s | %s\n", r.mutation.name, r.mutation.proof, verdict)
+	return r.err == nil && r.noticed
+}
+
 // try copies the source, edits the copy and runs the proof there.
-func try(m mutation) (noticed bool, first string, err error) {
+func try(m mutation) result {
+	r := result{mutation: m}
 	dir, err := os.MkdirTemp("", "mutate")
 	if err != nil {
-		return false, "", errors.Annotate(err, "make a directory")
+		r.err = errors.Annotate(err, "make a directory")
+		return r
 	}
 	defer os.RemoveAll(dir)
-	if err := copySource(".", dir); err != nil {
-		return false, "", errors.Annotate(err, "copy source")
-	}
-	for _, e := range m.edits {
-		if err := e.apply(dir); err != nil {
-			return false, "", err
-		}
+	if r.err = prepare(m, dir); r.err != nil {
+		return r
 	}
 	pkg := m.pkg
 	if pkg == "" {
 		pkg = "./proof"
 	}
-	build := exec.Command("go", "vet", pkg)
-	build.Dir = dir
-	if out, err := build.CombinedOutput(); err != nil {
-		return false, "", errors.Annotatef(err, "the edited source doesn't build: %s", out)
-	}
-	test := exec.Command("go", "test", pkg, "-run", m.proof, "-count=1")
+	test := exec.Command("go", "test", "-trimpath", pkg, "-run", m.proof, "-count=1")
 	test.Dir = dir
 	out, err := test.CombinedOutput()
-	return err != nil, firstFailure(string(out)), nil
+	if strings.Contains(string(out), "[build failed]") {
+		r.err = errors.Errorf("the edited source doesn't build: %s", out)
+		return r
+	}
+	r.noticed, r.first = err != nil, firstFailure(string(out))
+	return r
+}
+
+func prepare(m mutation, dir string) error {
+	if err := copySource(".", dir); err != nil {
+		return errors.Annotate(err, "copy source")
+	}
+	for _, e := range m.edits {
+		if err := e.apply(dir); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // firstFailure finds the first assertion that failed.
 func firstFailure(out string) string {
 	for line := range strings.Lines(out) {
 		if strings.Contains(line, "_test.go:") && !strings.Contains(line, "fleet_test.go") {
-			return strings.TrimSpace(line)
+			at, _, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			return at
 		}
 	}
 	return strings.TrimSpace(out[:min(len(out), 200)])
--- a/proof/mutate/mutations.go
+++ b/proof/mutate/mutations.go
@@ -21,7 +21,7 @@
 			},
 			{
 				file: "io/caller/service.go",
-				old:  "			s.stock.avoid(address)\n			return s.unreachable()",
+				old:  "			return s.failedCall(ctx, address)",
 				with: "			return s.local(ctx, t, call)",
 			},
 		},
@@ -39,9 +39,9 @@
 	{
 		name: "hand-over goes on to a second peer",
 		edits: []edit{{
-			file: "io/drain/legacy.go",
-			old:  "		pause(ctx, legacyPause)\n",
-			with: "		pause(ctx, legacyPause)\n		to = s.Fleet.Heirs()[1].Address\n",
+			file: "io/drain/hand-over.go",
+			old:  "		pause(ctx, tryPause)\n",
+			with: "		pause(ctx, tryPause)\n		to = s.Fleet.Successors()[1].Address\n",
 		}},
 		proof: "TestHoldStartsOnce/hand-over",
 	},
@@ -255,15 +255,15 @@
 		name: "no tickets without the home",
 		edits: []edit{{
 			file: "io/caller/service.go",
-			old:  "	if tickets, ok := s.stock.take(ctx, address, service, n); ok {\n		return tickets, nil\n	}\n	return s.own(n)",
-			with: "	tickets, _ := s.stock.take(ctx, address, service, n)\n	return tickets, errors.New(\"no home\")",
+			old:  "	if tickets, ok := s.cache.take(ctx, address, service, n); ok {\n		return tickets, nil\n	}\n	return s.own(n)",
+			with: "	tickets, _ := s.cache.take(ctx, address, service, n)\n	return tickets, errors.New(\"no home\")",
 		}},
 		proof: "TestHoldServesWithoutHome/killed",
 	},
 	{
 		name: "an unreachable home is asked for ever",
 		edits: []edit{{
-			file: "io/caller/stock.go",
+			file: "io/caller/cache.go",
 			old:  "	s.avoided[address] = time.Now().Add(avoidFor)\n",
 			with: "	return\n",
 		}},
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -206,7 +206,7 @@
 	f.hosts[0].stopped()
 	f.hosts = f.hosts[1:]
 	for _, h := range f.hosts {
-		eventually(t, "the heir answers for the stopped host", func() bool {
+		eventually(t, "the successor answers for the stopped host", func() bool {
 			o, err := h.client().Submit(background(t), tickets[0], job(100, 100))
 			return err == nil && o.Complete()
 		})
@@ -224,7 +224,7 @@
 	o, err := f.hosts[1].client().Submit(background(t), ticket, job(20, 20))
 	assert.NilError(t, err)
 	checkAnswers(t, o, 20)
-	// Whoever becomes the heir takes the hand-over, and its answers get lost.
+	// Whoever becomes the successor takes the hand-over, and its answers get lost.
 	for _, h := range f.hosts[1:] {
 		h.link.Set(f.hosts[0].ip, proxy.Fault{HoldBack: true})
 	}
@@ -237,18 +237,18 @@
 	f.hosts[0].stopped()
 	f.hosts = f.hosts[1:]
 	for _, h := range f.hosts {
-		eventually(t, "one heir answers everywhere", func() bool {
+		eventually(t, "one successor answers everywhere", func() bool {
 			o, err := h.client().Submit(background(t), ticket, job(20, 20))
 			return err == nil && o.Complete()
 		})
 	}
-	heirs := 0
+	successors := 0
 	for _, h := range f.hosts {
 		own, _, err := h.status()
 		assert.NilError(t, err)
-		heirs += own.Heirs
+		successors += own.Successors
 	}
-	assert.Equal(t, heirs, 1, "hosts that answer for the stopped one")
+	assert.Equal(t, successors, 1, "hosts that answer for the stopped one")
 }
 
 func keyWithLostAnswers(t *testing.T, f *fleet) {
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -200,7 +200,12 @@
 			time.AfterFunc(10*time.Millisecond, func() { _, _ = c.Cancel(background(t), ticket) })
 			canceled.Add(1)
 		}
-		o, err := c.Submit(background(t), ticket, job(6, 30))
+		// Every third caller's jobs outlast the linger, so the stop meets them.
+		run := 30
+		if i%3 == 0 {
+			run = 900
+		}
+		o, err := c.Submit(background(t), ticket, job(6, run))
 		switch {
 		case err != nil:
 			cut.Add(1)
