--- a/core/health/server.go
+++ b/core/health/server.go
@@ -74,12 +74,3 @@
 	s.ejected = true
 	return s
 }
-
-// WithHint ejects a server for one backoff because a peer ejected it.
-func (s Server) WithHint(now time.Time) Server {
-	if s.ejected {
-		return s
-	}
-	s.failures = s.limits.Failures - 1
-	return s.WithFailure(now)
-}
--- a/core/place/msg.go
+++ b/core/place/msg.go
@@ -72,9 +72,6 @@
 // RevokeMsg removes a job's waiting tasks.
 type RevokeMsg struct{ ID ticket.ID }
 
-// HintMsg says that a peer ejected a server.
-type HintMsg struct{ Server string }
-
 // TickMsg lets ejections end.
 type TickMsg struct{}
 
@@ -85,7 +82,6 @@
 func (EnqueueMsg) placeMsg() {}
 func (DoneMsg) placeMsg()    {}
 func (RevokeMsg) placeMsg()  {}
-func (HintMsg) placeMsg()    {}
 func (TickMsg) placeMsg()    {}
 
 // Result is how one send ended.
--- a/core/quota/divide.go
+++ b/core/quota/divide.go
@@ -12,7 +12,7 @@
 }
 
 // evenPart is the part of a quota that is divided evenly.
-const evenPart = 0.25
+const evenPart = 0.1
 
 // Divide returns each holder's share by address; the shares add up to the quota.
 func Divide(quota int, holders []Holder) map[string]int {
--- a/io/claim/plugin.go
+++ b/io/claim/plugin.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/kernel"
@@ -82,24 +83,13 @@
 }
 
 func run(lc fx.Lifecycle, c *Claimer, log logr.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() {
-		go c.Loop(ctx)
-		go c.sweepLoop(ctx, log.WithName(section))
-	}, func() { cancel() }))
-}
-
-func (c *Claimer) sweepLoop(ctx context.Context, log logr.Logger) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	log = log.WithName(section)
+	loop.Append(lc, c.Loop)
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, sweepEvery, func(ctx context.Context) {
 			if n, err := c.Sweep(ctx); err == nil && n > 0 {
 				log.Info("claims deleted", "count", n)
 			}
-		}
-	}
+		})
+	})
 }
--- a/io/config/plugin.go
+++ b/io/config/plugin.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/kernel"
 )
@@ -30,21 +31,9 @@
 }
 
 func run(lc fx.Lifecycle, s *Store) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go s.loop(ctx) }, func() { cancel() }))
-}
-
-func (s *Store) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.tick()
-		}
-	}
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, tickEvery, func(context.Context) { s.tick() })
+	})
 }
 
 // Learn takes what the table's feed returned.
--- a/io/dispatch/plugin.go
+++ b/io/dispatch/plugin.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/place"
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/executor"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
@@ -59,7 +60,7 @@
 		},
 		{
 			Name:    "ageing",
-			Default: "100ms",
+			Default: "10ms",
 			Help:    "How much later a job is ranked for each of its tasks; 0s is first come, first served.",
 			Kind: settings.Duration{
 				Min: 0,
@@ -140,7 +141,7 @@
 		},
 		{
 			Name:    "held",
-			Default: "33554432",
+			Default: "16777216",
 			Help:    "Bytes of answers held for resubmissions.",
 			Kind: settings.Integer{
 				Min: 0,
@@ -201,19 +202,7 @@
 }
 
 func run(lc fx.Lifecycle, d *Dispatcher) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go d.tickLoop(ctx) }, func() { cancel() }))
-}
-
-func (d *Dispatcher) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.Tick()
-		}
-	}
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, tickEvery, func(context.Context) { d.Tick() })
+	})
 }
--- a/io/dispatch/shard.go
+++ b/io/dispatch/shard.go
@@ -30,7 +30,7 @@
 }
 
 // eventsHeld bounds the trace events of finished jobs in one shard.
-const eventsHeld = 20000
+const eventsHeld = 4000
 
 // finish stores an outcome and returns the work, or nil when it is unknown.
 func (s *shard) finish(id ticket.ID, outcome job.Outcome) *work {
--- a/io/feed/plugin.go
+++ b/io/feed/plugin.go
@@ -10,6 +10,7 @@
 	coremember "rosemarywalk/core/member"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/settings"
@@ -81,23 +82,9 @@
 		counters: counters,
 		log:      log.WithName(section),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go r.loop(ctx) }, func() { cancel() }))
-}
-
-func (r *reader) loop(ctx context.Context) {
-	ticker := time.NewTicker(r.pause)
-	defer ticker.Stop()
-	for {
-		if r.isReader() {
-			r.once(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, r.pause, r.once)
+	})
 }
 
 // isReader picks the lowest address of the failure domain. Two hosts with
@@ -111,7 +98,11 @@
 	return true
 }
 
+// once reads the feed if that is this host's to do.
 func (r *reader) once(ctx context.Context) {
+	if !r.isReader() {
+		return
+	}
 	r.counters.Messages("feedpoll", 1)
 	feed, err := r.table.Changes(ctx, config.Prefix, r.store.Revision(), r.wait)
 	if err != nil {
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -40,12 +40,6 @@
 	Watch(changed func(quotas map[string]int))
 }
 
-// Successor is the host that answers for a stopped incarnation.
-type Successor struct {
-	Address string // peer address
-	Turn    int    // hand-overs that the incarnation has been through
-}
-
 // Fleet is this host's view of all hosts.
 type Fleet struct {
 	period    time.Duration
@@ -143,44 +137,6 @@
 	return f.model.Successors()
 }
 
-// Successor returns the peer address of the host that answers for an incarnation.
-func (f *Fleet) Successor(inc ticket.Incarnation) (string, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	successor, known := f.successors[inc]
-	return successor.Address, known
-}
-
-// Turns returns how many hand-overs an incarnation has been through.
-func (f *Fleet) Turns(inc ticket.Incarnation) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.successors[inc].Turn
-}
-
-// SetSuccessor notes which host answers for a stopped incarnation.
-func (f *Fleet) SetSuccessor(inc ticket.Incarnation, successor Successor) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.addSuccessor(inc, successor)
-}
-
-// addSuccessor runs under the lock and forgets the oldest beyond a bound.
-func (f *Fleet) addSuccessor(inc ticket.Incarnation, successor Successor) {
-	old, known := f.successors[inc]
-	if known && old.Turn >= successor.Turn {
-		return
-	}
-	if !known {
-		f.recent = append(f.recent, inc)
-	}
-	f.successors[inc] = successor
-	if len(f.recent) > successorsKept {
-		delete(f.successors, f.recent[0])
-		f.recent = f.recent[1:]
-	}
-}
-
 // Stop tells the fleet, with the next heartbeat, that this host stops.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
@@ -197,20 +153,7 @@
 	f.model.Update(f.now(), member.SeedMsg{Addresses: addresses})
 }
 
-// loop sends heartbeats until ctx ends.
-func (f *Fleet) loop(ctx context.Context) {
-	ticker := time.NewTicker(f.period)
-	defer ticker.Stop()
-	for {
-		f.tick()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
+// tick is one heartbeat period.
 func (f *Fleet) tick() {
 	quotas := f.rows.Quotas()
 	demand := f.sizer.Demand()
@@ -249,11 +192,6 @@
 	return beat
 }
 
-const (
-	successorsSent = 8    // the newest ones ride on each heartbeat
-	successorsKept = 2000 // several days of planned stops
-)
-
 func (f *Fleet) run(cmds []member.Cmd, beat wire.Beat) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
@@ -323,57 +261,3 @@
 	}
 	return wire.Frame{}, false
 }
-
-// learnSuccessors runs under the lock.
-func (f *Fleet) learnSuccessors(successors []wire.Successor) {
-	for _, h := range successors {
-		if inc, err := ticket.ParseIncarnation(h.Host); err == nil {
-			f.addSuccessor(inc, Successor{
-				Address: h.Address,
-				Turn:    h.Turn,
-			})
-		}
-	}
-}
-
-// pull fetches what a peer has newer; one pull a peer runs at a time.
-func (f *Fleet) pull(address string) {
-	f.mu.Lock()
-	busy := f.pulling[address]
-	f.pulling[address] = true
-	f.mu.Unlock()
-	if busy {
-		return
-	}
-	defer func() {
-		f.mu.Lock()
-		delete(f.pulling, address)
-		f.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	f.counters.Messages("pull", 1)
-	answer, err := f.peers.Call(ctx, address, wire.Frame{Pull: &wire.Pull{
-		Have:    f.rows.Have(),
-		Listing: f.directory.Revision(),
-	}})
-	if err != nil || answer.Rows == nil {
-		return
-	}
-	if len(answer.Rows.Listing) > 0 {
-		if err := f.directory.OfferRaw(answer.Rows.Listing); err != nil {
-			f.log.Error(err, "host list from a peer", "address", address)
-		}
-	}
-	f.rows.Offer(answer.Rows.Rows)
-}
-
-const pullTimeout = 5 * time.Second
-
-// ServePull answers a peer that has older rows or an older host list.
-func (f *Fleet) ServePull(_ context.Context, frame wire.Frame) (wire.Frame, bool) {
-	return wire.Frame{Rows: &wire.Rows{
-		Rows:    f.rows.Newer(frame.Pull.Have),
-		Listing: f.directory.Newer(frame.Pull.Listing),
-	}}, true
-}
--- a/io/member/plugin.go
+++ b/io/member/plugin.go
@@ -15,6 +15,7 @@
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
 	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/settings"
@@ -152,6 +153,7 @@
 
 func run(lc fx.Lifecycle, s settings.Settings, f *Fleet) {
 	f.seed(s.List("peer", "seeds"))
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go f.loop(ctx) }, func() { cancel() }))
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, f.period, func(context.Context) { f.tick() })
+	})
 }
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -9,6 +9,7 @@
 
 	"rosemarywalk/io/dispatch"
 	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
@@ -84,21 +85,9 @@
 		counters:  counters,
 		log:       log.WithName(section),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go p.loop(ctx) }, func() { cancel() }))
-}
-
-func (p *poller) loop(ctx context.Context) {
-	ticker := time.NewTicker(p.every)
-	defer ticker.Stop()
-	for {
-		p.once(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, p.every, p.once)
+	})
 }
 
 func (p *poller) once(ctx context.Context) {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -18,10 +18,12 @@
 type Report struct {
 	Jobs     int
 	Complete int
-	Failed   map[string]int // by reason
-	Unknown  int            // calls without a whole answer
-	Wrong    int            // complete answers that don't match the job
-	Tasks    int            // of complete jobs
+	Failed   map[string]int          // by reason
+	Unknown  int                     // calls without a whole answer
+	Wrong    int                     // complete answers that don't match the job
+	Tasks    int                     // of complete jobs
+	Work     time.Duration           // run times of complete jobs' tasks, added up
+	Refused  *hdrhistogram.Histogram // milliseconds until a job was refused or failed
 	Slowdown *hdrhistogram.Histogram
 	Elapsed  time.Duration
 }
@@ -29,12 +31,17 @@
 // slowdownScale keeps three decimals of a slowdown in the histogram.
 const slowdownScale = 1000
 
+// refusedMost is the longest time until a refusal that is recorded, in milliseconds.
+const refusedMost = 3600_000
+
 // slowdownMost is the largest slowdown recorded.
 const slowdownMost = 100000
 
-func newReport() *Report {
+// NewReport returns an empty report.
+func NewReport() *Report {
 	return &Report{
 		Failed:   map[string]int{},
+		Refused:  hdrhistogram.New(1, refusedMost, 3),
 		Slowdown: hdrhistogram.New(1, slowdownMost*slowdownScale, 4),
 	}
 }
@@ -64,7 +71,7 @@
 	r := &runner{
 		profile: profile,
 		service: service,
-		report:  newReport(),
+		report:  NewReport(),
 	}
 	for _, h := range hosts {
 		r.clients = append(r.clients, client.New(h, newTransport()).WithService(service))
@@ -122,6 +129,7 @@
 		r.report.Unknown++
 	case !outcome.Complete():
 		r.report.Failed[string(outcome.Reason)]++
+		_ = r.report.Refused.RecordValue(took.Milliseconds())
 	default:
 		r.complete(p, outcome, took)
 	}
@@ -161,6 +169,9 @@
 func (r *runner) complete(p planned, o client.Outcome, took time.Duration) {
 	r.report.Complete++
 	r.report.Tasks += len(p.runs)
+	for _, run := range p.runs {
+		r.report.Work += run
+	}
 	if !matches(p, o) {
 		r.report.Wrong++
 	}
