--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -115,10 +115,18 @@
 	return chosen.Address, chosen.Address == self.Address
 }
 
-// role returns what this host is for a service.
+// role returns what this host is for a service. A home that stops keeps its
+// part until its queue is empty; the parts are made for an old and a new home.
 func (f *Fleet) role(service string) place.FleetMsg {
-	_, own := f.Home(service)
-	live := f.Live()
+	f.mu.Lock()
+	self, live := f.model.Self(), f.model.Live()
+	f.mu.Unlock()
+	for i := range live {
+		if live[i].Address == self.Address {
+			live[i].Stopping = false
+		}
+	}
+	own := home.Choose(f.scope, service, self, live).Address == self.Address
 	homes := home.Count(f.scope, live)
 	queues := homes
 	if !own {
@@ -165,6 +173,7 @@
 	cmds := f.model.Update(f.now(), member.TickMsg{})
 	// This host's own demand counts as it is reported, so that all hosts
 	// divide by the same figures.
+	f.forgetDemands()
 	f.demands[f.model.Self().Address] = limitedTo(quotas, demand)
 	beat := f.beat(news)
 	shares := f.shares(quotas)
--- a/io/member/quota.go
+++ b/io/member/quota.go
@@ -38,6 +38,17 @@
 	return demand
 }
 
+// forgetDemands drops the demand of hosts that are gone; it runs under the lock.
+func (f *Fleet) forgetDemands() {
+	kept := map[string]map[string]int{}
+	for _, h := range f.model.Holders() {
+		if demand, ok := f.demands[h.Address]; ok {
+			kept[h.Address] = demand
+		}
+	}
+	f.demands = kept
+}
+
 // shares returns this host's share of each quota; it runs under the lock.
 func (f *Fleet) shares(quotas map[string]int) map[string]int {
 	self := f.model.Self().Address
