Long polling by default; a client drops the tickets of a host that is gone

Cause 1: with the service's home killed at 10 s of 30, 543 of 781 jobs failed as unreachable, one after the other: each caller held 100 tickets of the dead home and went on using them. The test fails with the mechanism taken out (proof/mutate).

Cause 2: the feed of configuration changes was polled each 2 s by choice, not by measurement.

Ruled out: holding back 30 s, since a partition would then be noticed later than the 20 s in which a change must be in force. Proofs keep short polling, so that one booking host alone has the change when the platform goes down.

--- a/io/client/client.go
+++ b/io/client/client.go
@@ -142,13 +142,22 @@
 func (c *Client) SubmitRaw(ctx context.Context, ticket string, raw []byte) (Outcome, error) {
 	header := http.Header{"Ticket": {ticket}}
 	o, err := outcome(c.do(ctx, http.MethodPost, "/jobs", header, raw))
-	// The other tickets held are likely of the same host, which is stopping.
-	if o.Reason == core.ReasonDraining {
+	if isOwnerGone(o.Reason) {
 		c.flush()
 	}
 	return o, err
 }
 
+// isOwnerGone reports whether the other tickets held, which are likely of the
+// same host, are better not used.
+func isOwnerGone(reason core.Reason) bool {
+	switch reason {
+	case core.ReasonDraining, core.ReasonUnreachable, core.ReasonLost:
+		return true
+	}
+	return false
+}
+
 func (c *Client) flush() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/feed/plugin.go
+++ b/io/feed/plugin.go
@@ -39,8 +39,8 @@
 				},
 				{
 					Name:    "wait",
-					Default: "0s",
-					Help:    "How long the table may hold an empty answer back; 0s is short polling.",
+					Default: "10s",
+					Help:    "How long the table may hold an empty answer back (long polling); 0s is short polling.",
 					Kind: settings.Duration{
 						Min: 0,
 						Max: time.Minute,
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -202,7 +202,7 @@
 		"[operator]", "listen = " + strings.TrimPrefix(h.operator, "http://"),
 		"[platform]", "url = http://" + f.store.Address(), "poll = 200ms", "timeout = 1s",
 		"[member]", "period = 200ms", "dead = 2s",
-		"[feed]", "pause = 200ms",
+		"[feed]", "pause = 200ms", "wait = 0s",
 		"[peer]", "listen = " + peer, "advertise = " + h.link.Address(),
 		"seeds = " + f.hosts[0].link.Address(), "silence = 1s",
 		"[fleet]", fmt.Sprintf("hosts = %d", f.options.hosts), "home = " + cmp.Or(f.options.home, "host"),
--- a/proof/mutate/mutations.go
+++ b/proof/mutate/mutations.go
@@ -269,6 +269,16 @@
 		}},
 		proof: "TestHoldServesWithoutHome/cut_off",
 	},
+	{
+		name: "a client keeps the tickets of a host that is gone",
+		edits: []edit{{
+			file: "io/client/client.go",
+			old:  "	if isOwnerGone(o.Reason) {",
+			with: "	if o.Reason == core.ReasonDraining {",
+		}},
+		pkg:   "./io/client",
+		proof: "TestTicketsOfAGoneHost",
+	},
 	{
 		name: "every host uses all connections",
 		edits: []edit{{
