--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -54,14 +54,15 @@
 	return float64(r.Slowdown.ValueAtQuantile(percent)) / slowdownScale
 }
 
-// Warmup is the share of a run at its start that isn't recorded.
-const Warmup = 0.2
+// warmup is the share of the arrivals at the start whose slowdown isn't recorded.
+const warmup = 0.2
 
 // runner sends the jobs of one run.
 type runner struct {
 	profile Profile
 	service string
 	clients []*client.Client
+	warm    time.Duration // arrivals before it are the warm-up
 	mu      sync.Mutex
 	report  *Report
 }
@@ -104,7 +105,11 @@
 
 func (r *runner) send(ctx context.Context, begin time.Time) {
 	var wg sync.WaitGroup
-	for _, job := range r.profile.plan(len(r.clients)) {
+	jobs := r.profile.plan(len(r.clients))
+	if len(jobs) > 0 {
+		r.warm = time.Duration(warmup * float64(jobs[len(jobs)-1].at))
+	}
+	for _, job := range jobs {
 		select {
 		case <-time.After(time.Until(begin.Add(job.at))):
 		case <-ctx.Done():
@@ -186,7 +191,7 @@
 	if !matches(p, o) {
 		r.report.Wrong++
 	}
-	if p.at < time.Duration(Warmup*float64(r.profile.Duration)) {
+	if p.at < r.warm {
 		return
 	}
 	slowdown := float64(took) / float64(p.ideal())
