--- a/proof/mutate/mutations.go
+++ b/proof/mutate/mutations.go
@@ -180,6 +180,15 @@
 		}},
 		proof: "TestHoldPlannedStop",
 	},
+	{
+		name: "a stop closes callers' connections",
+		edits: []edit{{
+			file: "io/drain/plugin.go",
+			old:  "s.Caller.Shutdown(ctx)",
+			with: "error(nil)",
+		}},
+		proof: "TestHoldSlowCaller",
+	},
 	{
 		name: "a stop has no limit",
 		edits: []edit{{
