--- a/io/client/client.go
+++ b/io/client/client.go
@@ -40,10 +40,10 @@
 	Status  int               `json:"-"` // HTTP status
 	After   int               `json:"-"` // Retry-After, in seconds
 	State   string            `json:"state"`
-	Answers []json.RawMessage `json:"answers"`
-	Ran     core.Ran          `json:"ran"`
-	Reason  core.Reason       `json:"reason"`
-	Tasks   []Failed          `json:"tasks"`
+	Answers []json.RawMessage `json:"answers,omitempty"`
+	Ran     core.Ran          `json:"ran,omitempty"`
+	Reason  core.Reason       `json:"reason,omitempty"`
+	Tasks   []Failed          `json:"tasks,omitempty"`
 }
 
 // Complete reports whether all answers are there.
