Two mutations follow a renaming

Cause: run on the final source, two of 32 mutations could not be applied: one named a file that had moved, one a receiver that was renamed.

--- a/proof/mutate/mutations.go
+++ b/proof/mutate/mutations.go
@@ -39,7 +39,7 @@
 	{
 		name: "hand-over goes on to a second peer",
 		edits: []edit{{
-			file: "io/drain/hand-over.go",
+			file: "io/drain/handover.go",
 			old:  "		pause(ctx, tryPause)\n",
 			with: "		pause(ctx, tryPause)\n		to = s.Fleet.Successors()[1].Address\n",
 		}},
@@ -273,7 +273,7 @@
 		name: "an unreachable home is asked for ever",
 		edits: []edit{{
 			file: "io/caller/cache.go",
-			old:  "	s.avoided[address] = time.Now().Add(avoidFor)\n",
+			old:  "	c.avoided[address] = time.Now().Add(avoidFor)\n",
 			with: "	return\n",
 		}},
 		proof: "TestHoldServesWithoutHome/cut_off",
