--- a/cmd/rosemarywalk/demo.go
+++ b/cmd/rosemarywalk/demo.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := settings.Defaults(kernel.Schema()).
+	s := settings.Defaults(kernel.Schema(kernel.Standalone)).
 		With("host", "domain", domain).
 		With("log", "level", "error").
 		With("log", "format", "console").
@@ -119,7 +119,7 @@
 		With("peer", "seeds", seed).
 		With("drain", "linger", "0s").
 		With("fleet", "hosts", "2")
-	app := kernel.New(s)
+	app := kernel.New(kernel.Standalone, s)
 	if err := app.Start(ctx); err != nil {
 		return "", errors.Annotate(err, "start host")
 	}
--- a/cmd/rosemarywalk/main_test.go
+++ b/cmd/rosemarywalk/main_test.go
@@ -62,7 +62,7 @@
 
 // TestDefaultsAreAccepted: serve accepts what settings prints.
 func TestDefaultsAreAccepted(t *testing.T) {
-	_, err := settings.Parse("default.ini", []byte(settings.Annotated(kernel.Schema())), kernel.Schema())
+	_, err := settings.Parse("default.ini", []byte(settings.Annotated(kernel.Schema(kernel.Standalone))), kernel.Schema(kernel.Standalone))
 	assert.NilError(t, err)
 }
 
@@ -79,7 +79,7 @@
 	for _, file := range files {
 		raw, err := os.ReadFile(file)
 		assert.NilError(t, err)
-		_, err = settings.Parse(file, raw, kernel.Schema())
+		_, err = settings.Parse(file, raw, kernel.Schema(kernel.Standalone))
 		assert.NilError(t, err)
 	}
 }
@@ -88,5 +88,5 @@
 func TestSettingsPage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(page), settings.Annotated(kernel.Schema())), "docs/SETTINGS.md is out of date")
+	assert.Assert(t, strings.Contains(string(page), settings.Annotated(kernel.Schema(kernel.Standalone))), "docs/SETTINGS.md is out of date")
 }
--- a/cmd/rosemarywalk/serve.go
+++ b/cmd/rosemarywalk/serve.go
@@ -15,18 +15,21 @@
 
 // serveCmd runs a host.
 type serveCmd struct {
-	Settings string `help:"Settings file, in INI." required:"" type:"existingfile"`
+	Settings string         `help:"Settings file, in INI." required:"" type:"existingfile" env:"ROSEMARYWALK_SETTINGS"`
+	Edition  kernel.Edition `help:"Which program to run: ${enum}." enum:"standalone,platform" default:"standalone"`
 }
 
 // Run serves until a signal, then stops as planned.
-func (c *serveCmd) Run() error { return kernel.Run(c.Settings) }
+func (c *serveCmd) Run() error { return kernel.Run(c.Edition, c.Settings) }
 
 // settingsCmd prints the defaults.
-type settingsCmd struct{}
+type settingsCmd struct {
+	Edition kernel.Edition `help:"Whose settings to print: ${enum}." enum:"standalone,platform" default:"standalone"`
+}
 
 // Run prints every key with its default.
 func (c *settingsCmd) Run() error {
-	fmt.Print(settings.Annotated(kernel.Schema()))
+	fmt.Print(settings.Annotated(kernel.Schema(c.Edition)))
 	return nil
 }
 
--- a/core/member/model.go
+++ b/core/member/model.go
@@ -14,6 +14,7 @@
 	Domain      string // failure domain
 	Count       int    // heartbeat counter
 	Stopping    bool   // a planned stop began
+	Born        int64  // start of the process, Unix milliseconds; 0 is unknown
 }
 
 // Limits sets the pace of heartbeats and how long silence is tolerated.
@@ -35,6 +36,9 @@
 // SeedMsg names peer addresses that may be hosts.
 type SeedMsg struct{ Addresses []string }
 
+// LostMsg says that nothing listens at a host's address any more.
+type LostMsg struct{ Address string }
+
 // StopMsg says that this host begins a planned stop.
 type StopMsg struct{}
 
@@ -43,6 +47,7 @@
 
 func (BeatMsg) memberMsg() {}
 func (SeedMsg) memberMsg() {}
+func (LostMsg) memberMsg() {}
 func (StopMsg) memberMsg() {}
 func (TickMsg) memberMsg() {}
 
@@ -100,6 +105,8 @@
 		return m.beat(now, msg)
 	case SeedMsg:
 		m.seed(now, msg.Addresses)
+	case LostMsg:
+		return m.lost(msg.Address)
 	case StopMsg:
 		m.self.Stopping = true
 		return []Cmd{LiveCmd{Hosts: m.Live()}}
@@ -198,6 +205,16 @@
 	return cmds
 }
 
+// lost counts a host as dead at once; it is heard again when it comes back.
+func (m *Model) lost(address string) []Cmd {
+	p := m.peers[address]
+	if p == nil || !p.alive {
+		return nil
+	}
+	p.alive = false
+	return []Cmd{LiveCmd{Hosts: m.Live()}}
+}
+
 func (m *Model) expire(now time.Time) bool {
 	changed := false
 	for address, p := range m.peers {
--- /dev/null
+++ b/core/owner/owner.go
@@ -0,0 +1,114 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/member"
+)
+
+// View is what a host knows when it chooses homes and owners.
+type View struct {
+	Hosts   []member.Host    // that are alive
+	Servers []listing.Server // of one service
+	PerHome int              // most backend servers that one home should hold
+}
+
+// Homes returns the homes of a failure domain, the oldest host first. A domain
+// without hosts has none.
+func (v View) Homes(domain string) []member.Host {
+	var hosts []member.Host
+	for _, h := range v.Hosts {
+		if h.Domain == domain && !h.Stopping {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, older)
+	servers := 0
+	for _, s := range v.Servers {
+		if s.Domain == domain {
+			servers++
+		}
+	}
+	count := (servers + v.PerHome - 1) / v.PerHome
+	return hosts[:min(len(hosts), max(1, count))]
+}
+
+func older(a, b member.Host) int {
+	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Address, b.Address))
+}
+
+// All returns the homes of every failure domain that has hosts.
+func (v View) All() []member.Host {
+	var homes []member.Host
+	seen := map[string]bool{}
+	for _, h := range v.Hosts {
+		if !seen[h.Domain] {
+			seen[h.Domain] = true
+			homes = append(homes, v.Homes(h.Domain)...)
+		}
+	}
+	slices.SortFunc(homes, func(a, b member.Host) int { return cmp.Compare(a.Address, b.Address) })
+	return homes
+}
+
+// Owner returns the host that should hold a backend server: a home of its own
+// failure domain, or of any when that has no hosts.
+func (v View) Owner(s listing.Server) (member.Host, bool) {
+	homes := v.Homes(s.Domain)
+	if len(homes) == 0 {
+		homes = v.All()
+	}
+	return pick(s.ID, homes)
+}
+
+// Home returns the home that coordinates a job, for a host of a failure domain.
+func (v View) Home(job, domain string) (member.Host, bool) {
+	homes := v.Homes(domain)
+	if len(homes) == 0 {
+		homes = v.All()
+	}
+	return pick(job, homes)
+}
+
+// pick chooses a host by rendezvous hashing.
+func pick(key string, hosts []member.Host) (member.Host, bool) {
+	var best member.Host
+	var most uint64
+	for i, h := range hosts {
+		score := xxhash.Sum64String(key + "\x00" + h.Address)
+		if i == 0 || score > most {
+			best, most = h, score
+		}
+	}
+	return best, len(hosts) > 0
+}
+
+// Claims is which hosts say that they hold which backend servers.
+type Claims map[string][]string // by peer address
+
+// Mine returns the servers that a host should hold: those that it owns, less
+// the ones that another live host still claims. A server that the host holds
+// already is not given up for a claim; its fencing token decides.
+func (v View) Mine(self string, held []string, claims Claims) []listing.Server {
+	claimed := map[string]bool{}
+	for _, h := range v.Hosts {
+		if h.Address == self {
+			continue
+		}
+		for _, id := range claims[h.Address] {
+			claimed[id] = true
+		}
+	}
+	var mine []listing.Server
+	for _, s := range v.Servers {
+		owner, ok := v.Owner(s)
+		if ok && owner.Address == self && (!claimed[s.ID] || slices.Contains(held, s.ID)) {
+			mine = append(mine, s)
+		}
+	}
+	return mine
+}
--- /dev/null
+++ b/core/pool/hold.go
@@ -0,0 +1,249 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/work"
+)
+
+// hold asks a server for its lists, unless that is under way or needless.
+func (m *Model) hold(now time.Time, s *server) []Cmd {
+	if s.holding || now.Before(s.nextAt) || m.servers[s.entry.ID] != s {
+		return nil
+	}
+	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 {
+		return nil
+	}
+	s.serial++
+	s.holding = true
+	cmd := HoldCmd{
+		Server:  s.entry.ID,
+		Address: s.entry.Address,
+		Serial:  s.serial,
+		Token:   s.token,
+		Seen:    s.seen,
+	}
+	switch s.phase {
+	case looking:
+	case clearing:
+		cmd.Wait = m.limits.Quick
+	case ready:
+		cmd.Wait = m.wait(s)
+	}
+	// A look without runs of this host extends nothing that may have to expire.
+	if len(s.runs) > 0 {
+		cmd.Deadline = s.grant(now, m.limits.Lease)
+	}
+	return []Cmd{cmd}
+}
+
+// wait returns how long the next hold waits for an end.
+func (m *Model) wait(s *server) time.Duration {
+	if s.misses > 0 {
+		return 0
+	}
+	for _, r := range s.runs {
+		if r.state != running || r.unclear {
+			return m.limits.Quick
+		}
+	}
+	return m.limits.Wait
+}
+
+func (m *Model) held(now time.Time, msg HeldMsg) []Cmd {
+	s := m.servers[msg.Server]
+	if s == nil || msg.Serial != s.serial {
+		return nil
+	}
+	s.holding = false
+	switch msg.Result {
+	case Accepted:
+		return m.lists(now, s, msg)
+	case Fenced:
+		return m.lose(now, s)
+	case Replaced:
+		return m.replaced(now, s)
+	case Old, Late, Full, Busy, Invalid, Unsent, Unanswered:
+	}
+	s.misses++
+	s.nextAt = now.Add(m.limits.Quick)
+	if s.misses > missesBeforeProbes {
+		s.nextAt = now.Add(m.limits.Probe)
+	}
+	return []Cmd{RoomCmd{}}
+}
+
+// missesBeforeProbes is how many calls in a row may go unanswered before a
+// server is only looked at now and then.
+const missesBeforeProbes = 8
+
+// lists takes a server's lists.
+func (m *Model) lists(now time.Time, s *server, msg HeldMsg) []Cmd {
+	var cmds []Cmd
+	if msg.Born != 0 && s.entry.Born != 0 && msg.Born != s.entry.Born {
+		cmds = append(cmds, m.reborn(now, s, msg.Born)...)
+	}
+	if msg.Born != 0 {
+		s.entry.Born = msg.Born
+	}
+	missed := s.misses > 0
+	s.listen(now, msg.Clock)
+	if missed {
+		cmds = append(cmds, RoomCmd{})
+	}
+	for _, e := range msg.Ended {
+		cmds = append(cmds, m.ended(now, s, e)...)
+	}
+	listed := m.progress(now, s, msg)
+	cmds = append(cmds, m.absent(now, s, msg, listed)...)
+	cmds = append(cmds, m.clear(now, s, msg)...)
+	cmds = append(cmds, m.watch(now, s)...)
+	if m.servers[s.entry.ID] != s {
+		return cmds
+	}
+	return append(cmds, m.hold(now, s)...)
+}
+
+func (m *Model) ended(now time.Time, s *server, e Ended) []Cmd {
+	if e.Number <= s.seen {
+		return nil
+	}
+	s.seen = e.Number
+	r := s.runs[e.Name]
+	if r == nil || r.task.Run != e.Run {
+		return nil
+	}
+	return m.end(now, s, r, e.End, "")
+}
+
+// progress notes what runs, and collects the runs that this host doesn't know.
+func (m *Model) progress(now time.Time, s *server, msg HeldMsg) map[string]bool {
+	listed := map[string]bool{}
+	s.orphans = nil
+	for _, l := range msg.Running {
+		r := s.runs[l.Name]
+		if r == nil || r.task.Run != l.Run {
+			s.orphans = append(s.orphans, l)
+			continue
+		}
+		listed[l.Name] = true
+		r.percent, r.listed, r.unclear = l.Percent, now, false
+		if r.confirmed.IsZero() {
+			r.confirmed = now
+		}
+		if r.state == starting {
+			r.state = running
+		}
+	}
+	return listed
+}
+
+// absent ends runs that the lists prove not to be there.
+func (m *Model) absent(now time.Time, s *server, msg HeldMsg, listed map[string]bool) []Cmd {
+	var cmds []Cmd
+	for _, r := range s.ordered() {
+		if listed[r.task.Name()] {
+			continue
+		}
+		switch {
+		case !r.confirmed.IsZero():
+			if msg.Sent.After(r.confirmed) {
+				cmds = append(cmds, m.end(now, s, r, work.EndLapsed, core.ReasonLapsed)...)
+			}
+		case r.stopped && msg.Sent.After(r.sent):
+			cmds = append(cmds, m.end(now, s, r, work.EndNever, core.ReasonCanceled)...)
+		case msg.Clock > r.deadline && r.unclear && msg.Sent.After(r.sent):
+			cmds = append(cmds, m.end(now, s, r, work.EndNever, core.ReasonReset)...)
+		}
+	}
+	return cmds
+}
+
+// clear stops the runs of an earlier owner, and opens the server for work once
+// there are none.
+func (m *Model) clear(now time.Time, s *server, msg HeldMsg) []Cmd {
+	if len(s.orphans) == 0 {
+		if s.phase == ready {
+			return nil
+		}
+		s.phase = ready
+		return []Cmd{RoomCmd{}, NoteCmd{
+			Server: s.entry.ID,
+			Event:  "held",
+			Detail: fmt.Sprintf("token %d, clock %d", s.token, msg.Clock),
+		}}
+	}
+	cmds := []Cmd{NoteCmd{
+		Server: s.entry.ID,
+		Event:  "unknown runs stopped",
+		Detail: fmt.Sprintf("%d, first %s", len(s.orphans), s.orphans[0].Name),
+	}, RoomCmd{}}
+	s.phase = clearing
+	for _, o := range s.orphans {
+		cmds = append(cmds, StopCmd{
+			Server:  s.entry.ID,
+			Address: s.entry.Address,
+			Name:    o.Name,
+			Run:     o.Run,
+			Token:   s.token,
+		})
+	}
+	return cmds
+}
+
+// watch stops runs that would take far longer than elsewhere.
+func (m *Model) watch(now time.Time, s *server) []Cmd {
+	var cmds []Cmd
+	for _, r := range s.ordered() {
+		if !m.stalled(now, r) {
+			continue
+		}
+		s.health = s.health.WithFailure(now)
+		s.pace = max(s.pace, m.limits.Slow)
+		cmds = append(cmds, NoteCmd{
+			Server: s.entry.ID,
+			Event:  "slow run",
+			Detail: fmt.Sprintf("%s at %d %% after %s, predicted %s", r.task.Name(), r.percent, now.Sub(r.confirmed), r.task.Expect),
+		})
+		cmds = append(cmds, m.stopRun(now, s, r, core.ReasonSlow)...)
+	}
+	return cmds
+}
+
+// percentDone is the share of a finished task.
+const percentDone = 100
+
+// stalled reports whether a run would end sooner when started anew elsewhere.
+func (m *Model) stalled(now time.Time, r *run) bool {
+	if r.state != running || r.task.Expect <= 0 {
+		return false
+	}
+	elapsed := now.Sub(r.confirmed)
+	if elapsed < m.limits.Margin+r.task.Expect/2 {
+		return false
+	}
+	total := elapsed * percentDone / time.Duration(max(r.percent, 1))
+	return float64(total) > m.limits.Slow*float64(r.task.Expect) && total-elapsed > 2*r.task.Expect
+}
+
+// tick repeats what got no answer and ends what must have expired.
+func (m *Model) tick(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, s := range m.sorted() {
+		if s.misses > 0 && len(s.runs) > 0 && s.expired(now) {
+			cmds = append(cmds, m.endAll(now, s, work.EndLapsed, core.ReasonLapsed)...)
+		}
+		for _, r := range s.ordered() {
+			if r.state == stopping && !r.stopped && now.Sub(r.sent) >= m.limits.Answer {
+				cmds = append(cmds, m.orderStop(now, s, r))
+			}
+		}
+		cmds = append(cmds, m.hold(now, s)...)
+		if s.releasing {
+			cmds = append(cmds, m.release(now, s)...)
+		}
+	}
+	return cmds
+}
--- /dev/null
+++ b/core/pool/model.go
@@ -0,0 +1,235 @@
+package pool
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/work"
+)
+
+// Limits sets the pace of orders and how servers are judged.
+type Limits struct {
+	Lease   time.Duration // length of the leases asked for
+	Answer  time.Duration // after which an order without an answer is sent again
+	Wait    time.Duration // that a hold waits for an end
+	Quick   time.Duration // the same while ends are being waited for or answers get lost
+	Retake  time.Duration // pause before a server that was fenced off is taken over again
+	Slow    float64       // run time by its prediction that makes a server slow
+	Margin  time.Duration // added to a prediction before a run counts as slow
+	Give    time.Duration // after which a start without an answer is given up
+	Probe   time.Duration // pause between looks at a server that doesn't answer
+	Health  health.Limits
+	Pace    float64 // part of a new run time in a server's average
+	PaceMax float64 // average above which a server is used last
+}
+
+// Model is the backend servers of one service that this host owns.
+type Model struct {
+	limits  Limits
+	servers map[string]*server
+	token   int64                // highest token used
+	fenced  map[string]time.Time // servers that another host took, and when
+	where   map[string]string    // run's task name to server
+}
+
+// New returns a pool without servers.
+func New(l Limits) *Model {
+	return &Model{
+		limits:  l,
+		servers: map[string]*server{},
+		fenced:  map[string]time.Time{},
+		where:   map[string]string{},
+	}
+}
+
+// Update takes one message and returns what has to be done about it.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case OwnMsg:
+		return m.own(now, msg)
+	case RunMsg:
+		return m.run(now, msg)
+	case StopMsg:
+		return m.stop(now, msg)
+	case StartedMsg:
+		return m.started(now, msg)
+	case StoppedMsg:
+		return m.stopped(now, msg)
+	case HeldMsg:
+		return m.held(now, msg)
+	case TickMsg:
+		return m.tick(now)
+	}
+	return nil
+}
+
+// Held returns the servers that this host holds, sorted.
+func (m *Model) Held() []string {
+	ids := make([]string, 0, len(m.servers))
+	for id := range m.servers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// sorted returns the servers in a fixed order, so that decisions repeat.
+func (m *Model) sorted() []*server {
+	servers := make([]*server, 0, len(m.servers))
+	for _, s := range m.servers {
+		servers = append(servers, s)
+	}
+	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
+	return servers
+}
+
+// own takes over servers that are new and lets go of those that left the list.
+func (m *Model) own(now time.Time, msg OwnMsg) []Cmd {
+	m.token = max(m.token, msg.Token)
+	wanted := map[string]bool{}
+	var cmds []Cmd
+	for _, entry := range msg.Servers {
+		wanted[entry.ID] = true
+		cmds = append(cmds, m.want(now, entry)...)
+	}
+	for _, s := range m.sorted() {
+		if !wanted[s.entry.ID] {
+			s.releasing = true
+			cmds = append(cmds, m.release(now, s)...)
+		}
+	}
+	return append(cmds, RoomCmd{})
+}
+
+func (m *Model) want(now time.Time, entry listing.Server) []Cmd {
+	s := m.servers[entry.ID]
+	if s != nil {
+		var cmds []Cmd
+		if s.entry.Born != 0 && entry.Born > s.entry.Born {
+			cmds = m.reborn(now, s, entry.Born)
+		}
+		born := s.entry.Born
+		s.entry, s.releasing = entry, false
+		s.entry.Born = max(born, entry.Born)
+		return cmds
+	}
+	if at, ok := m.fenced[entry.ID]; ok && now.Sub(at) < m.limits.Retake {
+		return nil
+	}
+	delete(m.fenced, entry.ID)
+	if entry.Draining {
+		return nil
+	}
+	s = newServer(entry, m.token, m.limits)
+	m.servers[entry.ID] = s
+	cmds := []Cmd{NoteCmd{
+		Server: entry.ID,
+		Event:  "takeover",
+		Detail: fmt.Sprintf("token %d", s.token),
+	}}
+	return append(cmds, m.hold(now, s)...)
+}
+
+// release lets an empty server go.
+func (m *Model) release(_ time.Time, s *server) []Cmd {
+	if !s.releasing || len(s.runs) > 0 {
+		return nil
+	}
+	delete(m.servers, s.entry.ID)
+	return []Cmd{NoteCmd{
+		Server: s.entry.ID,
+		Event:  "released",
+	}}
+}
+
+// reborn ends everything that ran before a server started anew.
+func (m *Model) reborn(now time.Time, s *server, born int64) []Cmd {
+	cmds := m.endAll(now, s, work.EndLapsed, core.ReasonLapsed)
+	s.entry.Born = born
+	s.phase, s.orphans = looking, nil
+	s.clock, s.heard, s.granted, s.seen = 0, time.Time{}, 0, 0
+	s.holding = false
+	s.serial++
+	return append(cmds, NoteCmd{
+		Server: s.entry.ID,
+		Event:  "restarted",
+		Detail: fmt.Sprintf("born %d", born),
+	})
+}
+
+// lose drops a server that another host holds; its runs may go on.
+func (m *Model) lose(now time.Time, s *server) []Cmd {
+	cmds := m.endAll(now, s, work.EndUnknown, core.ReasonUnknown)
+	delete(m.servers, s.entry.ID)
+	m.fenced[s.entry.ID] = now
+	m.token++
+	return append(cmds, NoteCmd{
+		Server: s.entry.ID,
+		Event:  "fenced off",
+		Detail: fmt.Sprintf("token %d", s.token),
+	}, RoomCmd{})
+}
+
+func (m *Model) endAll(now time.Time, s *server, end work.End, reason core.Reason) []Cmd {
+	var cmds []Cmd
+	for _, r := range s.ordered() {
+		cmds = append(cmds, m.end(now, s, r, end, reason)...)
+	}
+	return cmds
+}
+
+// ordered returns a server's runs in a fixed order.
+func (s *server) ordered() []*run {
+	runs := make([]*run, 0, len(s.runs))
+	for _, r := range s.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.Name(), b.task.Name()) })
+	return runs
+}
+
+// end forgets a run and tells its owner.
+func (m *Model) end(now time.Time, s *server, r *run, end work.End, reason core.Reason) []Cmd {
+	name := r.task.Name()
+	delete(s.runs, name)
+	if m.where[name] == s.entry.ID {
+		delete(m.where, name)
+	}
+	took := time.Duration(0)
+	if !r.confirmed.IsZero() {
+		took = now.Sub(r.confirmed)
+	}
+	m.judge(now, s, r, end, took)
+	cmds := []Cmd{
+		EndCmd{
+			Owner:  r.owner,
+			Task:   r.task,
+			End:    end,
+			Server: s.entry.ID,
+			Took:   took,
+			Reason: cmp.Or(r.reason, reason),
+		},
+		RoomCmd{},
+	}
+	return append(cmds, m.release(now, s)...)
+}
+
+// judge learns from a run how its server does.
+func (m *Model) judge(now time.Time, s *server, r *run, end work.End, took time.Duration) {
+	switch end {
+	case work.EndDone:
+		s.health = s.health.WithSuccess()
+		if r.task.Expect > 0 {
+			s.pace += m.limits.Pace * (float64(took)/float64(r.task.Expect) - s.pace)
+		}
+	case work.EndFailed:
+		s.health = s.health.WithFailure(now)
+	case work.EndStopped, work.EndLapsed, work.EndNever, work.EndUnknown:
+		s.health = s.health.WithDrop()
+	}
+}
--- a/core/reason.go
+++ b/core/reason.go
@@ -27,6 +27,14 @@
 	ReasonForgotten   Reason = "forgotten"   // the answer is no longer held
 	ReasonMismatch    Reason = "mismatch"    // the ticket was used for another submission
 	ReasonLink        Reason = "link"        // a peer link broke during a call
+	ReasonAttempts    Reason = "attempts"    // a task failed too often
+	ReasonUnknown     Reason = "unknown"     // a run's end can't be known
+	ReasonConfig      Reason = "config"      // no configuration has arrived yet
+	ReasonHome        Reason = "home"        // no host coordinates jobs now
+	ReasonRoom        Reason = "room"        // a pool had no room for a lent task
+	ReasonSlow        Reason = "slow"        // a backend server was much slower than predicted
+	ReasonLapsed      Reason = "lapsed"      // a lease ran out, or the backend server is gone
+	ReasonUnsupported Reason = "unsupported" // the job asks for what isn't built
 	ReasonDrainLimit  Reason = "drainlimit"  // a planned stop ran into its time limit
 )
 
@@ -38,6 +46,8 @@
 		ReasonConnect, ReasonBusy, ReasonReset, ReasonStatus,
 		ReasonMalformed, ReasonLarge, ReasonCanceled, ReasonSibling,
 		ReasonBudget, ReasonLost, ReasonUnreachable, ReasonForgotten,
-		ReasonMismatch, ReasonLink, ReasonDrainLimit,
+		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
+		ReasonUnknown, ReasonConfig, ReasonHome, ReasonRoom, ReasonSlow,
+		ReasonLapsed, ReasonUnsupported,
 	}
 }
--- /dev/null
+++ b/core/schedule/job.go
@@ -0,0 +1,161 @@
+package schedule
+
+import (
+	"time"
+
+	"rosemarywalk/core/work"
+)
+
+// state is how far a task has come.
+type state uint8
+
+const (
+	waiting state = iota
+	placed
+	done
+)
+
+// task is one task of a job.
+type task struct {
+	step     int
+	index    int
+	state    state
+	run      int // number of its next or current run
+	failures int
+	host     string    // whose pool runs it
+	avoid    string    // backend server that failed it
+	after    time.Time // no new try before
+}
+
+// job is one job with its tasks.
+type job struct {
+	work.Job
+	tasks   []*task
+	left    []int           // tasks of each step that aren't done
+	expect  []time.Duration // predicted run time of a task of each step
+	callers []string
+	latest  time.Time // start by which the objective is met
+	began   bool      // a task was ordered
+}
+
+func newJob(w work.Job, expect []time.Duration) *job {
+	j := &job{
+		Job:    w,
+		expect: expect,
+	}
+	for step, s := range w.Steps {
+		j.left = append(j.left, s.Count)
+		for index := range s.Count {
+			j.tasks = append(j.tasks, &task{
+				step:  step,
+				index: index,
+				run:   1,
+			})
+		}
+	}
+	chain := j.chain()
+	j.latest = w.Objective(chain).Add(-chain)
+	return j
+}
+
+// chain returns the predicted time of the longest chain of steps.
+func (j *job) chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		var start time.Duration
+		for _, before := range s.After {
+			if before < i {
+				start = max(start, ends[before])
+			}
+		}
+		ends[i] = start + j.expect[i]
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// due reports whether a task may start: it waits, its time has come, and the
+// steps before its own are done.
+func (j *job) due(now time.Time, t *task) bool {
+	if t.state != waiting || now.Before(t.after) {
+		return false
+	}
+	for _, before := range j.Steps[t.step].After {
+		if j.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// backlog returns the work of tasks that wait, in thousandths of a core times
+// seconds.
+func (j *job) backlog() float64 {
+	sum := 0.0
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			sum += float64(j.Steps[t.step].Size.CPU) * j.expect[t.step].Seconds()
+		}
+	}
+	return sum
+}
+
+// waits reports whether a task of the job waits.
+func (j *job) waits() bool {
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			return true
+		}
+	}
+	return false
+}
+
+// running reports whether a task of the job is placed.
+func (j *job) running() bool {
+	for _, t := range j.tasks {
+		if t.state == placed {
+			return true
+		}
+	}
+	return false
+}
+
+// complete reports whether all tasks are done.
+func (j *job) complete() bool {
+	for _, left := range j.left {
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// find returns a task by its place.
+func (j *job) find(step, index int) *task {
+	for _, t := range j.tasks {
+		if t.step == step && t.index == index {
+			return t
+		}
+	}
+	return nil
+}
+
+// order returns the task as it is ordered from a pool.
+func (j *job) order(t *task) work.Task {
+	s := j.Steps[t.step]
+	return work.Task{
+		Job:       j.ID,
+		Step:      t.step,
+		Index:     t.index,
+		Run:       t.run,
+		Size:      s.Size,
+		Spec:      j.Spec,
+		Requires:  s.Requires,
+		Affinity:  s.Affinity,
+		PerServer: s.PerServer,
+		Expect:    j.expect[t.step],
+		Deadline:  j.Deadline,
+		Avoid:     t.avoid,
+	}
+}
--- /dev/null
+++ b/core/schedule/model.go
@@ -0,0 +1,222 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/work"
+)
+
+// Limits sets when jobs are refused and what is remembered.
+type Limits struct {
+	Lateness float64       // part of a job's slack that may pass before it counts as late
+	Recheck  float64       // part of a job's objective after which a job that has not begun is judged again
+	Bounce   time.Duration // pause before a task that found no room is tried again
+	Remember time.Duration // that outcomes of finished jobs are kept for resends
+	Jobs     int           // most jobs at once
+}
+
+// memory is the outcome of a job that ended.
+type memory struct {
+	outcome work.Outcome
+	until   time.Time
+}
+
+// Model is the jobs of one service that a host coordinates.
+type Model struct {
+	limits   Limits
+	self     string
+	jobs     map[string]*job
+	queue    []*job // with waiting tasks, by latest start
+	callers  map[string]string
+	rooms    map[string]*room
+	times    map[string]times
+	finished map[string]memory
+}
+
+// New returns a scheduler without jobs; self names the own pool.
+func New(self string, l Limits) *Model {
+	return &Model{
+		limits:   l,
+		self:     self,
+		jobs:     map[string]*job{},
+		callers:  map[string]string{},
+		rooms:    map[string]*room{},
+		times:    map[string]times{},
+		finished: map[string]memory{},
+	}
+}
+
+// Update takes one message and returns what has to be done about it.
+func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case SubmitMsg:
+		return m.submit(now, msg)
+	case DropMsg:
+		return m.drop(msg)
+	case WithdrawMsg:
+		return m.withdraw(now, msg)
+	case CancelMsg:
+		return m.cancel(now, msg)
+	case RoomMsg:
+		m.rooms[msg.Host] = newRoom(msg.Room)
+		return m.dispatch(now)
+	case GoneMsg:
+		delete(m.rooms, msg.Host)
+		return nil
+	case EndMsg:
+		return append(m.end(now, msg), m.dispatch(now)...)
+	case TickMsg:
+		m.forget(now)
+		return append(m.expire(now), m.dispatch(now)...)
+	}
+	return nil
+}
+
+// Jobs returns how many jobs have not ended.
+func (m *Model) Jobs() int { return len(m.jobs) }
+
+// Waiting returns how many jobs of a route have not begun.
+func (m *Model) Waiting(route string) int {
+	n := 0
+	for _, j := range m.queue {
+		if j.Route == route && !j.began {
+			n++
+		}
+	}
+	return n
+}
+
+// State returns what is known of a job.
+func (m *Model) State(id string) (state string, ok bool) {
+	if j := m.jobs[id]; j != nil {
+		if j.began {
+			return "running", true
+		}
+		return "queued", true
+	}
+	if f, ok := m.finished[id]; ok {
+		return string(f.outcome.State), true
+	}
+	return "", false
+}
+
+func (m *Model) submit(now time.Time, msg SubmitMsg) []Cmd {
+	id := msg.Job.ID
+	if f, ok := m.finished[id]; ok {
+		return []Cmd{AnswerCmd{
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: f.outcome,
+		}}
+	}
+	if j := m.jobs[id]; j != nil {
+		j.callers = append(j.callers, msg.Caller)
+		m.callers[msg.Caller] = id
+		return nil
+	}
+	j := newJob(msg.Job, m.predict(msg.Job))
+	j.callers = []string{msg.Caller}
+	if reason := m.hopeless(now, j); reason != "" {
+		return m.refuse(now, j, reason)
+	}
+	m.jobs[id] = j
+	m.callers[msg.Caller] = id
+	m.enqueue(j)
+	cmds := m.dispatch(now)
+	if !j.began && m.isLate(now, j) {
+		return append(cmds, m.refuse(now, j, core.ReasonWait)...)
+	}
+	return cmds
+}
+
+func (m *Model) predict(w work.Job) []time.Duration {
+	expect := make([]time.Duration, 0, len(w.Steps))
+	for _, s := range w.Steps {
+		expect = append(expect, m.times[w.Route].expect(s.Estimate))
+	}
+	return expect
+}
+
+// enqueue puts a job at its place by latest start.
+func (m *Model) enqueue(j *job) {
+	if slices.Contains(m.queue, j) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(m.queue, j, compare)
+	m.queue = slices.Insert(m.queue, at, j)
+}
+
+func compare(a, b *job) int {
+	return cmp.Or(a.latest.Compare(b.latest), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ID, b.ID))
+}
+
+// dispatch places what waits, in order, wherever it fits.
+func (m *Model) dispatch(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, j := range m.queue {
+		for _, t := range j.tasks {
+			if !j.due(now, t) {
+				continue
+			}
+			cmd, ok := m.place(j, t)
+			if ok {
+				cmds = append(cmds, cmd)
+			}
+		}
+	}
+	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool { return !j.waits() })
+	return cmds
+}
+
+// place sends a task to the own pool when it fits there, or else to the host
+// with the most free room.
+func (m *Model) place(j *job, t *task) (Cmd, bool) {
+	order := j.order(t)
+	host, slot := m.choose(order)
+	if slot < 0 {
+		return nil, false
+	}
+	m.rooms[host].take(slot, order.Size)
+	t.state, t.host = placed, host
+	j.began = true
+	return RunCmd{
+		Host: host,
+		Task: order,
+	}, true
+}
+
+func (m *Model) choose(order work.Task) (host string, slot int) {
+	if own := m.rooms[m.self]; own != nil {
+		if slot := own.best(order); slot >= 0 && !own.slots[slot].Slow {
+			return m.self, slot
+		}
+	}
+	slot = -1
+	var most int
+	slow := false
+	for _, name := range m.hosts() {
+		r := m.rooms[name]
+		s := r.best(order)
+		if s < 0 {
+			continue
+		}
+		better := slot < 0 || (slow && !r.slots[s].Slow) || (slow == r.slots[s].Slow && r.free() > most)
+		if better {
+			host, slot, most, slow = name, s, r.free(), r.slots[s].Slow
+		}
+	}
+	return host, slot
+}
+
+// hosts returns the hosts with room, in a fixed order.
+func (m *Model) hosts() []string {
+	names := make([]string, 0, len(m.rooms))
+	for name := range m.rooms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -16,6 +16,11 @@
 	PartPull     Part = "pull"
 	PartHandover Part = "handover"
 	PartAsk      Part = "ask"
+	PartSubmit   Part = "submit"
+	PartLend     Part = "lend"
+	PartHalt     Part = "halt"
+	PartRoom     Part = "room"
+	PartFind     Part = "find"
 )
 
 // Handler serves one part; plug-ins provide them in the fx group "handlers".
@@ -37,6 +42,16 @@
 		return PartHandover
 	case f.Ask != nil:
 		return PartAsk
+	case f.Submit != nil:
+		return PartSubmit
+	case f.Lend != nil:
+		return PartLend
+	case f.Halt != nil:
+		return PartHalt
+	case f.Room != nil:
+		return PartRoom
+	case f.Find != nil:
+		return PartFind
 	}
 	return ""
 }
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -17,6 +17,10 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
+		Editions: []kernel.Edition{
+			kernel.Standalone,
+			kernel.Platform,
+		},
 		Name:  section,
 		Order: 20,
 		Settings: settings.Section{
--- a/io/plugins/plugins.go
+++ b/io/plugins/plugins.go
@@ -8,6 +8,7 @@
 	_ "rosemarywalk/io/config"
 	_ "rosemarywalk/io/dispatch"
 	_ "rosemarywalk/io/drain"
+	_ "rosemarywalk/io/entry"
 	_ "rosemarywalk/io/executor"
 	_ "rosemarywalk/io/feed"
 	_ "rosemarywalk/io/host"
@@ -16,5 +17,9 @@
 	_ "rosemarywalk/io/peer"
 	_ "rosemarywalk/io/platform"
 	_ "rosemarywalk/io/ready"
+	_ "rosemarywalk/io/roster"
+	_ "rosemarywalk/io/scheduler"
 	_ "rosemarywalk/io/telemetry"
+	_ "rosemarywalk/io/watch"
+	_ "rosemarywalk/platform"
 )
--- a/io/ready/flag.go
+++ b/io/ready/flag.go
@@ -11,6 +11,10 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
+		Editions: []kernel.Edition{
+			kernel.Standalone,
+			kernel.Platform,
+		},
 		Name:   "ready",
 		Order:  2,
 		Module: fx.Provide(New),
@@ -26,6 +30,9 @@
 // Stop turns the flag for good.
 func (f *Flag) Stop() { f.stopping.Store(true) }
 
+// Stopping reports whether a stop began.
+func (f *Flag) Stopping() bool { return f.stopping.Load() }
+
 // Readyz answers 200 until a stop begins, then 503.
 func (f *Flag) Readyz(w http.ResponseWriter, _ *http.Request) {
 	if f.stopping.Load() {
--- /dev/null
+++ b/io/roster/plugin.go
@@ -0,0 +1,140 @@
+package roster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	mrand "math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"go.uber.org/fx"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/member"
+	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
+	"rosemarywalk/io/peer"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/watch"
+	"rosemarywalk/kernel"
+)
+
+const section = "roster"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     section,
+		Order:    40,
+		Editions: []kernel.Edition{kernel.Platform},
+		Settings: settings.Section{
+			Name: section,
+			Help: "Heartbeats between hosts.",
+			Keys: []settings.Key{
+				{
+					Name:    "period",
+					Default: "100ms",
+					Help:    "Time between heartbeats.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: 10 * time.Second,
+					},
+				},
+				{
+					Name:    "dead",
+					Default: "600ms",
+					Help:    "Silence after which a host counts as dead.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "forget",
+					Default: "60s",
+					Help:    "Silence after which a host is no longer looked for.",
+					Kind: settings.Duration{
+						Min: time.Second,
+						Max: 24 * time.Hour,
+					},
+				},
+				{
+					Name:    "known",
+					Default: "4",
+					Help:    "Entries about other hosts that ride on a heartbeat in turn.",
+					Kind: settings.Integer{
+						Min: 0,
+						Max: 1000,
+					},
+				},
+				{
+					Name:    "perhome",
+					Default: "100",
+					Help:    "Most backend servers that one home holds, while its failure domain has enough hosts.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(newRoster, newHandlers),
+			fx.Invoke(run),
+		),
+	})
+}
+
+// incarnationBytes is the length of a process's random name.
+const incarnationBytes = 16
+
+func newRoster(s settings.Settings, links *peer.Links, counters *telemetry.Counters, log logr.Logger) (*Roster, error) {
+	var name [incarnationBytes]byte
+	if _, err := rand.Read(name[:]); err != nil {
+		return nil, errors.Annotate(err, "draw incarnation")
+	}
+	seed := binary.BigEndian.Uint64(name[:])
+	self := member.Host{
+		Incarnation: hex.EncodeToString(name[:]),
+		Address:     local.PeerAddress(s),
+		Domain:      s.Text("self", "domain"),
+		Born:        time.Now().UnixMilli(),
+	}
+	limits := member.Limits{
+		Dead:   s.Duration(section, "dead"),
+		Forget: s.Duration(section, "forget"),
+		Known:  s.Integer(section, "known"),
+	}
+	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
+	return New(model, links, s.Duration(section, "period"), s.Integer(section, "perhome"), counters, log), nil
+}
+
+// served is what the plug-in serves on peer links.
+type served struct {
+	fx.Out
+
+	Beat peer.Handler `group:"handlers"`
+}
+
+func newHandlers(r *Roster) served {
+	return served{Beat: peer.Handler{
+		Part:  peer.PartBeat,
+		Serve: r.ServeBeat,
+	}}
+}
+
+func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
+	w.OnHosts(func(hosts []listing.Host) {
+		addresses := make([]string, 0, len(hosts))
+		for _, h := range hosts {
+			addresses = append(addresses, h.Address)
+		}
+		r.Seed(addresses)
+	})
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, r.period, func(context.Context) { r.tick() })
+	})
+}
--- /dev/null
+++ b/io/roster/roster.go
@@ -0,0 +1,257 @@
+package roster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/member"
+	"rosemarywalk/core/owner"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
+)
+
+// Peers sends frames to other hosts.
+type Peers interface {
+	Send(ctx context.Context, address string, f wire.Frame) error
+	Call(ctx context.Context, address string, f wire.Frame) (wire.Frame, error)
+}
+
+// News is what rides on this host's heartbeats.
+type News struct {
+	Held    []string // backend servers that it holds
+	Queues  []wire.Queue
+	Version int // configuration in force
+}
+
+// Roster is this host's view of all hosts.
+type Roster struct {
+	peers    Peers
+	period   time.Duration
+	perHome  int
+	counters *telemetry.Counters
+	log      logr.Logger
+
+	mu       sync.Mutex
+	model    *member.Model
+	claims   owner.Claims
+	queues   map[string][]wire.Queue // by peer address
+	news     func() News
+	onLive   []func()
+	onNewer  func(address string, version int)
+	versions map[string]int
+}
+
+// New returns a view that knows only this host.
+func New(model *member.Model, peers Peers, period time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
+	return &Roster{
+		peers:    peers,
+		period:   period,
+		perHome:  perHome,
+		counters: counters,
+		log:      log.WithName("roster"),
+		model:    model,
+		claims:   owner.Claims{},
+		queues:   map[string][]wire.Queue{},
+		versions: map[string]int{},
+		news:     func() News { return News{} },
+	}
+}
+
+// SetNews sets what rides on heartbeats.
+func (r *Roster) SetNews(news func() News) { r.news = news }
+
+// OnChange calls f when live hosts or their claims change.
+func (r *Roster) OnChange(f func()) { r.onLive = append(r.onLive, f) }
+
+// OnNewer calls f when a host has a configuration of another version.
+func (r *Roster) OnNewer(f func(address string, version int)) { r.onNewer = f }
+
+// Self returns this host's own entry.
+func (r *Roster) Self() member.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.model.Self()
+}
+
+// View returns the hosts that are alive, to choose homes and owners.
+func (r *Roster) View(servers []listing.Server) owner.View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return owner.View{
+		Hosts:   r.model.Live(),
+		Servers: servers,
+		PerHome: r.perHome,
+	}
+}
+
+// Claims returns which hosts hold which backend servers.
+func (r *Roster) Claims() owner.Claims {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	claims := owner.Claims{}
+	for address, held := range r.claims {
+		claims[address] = held
+	}
+	return claims
+}
+
+// Waiting returns how many jobs of a route wait at the other hosts.
+func (r *Roster) Waiting(route string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := 0
+	for _, queues := range r.queues {
+		for _, q := range queues {
+			if q.Route == route {
+				sum += q.Waiting
+			}
+		}
+	}
+	return sum
+}
+
+// Stop tells the hosts that this one stops.
+func (r *Roster) Stop() {
+	r.mu.Lock()
+	cmds := r.model.Update(time.Now(), member.StopMsg{})
+	r.mu.Unlock()
+	r.run(cmds, wire.Beat{})
+	r.tick()
+}
+
+// Seed names addresses to look for hosts at.
+func (r *Roster) Seed(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model.Update(time.Now(), member.SeedMsg{Addresses: addresses})
+}
+
+// Lost says that nothing listens at a host's address.
+func (r *Roster) Lost(address string) {
+	r.mu.Lock()
+	cmds := r.model.Update(time.Now(), member.LostMsg{Address: address})
+	r.mu.Unlock()
+	r.run(cmds, wire.Beat{})
+}
+
+func (r *Roster) tick() {
+	news := r.news()
+	r.mu.Lock()
+	cmds := r.model.Update(time.Now(), member.TickMsg{})
+	self := r.model.Self()
+	r.mu.Unlock()
+	r.run(cmds, wire.Beat{
+		Host:     self.Incarnation,
+		Address:  self.Address,
+		Domain:   self.Domain,
+		Count:    self.Count,
+		Stopping: self.Stopping,
+		Born:     int(self.Born),
+		Held:     news.Held,
+		Queues:   news.Queues,
+		Print:    news.Version,
+	})
+}
+
+func (r *Roster) run(cmds []member.Cmd, beat wire.Beat) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case member.SendCmd:
+			own := beat
+			own.Known = knownOf(cmd.Known)
+			go r.send(cmd.Address, own)
+		case member.LiveCmd:
+			r.changed(cmd.Hosts)
+		}
+	}
+}
+
+func (r *Roster) changed(live []member.Host) {
+	addresses := make([]string, 0, len(live))
+	for _, h := range live {
+		addresses = append(addresses, h.Address)
+	}
+	r.log.Info("hosts changed", "live", addresses)
+	r.mu.Lock()
+	for address := range r.claims {
+		if !slices.Contains(addresses, address) {
+			delete(r.claims, address)
+			delete(r.queues, address)
+		}
+	}
+	r.mu.Unlock()
+	for _, f := range r.onLive {
+		f()
+	}
+}
+
+func (r *Roster) send(address string, beat wire.Beat) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.period)
+	defer cancel()
+	r.counters.Messages("heartbeat", 1)
+	err := r.peers.Send(ctx, address, wire.Frame{Beat: &beat})
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.Lost(address)
+	}
+}
+
+func knownOf(hosts []member.Host) []wire.Known {
+	known := make([]wire.Known, 0, len(hosts))
+	for _, h := range hosts {
+		known = append(known, wire.Known{
+			Host:     h.Incarnation,
+			Address:  h.Address,
+			Domain:   h.Domain,
+			Count:    h.Count,
+			Stopping: h.Stopping,
+			Born:     int(h.Born),
+		})
+	}
+	return known
+}
+
+// ServeBeat takes a heartbeat from another host.
+func (r *Roster) ServeBeat(_ context.Context, f wire.Frame) (wire.Frame, bool) {
+	b := f.Beat
+	msg := member.BeatMsg{From: member.Host{
+		Incarnation: b.Host,
+		Address:     b.Address,
+		Domain:      b.Domain,
+		Count:       b.Count,
+		Stopping:    b.Stopping,
+		Born:        int64(b.Born),
+	}}
+	for _, k := range b.Known {
+		msg.Known = append(msg.Known, member.Host{
+			Incarnation: k.Host,
+			Address:     k.Address,
+			Domain:      k.Domain,
+			Count:       k.Count,
+			Stopping:    k.Stopping,
+			Born:        int64(k.Born),
+		})
+	}
+	r.mu.Lock()
+	cmds := r.model.Update(time.Now(), msg)
+	claimed := !slices.Equal(r.claims[b.Address], b.Held)
+	r.claims[b.Address] = b.Held
+	r.queues[b.Address] = b.Queues
+	r.mu.Unlock()
+	r.run(cmds, wire.Beat{})
+	if claimed && len(cmds) == 0 {
+		for _, f := range r.onLive {
+			f()
+		}
+	}
+	if r.onNewer != nil {
+		r.onNewer(b.Address, b.Print)
+	}
+	return wire.Frame{}, false
+}
--- /dev/null
+++ b/io/scheduler/plugin.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/route"
+	"rosemarywalk/core/schedule"
+	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
+	"rosemarywalk/io/peer"
+	"rosemarywalk/io/roster"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/watch"
+	"rosemarywalk/kernel"
+)
+
+const (
+	section     = "schedule"
+	sectionPool = "pool"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     sectionPool,
+		Order:    50,
+		Editions: []kernel.Edition{kernel.Platform},
+		Settings: settings.Section{
+			Name: sectionPool,
+			Help: "Backend servers that this host holds.",
+			Keys: []settings.Key{
+				duration("lease", "900ms", "Length of the leases asked for; at most what backend servers grant.", 100*time.Millisecond, time.Minute),
+				duration("answer", "80ms", "Wait for the answer to an order before it is sent again.", time.Millisecond, 10*time.Second),
+				duration("wait", "150ms", "Wait of a look at a backend server for the end of a run.", 0, 2*time.Second),
+				duration("quick", "30ms", "The same while an end is overdue or answers get lost.", 0, 2*time.Second),
+				duration("retake", "1s", "Pause before a backend server that another host took is taken back.", 0, time.Minute),
+				duration("give", "500ms", "Time after which a start without an answer is given up.", 0, time.Minute),
+				duration("probe", "200ms", "Pause between looks at a backend server that doesn't answer.", time.Millisecond, time.Minute),
+				duration("margin", "60ms", "Added to a predicted run time before a run counts as slow.", 0, time.Minute),
+				duration("backoff", "1s", "First time that a failing backend server gets no work; it doubles.", 0, time.Minute),
+				duration("backoffmax", "4s", "Longest such time.", 0, time.Hour),
+				number("slow", "3", "Run time, by its prediction, from which a run is moved to another backend server.", 1, 1000),
+				number("learn", "0.3", "Part of a new run time in a backend server's average.", 0.01, 1),
+				number("last", "1.8", "Average run time, by its prediction, from which a backend server is used last.", 1, 1000),
+				{
+					Name:    "failures",
+					Default: "2",
+					Help:    "Failures in a row after which a backend server gets no work for a while.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 1000,
+					},
+				},
+			},
+		},
+		Module: fx.Options(),
+	})
+	kernel.Register(kernel.Plugin{
+		Name:     section,
+		Order:    60,
+		Editions: []kernel.Edition{kernel.Platform},
+		Settings: settings.Section{
+			Name: section,
+			Help: "Jobs that this host coordinates.",
+			Keys: []settings.Key{
+				duration("settle", "400ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
+				duration("tick", "10ms", "Time between checks for what is overdue.", time.Millisecond, time.Second),
+				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
+				duration("bounce", "5ms", "Pause before a task that found no room is tried again.", 0, time.Second),
+				duration("remember", "5s", "Time that outcomes are kept for submissions that come again.", 0, time.Hour),
+				number("lateness", "1", "Part of a job's slack that its expected wait may take before it is refused.", 0, 100),
+				{
+					Name:    "jobs",
+					Default: "5000",
+					Help:    "Most jobs of one service at once.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 1_000_000,
+					},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(newScheduler, newHandlers),
+			fx.Invoke(run),
+		),
+	})
+}
+
+func duration(name, value, help string, least, most time.Duration) settings.Key {
+	return settings.Key{
+		Name:    name,
+		Default: value,
+		Help:    help,
+		Kind: settings.Duration{
+			Min: least,
+			Max: most,
+		},
+	}
+}
+
+func number(name, value, help string, least, most float64) settings.Key {
+	return settings.Key{
+		Name:    name,
+		Default: value,
+		Help:    help,
+		Kind: settings.Number{
+			Min: least,
+			Max: most,
+		},
+	}
+}
+
+// needs is what the plug-in takes from others.
+type needs struct {
+	fx.In
+
+	Settings settings.Settings
+	Servers  Servers
+	Links    *peer.Links
+	Roster   *roster.Roster
+	Counters *telemetry.Counters
+	Log      logr.Logger
+}
+
+func newScheduler(n needs) *Scheduler {
+	s := n.Settings
+	return New(Parts{
+		Self:     local.PeerAddress(s),
+		Servers:  n.Servers,
+		Peers:    n.Links,
+		Roster:   n.Roster,
+		Pool:     poolLimits(s),
+		Jobs:     jobLimits(s),
+		Answer:   s.Duration(sectionPool, "answer"),
+		Settle:   s.Duration(section, "settle"),
+		Counters: n.Counters,
+		Log:      n.Log,
+	})
+}
+
+func poolLimits(s settings.Settings) pool.Limits {
+	return pool.Limits{
+		Lease:  s.Duration(sectionPool, "lease"),
+		Answer: s.Duration(sectionPool, "answer"),
+		Wait:   s.Duration(sectionPool, "wait"),
+		Quick:  s.Duration(sectionPool, "quick"),
+		Retake: s.Duration(sectionPool, "retake"),
+		Give:   s.Duration(sectionPool, "give"),
+		Probe:  s.Duration(sectionPool, "probe"),
+		Margin: s.Duration(sectionPool, "margin"),
+		Slow:   s.Number(sectionPool, "slow"),
+		Health: health.Limits{
+			Failures: s.Integer(sectionPool, "failures"),
+			Backoff:  s.Duration(sectionPool, "backoff"),
+			Most:     s.Duration(sectionPool, "backoffmax"),
+		},
+		Pace:    s.Number(sectionPool, "learn"),
+		PaceMax: s.Number(sectionPool, "last"),
+	}
+}
+
+func jobLimits(s settings.Settings) schedule.Limits {
+	return schedule.Limits{
+		Lateness: s.Number(section, "lateness"),
+		Bounce:   s.Duration(section, "bounce"),
+		Remember: s.Duration(section, "remember"),
+		Jobs:     s.Integer(section, "jobs"),
+	}
+}
+
+// served is what the plug-in serves on peer links.
+type served struct {
+	fx.Out
+
+	Submit peer.Handler `group:"handlers"`
+	Lend   peer.Handler `group:"handlers"`
+	Halt   peer.Handler `group:"handlers"`
+	Room   peer.Handler `group:"handlers"`
+	Find   peer.Handler `group:"handlers"`
+}
+
+func newHandlers(s *Scheduler) served {
+	return served{
+		Submit: peer.Handler{
+			Part:  peer.PartSubmit,
+			Serve: s.ServeSubmit,
+		},
+		Lend: peer.Handler{
+			Part:  peer.PartLend,
+			Serve: s.ServeLend,
+		},
+		Halt: peer.Handler{
+			Part:  peer.PartHalt,
+			Serve: s.ServeHalt,
+		},
+		Room: peer.Handler{
+			Part:  peer.PartRoom,
+			Serve: s.ServeRoom,
+		},
+		Find: peer.Handler{
+			Part:  peer.PartFind,
+			Serve: s.ServeFind,
+		},
+	}
+}
+
+func run(lc fx.Lifecycle, set settings.Settings, s *Scheduler, r *roster.Roster, w *watch.Watcher) {
+	w.OnServers(s.SetServers)
+	w.OnConfig(s.setConfig)
+	r.OnChange(s.hostsChanged)
+	r.SetNews(func() roster.News { return s.newsOf(w.Config()) })
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, set.Duration(section, "tick"), func(context.Context) { s.tick() })
+	})
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, set.Duration(section, "tell"), func(context.Context) { s.tellRoom() })
+	})
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, ownPeriod, func(context.Context) { s.own() })
+	})
+}
+
+// ownPeriod is how often ownership is computed again without a reason.
+const ownPeriod = 500 * time.Millisecond
+
+// setConfig makes the shards of a configuration's services.
+func (s *Scheduler) setConfig(c route.Config) {
+	for _, service := range c.Services {
+		s.Shard(service)
+	}
+}
+
+func (s *Scheduler) newsOf(c route.Config) roster.News {
+	routes := make([]string, 0, len(c.Routes))
+	for _, r := range c.Routes {
+		routes = append(routes, r.Name)
+	}
+	news := s.news(routes)
+	news.Version = c.Version
+	return news
+}
--- /dev/null
+++ b/io/scheduler/scheduler.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/schedule"
+	"rosemarywalk/core/work"
+	"rosemarywalk/io/roster"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
+)
+
+// Parts is what a Scheduler works with.
+type Parts struct {
+	Self     string // peer address
+	Servers  Servers
+	Peers    Peers
+	Roster   *roster.Roster
+	Pool     pool.Limits
+	Jobs     schedule.Limits
+	Answer   time.Duration // longest wait for an order's answer
+	Settle   time.Duration // after the start, before servers are taken over
+	Counters *telemetry.Counters
+	Log      logr.Logger
+}
+
+// Scheduler is the shards of all services.
+type Scheduler struct {
+	parts   Parts
+	started time.Time
+
+	mu      sync.Mutex
+	shards  map[string]*Shard
+	servers []listing.Server
+	stopped bool
+}
+
+// New returns a scheduler without shards.
+func New(p Parts) *Scheduler {
+	return &Scheduler{
+		parts:   p,
+		started: time.Now(),
+		shards:  map[string]*Shard{},
+	}
+}
+
+// Shard returns the shard of a service, made on first use.
+func (s *Scheduler) Shard(service string) *Shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shard := s.shards[service]
+	if shard != nil {
+		return shard
+	}
+	shard = &Shard{
+		service:  service,
+		self:     s.parts.Self,
+		servers:  s.parts.Servers,
+		lender:   lender{peers: s.parts.Peers},
+		answer:   s.parts.Answer,
+		counters: s.parts.Counters,
+		log:      s.parts.Log.WithName("scheduler").WithValues("service", service),
+		pool:     pool.New(s.parts.Pool),
+		jobs:     schedule.New(s.parts.Self, s.parts.Jobs),
+		callers:  map[string]func(work.Outcome){},
+		lent:     map[string]func(pool.EndCmd){},
+	}
+	s.shards[service] = shard
+	return shard
+}
+
+// all returns the shards in a fixed order.
+func (s *Scheduler) all() []*Shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := slices.Sorted(maps.Keys(s.shards))
+	shards := make([]*Shard, 0, len(names))
+	for _, name := range names {
+		shards = append(shards, s.shards[name])
+	}
+	return shards
+}
+
+// SetServers takes the listed backend servers of all services.
+func (s *Scheduler) SetServers(servers []listing.Server) {
+	for _, server := range servers {
+		s.Shard(server.Service)
+	}
+	s.mu.Lock()
+	s.servers = servers
+	s.mu.Unlock()
+	s.own()
+}
+
+// Servers returns the listed backend servers of a service.
+func (s *Scheduler) Servers(service string) []listing.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var servers []listing.Server
+	for _, server := range s.servers {
+		if server.Service == service {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// own computes again which servers this host holds.
+func (s *Scheduler) own() {
+	if time.Since(s.started) < s.parts.Settle {
+		return
+	}
+	claims := s.parts.Roster.Claims()
+	for _, shard := range s.all() {
+		view := s.parts.Roster.View(s.Servers(shard.service))
+		mine := view.Mine(s.parts.Self, shard.Held(), claims)
+		shard.update(pool.OwnMsg{
+			Servers: mine,
+			Token:   tokenAt(time.Now(), s.parts.Self),
+		})
+	}
+}
+
+// tokenAt returns a fencing token that is higher than those that hosts with
+// clocks alike drew before, and unlike that of any host of the same moment.
+func tokenAt(now time.Time, self string) int64 {
+	const hostBits = 11
+	return now.UnixMilli()<<hostBits | int64(hashOf(self)&(1<<hostBits-1))
+}
+
+// hostsChanged reacts to hosts that come, go or let servers go.
+func (s *Scheduler) hostsChanged() {
+	alive := map[string]bool{}
+	for _, h := range s.parts.Roster.View(nil).Hosts {
+		alive[h.Address] = true
+	}
+	for _, shard := range s.all() {
+		for _, host := range shard.lenders() {
+			if !alive[host] {
+				shard.update(schedule.GoneMsg{Host: host})
+			}
+		}
+	}
+	s.own()
+}
+
+// Held returns the backend servers that this host holds.
+func (s *Shard) Held() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Held()
+}
+
+func (s *Shard) lenders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs.Hosts()
+}
+
+// news returns what rides on this host's heartbeats.
+func (s *Scheduler) news(routes []string) roster.News {
+	var news roster.News
+	for _, shard := range s.all() {
+		news.Held = append(news.Held, shard.Held()...)
+		shard.mu.Lock()
+		for _, route := range routes {
+			if n := shard.jobs.Waiting(route); n > 0 {
+				news.Queues = append(news.Queues, wire.Queue{
+					Route:   route,
+					Waiting: n,
+				})
+			}
+		}
+		shard.mu.Unlock()
+	}
+	slices.Sort(news.Held)
+	return news
+}
+
+// Waiting returns how many jobs of a route wait here.
+func (s *Scheduler) Waiting(route string) int {
+	sum := 0
+	for _, shard := range s.all() {
+		shard.mu.Lock()
+		sum += shard.jobs.Waiting(route)
+		shard.mu.Unlock()
+	}
+	return sum
+}
+
+// Busy returns how many jobs and runs have not ended.
+func (s *Scheduler) Busy() int {
+	sum := 0
+	for _, shard := range s.all() {
+		shard.mu.Lock()
+		sum += shard.jobs.Jobs() + shard.pool.Pending()
+		shard.mu.Unlock()
+	}
+	return sum
+}
+
+// tick lets time pass in all shards.
+func (s *Scheduler) tick() {
+	for _, shard := range s.all() {
+		shard.update(pool.TickMsg{}, schedule.TickMsg{})
+	}
+}
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -1,6 +1,8 @@
 package telemetry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -84,3 +86,26 @@
 
 // Finished counts a finished job by its state.
 func (c *Counters) Finished(state string) { c.jobs.WithLabelValues(state).Inc() }
+
+// Latency measures the time from a job's arrival to its answer.
+type Latency struct{ seconds *prometheus.HistogramVec }
+
+// latencyBuckets are upper bounds in seconds, from a short task to a long deadline.
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.25, 1.5, 2, 4}
+
+// NewLatency registers the histogram.
+func NewLatency(r *prometheus.Registry) *Latency {
+	l := &Latency{seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "answer_seconds",
+		Help:      "Time from a job's arrival to its answer.",
+		Buckets:   latencyBuckets,
+	}, []string{"route", "state"})}
+	r.MustRegister(l.seconds)
+	return l
+}
+
+// Observe notes one answer.
+func (l *Latency) Observe(route, state string, age time.Duration) {
+	l.seconds.WithLabelValues(route, state).Observe(age.Seconds())
+}
--- a/io/telemetry/plugin.go
+++ b/io/telemetry/plugin.go
@@ -11,6 +11,10 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
+		Editions: []kernel.Edition{
+			kernel.Standalone,
+			kernel.Platform,
+		},
 		Name:  "telemetry",
 		Order: 0,
 		Settings: settings.Section{
@@ -32,7 +36,7 @@
 			},
 		},
 		Module: fx.Options(
-			fx.Provide(NewLogger, NewRegistry, NewCounters),
+			fx.Provide(NewLogger, NewRegistry, NewCounters, NewLatency),
 		),
 	})
 }
--- /dev/null
+++ b/io/watch/plugin.go
@@ -0,0 +1,153 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/io/local"
+	"rosemarywalk/io/loop"
+	"rosemarywalk/io/settings"
+	"rosemarywalk/kernel"
+)
+
+const (
+	section     = "watch"
+	sectionSelf = "self"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name:     sectionSelf,
+		Order:    1,
+		Editions: []kernel.Edition{kernel.Platform},
+		Settings: settings.Section{
+			Name: sectionSelf,
+			Help: "This host.",
+			Keys: []settings.Key{
+				{
+					Name:     "name",
+					Default:  "host-1",
+					Help:     "Name of this host, unlike that of any other.",
+					Required: true,
+					Kind:     settings.Text{Min: 1},
+				},
+				{
+					Name:     "domain",
+					Default:  "makati",
+					Help:     "The failure domain that this host stands in.",
+					Required: true,
+					Kind:     settings.Text{Min: 1},
+				},
+			},
+		},
+		Module: fx.Options(),
+	})
+	kernel.Register(kernel.Plugin{
+		Name:     section,
+		Order:    30,
+		Editions: []kernel.Edition{kernel.Platform},
+		Settings: settings.Section{
+			Name: section,
+			Help: "Reading of the platform's store.",
+			Keys: []settings.Key{
+				{
+					Name:    "poll",
+					Default: "10s",
+					Help:    "Longest wait for a change in one read.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: 30 * time.Second,
+					},
+				},
+				{
+					Name:    "servers",
+					Default: "500ms",
+					Help:    "Pause between reads of the backend servers.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "hosts",
+					Default: "1s",
+					Help:    "Pause between reads of the hosts.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "retry",
+					Default: "300ms",
+					Help:    "Pause after a read that failed.",
+					Kind: settings.Duration{
+						Min: 10 * time.Millisecond,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "return",
+					Default: "2500ms",
+					Help:    "Time in which entries that lapsed in an outage of the store come back.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
+				{
+					Name:    "announce",
+					Default: "5s",
+					Help:    "Time between writes of this host's own row.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: time.Hour,
+					},
+				},
+			},
+		},
+		Module: fx.Options(
+			fx.Provide(newWatcher),
+			fx.Invoke(run),
+		),
+	})
+}
+
+func newWatcher(source Source, s settings.Settings, log logr.Logger) *Watcher {
+	return New(source, Periods{
+		Poll:    s.Duration(section, "poll"),
+		Servers: s.Duration(section, "servers"),
+		Hosts:   s.Duration(section, "hosts"),
+		Retry:   s.Duration(section, "retry"),
+		Return:  s.Duration(section, "return"),
+	}, log)
+}
+
+func run(lc fx.Lifecycle, s settings.Settings, w *Watcher) {
+	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "config", 0, w.readConfig) })
+	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "servers", w.periods.Servers, w.readServers) })
+	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "hosts", w.periods.Hosts, w.readHosts) })
+	self := listing.Host{
+		Name:    s.Text(sectionSelf, "name"),
+		Address: local.PeerAddress(s),
+		Domain:  s.Text(sectionSelf, "domain"),
+	}
+	loop.Append(lc, func(ctx context.Context) { w.announce(ctx, self, s.Duration(section, "announce")) })
+}
+
+// announce writes this host's row for as long as it runs.
+func (w *Watcher) announce(ctx context.Context, self listing.Host, period time.Duration) {
+	for ctx.Err() == nil {
+		self.Count++
+		pause := period
+		if err := w.source.Announce(ctx, self); err != nil {
+			w.log.V(1).Info("own row not written", "error", err.Error())
+			pause = w.periods.Retry
+		}
+		sleep(ctx, pause)
+	}
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -25,6 +25,9 @@
 	// Peer address of the sender.
 	Address string `cbor:"address" json:"address"`
 
+	// Start of the process, Unix milliseconds.
+	Born int `cbor:"born" json:"born"`
+
 	// Heartbeat counter of the sender; only goes up.
 	Count int `cbor:"count" json:"count"`
 
@@ -34,6 +37,9 @@
 	// Failure domain of the sender.
 	Domain string `cbor:"domain" json:"domain"`
 
+	// Backend servers that the sender holds; only where leases are used.
+	Held []string `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
+
 	// Incarnation of the sender.
 	Host string `cbor:"host" json:"host"`
 
@@ -46,6 +52,9 @@
 	// Fingerprint of the configuration rows that the sender has, as a signed number.
 	Print int `cbor:"print" json:"print"`
 
+	// Jobs that wait at the sender.
+	Queues []Queue `cbor:"queues,omitempty" json:"queues,omitempty,omitzero"`
+
 	// Whether the sender began a planned stop.
 	Stopping bool `cbor:"stopping" json:"stopping"`
 
@@ -104,6 +113,24 @@
 	Task int `cbor:"task" json:"task"`
 }
 
+// Find asks what a host knows of a job.
+type Find struct {
+	// The job is to be canceled.
+	Cancel bool `cbor:"cancel" json:"cancel"`
+
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Service of the job.
+	Service string `cbor:"service" json:"service"`
+}
+
+// Found is what a host knows of a job.
+type Found struct {
+	// queued, running, completed, failed, canceled or empty.
+	State string `cbor:"state" json:"state"`
+}
+
 // Frame is one message on a peer link; exactly one of its parts is set.
 type Frame struct {
 	// Ask corresponds to the JSON schema field "ask".
@@ -115,20 +142,56 @@
 	// Call corresponds to the JSON schema field "call".
 	Call *Call `cbor:"call,omitempty" json:"call,omitempty,omitzero"`
 
+	// Find corresponds to the JSON schema field "find".
+	Find *Find `cbor:"find,omitempty" json:"find,omitempty,omitzero"`
+
+	// Found corresponds to the JSON schema field "found".
+	Found *Found `cbor:"found,omitempty" json:"found,omitempty,omitzero"`
+
+	// Halt corresponds to the JSON schema field "halt".
+	Halt *Halt `cbor:"halt,omitempty" json:"halt,omitempty,omitzero"`
+
 	// Handover corresponds to the JSON schema field "handover".
 	Handover *Handover `cbor:"handover,omitempty" json:"handover,omitempty,omitzero"`
 
 	// Number of a request; its answer carries the same. 0 needs no answer.
 	Id int `cbor:"id" json:"id"`
 
+	// Lend corresponds to the JSON schema field "lend".
+	Lend *Lend `cbor:"lend,omitempty" json:"lend,omitempty,omitzero"`
+
+	// Lent corresponds to the JSON schema field "lent".
+	Lent *Lent `cbor:"lent,omitempty" json:"lent,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome *Outcome `cbor:"outcome,omitempty" json:"outcome,omitempty,omitzero"`
+
 	// Pull corresponds to the JSON schema field "pull".
 	Pull *Pull `cbor:"pull,omitempty" json:"pull,omitempty,omitzero"`
 
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *Reply `cbor:"reply,omitempty" json:"reply,omitempty,omitzero"`
 
+	// Room corresponds to the JSON schema field "room".
+	Room *Room `cbor:"room,omitempty" json:"room,omitempty,omitzero"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows *Rows `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
+
+	// Submit corresponds to the JSON schema field "submit".
+	Submit *Submit `cbor:"submit,omitempty" json:"submit,omitempty,omitzero"`
+}
+
+// Halt stops a lent task, or drops a submitted job that no caller waits for.
+type Halt struct {
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Service of the task or job.
+	Service string `cbor:"service" json:"service"`
+
+	// Name of the task; empty for a job.
+	Task string `cbor:"task" json:"task"`
 }
 
 // Handover hands over the memory of an incarnation that stopped.
@@ -175,6 +238,9 @@
 	// Peer address.
 	Address string `cbor:"address" json:"address"`
 
+	// Start of the process, Unix milliseconds.
+	Born int `cbor:"born" json:"born"`
+
 	// Heartbeat counter.
 	Count int `cbor:"count" json:"count"`
 
@@ -188,6 +254,66 @@
 	Stopping bool `cbor:"stopping" json:"stopping"`
 }
 
+// Lend asks the owner of backend servers to run one task at once.
+type Lend struct {
+	// Rack where the data lies.
+	Affinity string `cbor:"affinity" json:"affinity"`
+
+	// Most tasks of the step on one backend server; 0 is any number.
+	Apart int `cbor:"apart" json:"apart"`
+
+	// Backend server that failed it before.
+	Avoid string `cbor:"avoid" json:"avoid"`
+
+	// Predicted run time, in microseconds.
+	Expect int `cbor:"expect" json:"expect"`
+
+	// Index of the task in its step.
+	Index int `cbor:"index" json:"index"`
+
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Time until its result is worth nothing, in microseconds.
+	Left int `cbor:"left" json:"left"`
+
+	// Label that the backend server must have.
+	Requires string `cbor:"requires" json:"requires"`
+
+	// Number of the start.
+	Run int `cbor:"run" json:"run"`
+
+	// Service of the task.
+	Service string `cbor:"service" json:"service"`
+
+	// Size corresponds to the JSON schema field "size".
+	Size Size `cbor:"size" json:"size"`
+
+	// Passed to the task, unchanged.
+	Spec string `cbor:"spec" json:"spec"`
+
+	// Step of the task.
+	Step int `cbor:"step" json:"step"`
+}
+
+// Lent is how a lent task's run ended.
+type Lent struct {
+	// done, failed, stopped, lapsed, never or unknown.
+	End string `cbor:"end" json:"end"`
+
+	// Why it did not end as done.
+	Reason string `cbor:"reason" json:"reason"`
+
+	// Number of the start that ended.
+	Run int `cbor:"run" json:"run"`
+
+	// Backend server that ran it.
+	Server string `cbor:"server" json:"server"`
+
+	// Run time, in microseconds.
+	Took int `cbor:"took" json:"took"`
+}
+
 // Mark is a row's version.
 type Mark struct {
 	// Row key in the table.
@@ -197,6 +323,18 @@
 	Version int `cbor:"version" json:"version"`
 }
 
+// Outcome is a job's final answer.
+type Outcome struct {
+	// Why, where it isn't complete.
+	Reason string `cbor:"reason" json:"reason"`
+
+	// When to come back, in milliseconds; 0 where that doesn't help.
+	Retry int `cbor:"retry" json:"retry"`
+
+	// completed, failed, canceled, refused or broken.
+	State string `cbor:"state" json:"state"`
+}
+
 // Pull asks for what the sender doesn't have or has an older version of.
 type Pull struct {
 	// The rows that the sender has.
@@ -206,6 +344,15 @@
 	Listing int `cbor:"listing" json:"listing"`
 }
 
+// Queue counts a route's jobs that have not begun.
+type Queue struct {
+	// Name of the route.
+	Route string `cbor:"route" json:"route"`
+
+	// Jobs.
+	Waiting int `cbor:"waiting" json:"waiting"`
+}
+
 // Reply is what the caller of a Call is to be told.
 type Reply struct {
 	// When to try again, in milliseconds.
@@ -224,6 +371,21 @@
 	Successor string `cbor:"successor" json:"successor"`
 }
 
+// Room is what the sender's backend servers could start now.
+type Room struct {
+	// Peer address of the sender.
+	Host string `cbor:"host" json:"host"`
+
+	// Service.
+	Service string `cbor:"service" json:"service"`
+
+	// Free parts.
+	Slots []Slot `cbor:"slots,omitempty" json:"slots,omitempty,omitzero"`
+
+	// All that they have, in thousandths of a core.
+	Total int `cbor:"total" json:"total"`
+}
+
 // Row is one team's section as the table holds it.
 type Row struct {
 	// Row key in the table.
@@ -248,6 +410,93 @@
 	Rows []Row `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
 }
 
+// Size is what a task takes, or what a backend server has free.
+type Size struct {
+	// Thousandths of a core.
+	Cpu int `cbor:"cpu" json:"cpu"`
+
+	// Accelerators.
+	Gpu int `cbor:"gpu" json:"gpu"`
+
+	// Megabytes.
+	Memory int `cbor:"memory" json:"memory"`
+}
+
+// Slot is what one backend server has free.
+type Slot struct {
+	// Free corresponds to the JSON schema field "free".
+	Free Size `cbor:"free" json:"free"`
+
+	// Kind and rack.
+	Labels []string `cbor:"labels,omitempty" json:"labels,omitempty,omitzero"`
+
+	// It is used last.
+	Slow bool `cbor:"slow" json:"slow"`
+}
+
+// Step is tasks of a job that are alike.
+type Step struct {
+	// Rack where the data lies.
+	Affinity string `cbor:"affinity" json:"affinity"`
+
+	// Earlier steps that must be done first.
+	After []int `cbor:"after,omitempty" json:"after,omitempty,omitzero"`
+
+	// Most tasks on one backend server; 0 is any number.
+	Apart int `cbor:"apart" json:"apart"`
+
+	// Tasks.
+	Count int `cbor:"count" json:"count"`
+
+	// Declared run time, in microseconds.
+	Estimate int `cbor:"estimate" json:"estimate"`
+
+	// Label that a backend server must have.
+	Requires string `cbor:"requires" json:"requires"`
+
+	// Size corresponds to the JSON schema field "size".
+	Size Size `cbor:"size" json:"size"`
+}
+
+// Submit hands a whole job to the host that coordinates it.
+type Submit struct {
+	// Time since its arrival, in microseconds.
+	Age int `cbor:"age" json:"age"`
+
+	// Failed runs of a task that fail the job.
+	Attempts int `cbor:"attempts" json:"attempts"`
+
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Time until its caller stops waiting, in microseconds.
+	Left int `cbor:"left" json:"left"`
+
+	// 0 comes first.
+	Priority int `cbor:"priority" json:"priority"`
+
+	// Name of its route.
+	Route string `cbor:"route" json:"route"`
+
+	// Service that runs its tasks.
+	Service string `cbor:"service" json:"service"`
+
+	// Latency objective beside the work, in microseconds.
+	Slack int `cbor:"slack" json:"slack"`
+
+	// Passed to each task, unchanged.
+	Spec string `cbor:"spec" json:"spec"`
+
+	// What has to run.
+	Steps []Step `cbor:"steps" json:"steps"`
+
+	// Latency objective for each unit of the longest chain.
+	Stretch float64 `cbor:"stretch" json:"stretch"`
+
+	// Configuration under which it was taken.
+	Version int `cbor:"version" json:"version"`
+}
+
 // Successor says which host answers for a stopped incarnation.
 type Successor struct {
 	// Peer address of the host that took over.
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -18,7 +18,8 @@
 // Plugin is one part of the process.
 type Plugin struct {
 	Name     string
-	Order    int // start order, lowest first; stop order is the reverse
+	Order    int       // start order, lowest first; stop order is the reverse
+	Editions []Edition // which programs it is part of; none is the standalone one
 	Settings settings.Section
 	Module   fx.Option
 }
@@ -38,21 +39,21 @@
 	plugins.plugins = append(plugins.plugins, p)
 }
 
-// Plugins returns the registered plug-ins in start order.
-func Plugins() []Plugin {
+// Plugins returns the registered plug-ins of an edition in start order.
+func Plugins(e Edition) []Plugin {
 	plugins.mu.Lock()
 	defer plugins.mu.Unlock()
-	sorted := slices.Clone(plugins.plugins)
+	sorted := slices.DeleteFunc(slices.Clone(plugins.plugins), func(p Plugin) bool { return !p.in(e) })
 	slices.SortStableFunc(sorted, func(a, b Plugin) int {
 		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Name, b.Name))
 	})
 	return sorted
 }
 
-// Schema returns the settings sections of all plug-ins.
-func Schema() []settings.Section {
+// Schema returns the settings sections of an edition's plug-ins.
+func Schema(e Edition) []settings.Section {
 	var schema []settings.Section
-	for _, p := range Plugins() {
+	for _, p := range Plugins(e) {
 		if p.Settings.Name != "" {
 			schema = append(schema, p.Settings)
 		}
@@ -63,30 +64,30 @@
 // stopMargin is added to the drain limit for the stop of everything else.
 const stopMargin = 30 * time.Second
 
-// New returns an application of all plug-ins; more options may be added.
-func New(s settings.Settings, more ...fx.Option) *fx.App {
+// New returns an application of an edition's plug-ins; more options may be added.
+func New(e Edition, s settings.Settings, more ...fx.Option) *fx.App {
 	options := []fx.Option{
 		fx.Supply(s),
 		fx.StopTimeout(s.Duration("drain", "limit") + stopMargin),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	}
-	for _, p := range Plugins() {
+	for _, p := range Plugins(e) {
 		options = append(options, fx.Module(p.Name, p.Module))
 	}
 	return fx.New(append(options, more...)...)
 }
 
 // Run reads a settings file and runs the process until a signal stops it.
-func Run(file string) error {
+func Run(e Edition, file string) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Annotate(err, "read settings")
 	}
-	s, err := settings.Parse(file, raw, Schema())
+	s, err := settings.Parse(file, raw, Schema(e))
 	if err != nil {
 		return err
 	}
-	return serve(New(s))
+	return serve(New(e, s))
 }
 
 func serve(app *fx.App) error {
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -19,7 +19,7 @@
 	if file == "" {
 		os.Exit(m.Run())
 	}
-	if err := kernel.Run(file); err != nil {
+	if err := kernel.Run(kernel.Standalone, file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
