--- a/core/schedule/room.go
+++ b/core/schedule/room.go
@@ -57,3 +57,12 @@
 
 // Hosts returns the hosts whose room is known, sorted.
 func (m *Model) Hosts() []string { return m.hosts() }
+
+// Total returns all that the pools have, in thousandths of a core.
+func (m *Model) Total() int {
+	total := 0
+	for _, r := range m.rooms {
+		total += r.total
+	}
+	return total
+}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -188,8 +188,8 @@
 
 // Ready answers the platform's question whether this host takes callers.
 func (h *Handler) Ready(w http.ResponseWriter, r *http.Request) {
-	if h.watcher.Config().Version == 0 {
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+	if !h.able() {
+		http.Error(w, "starting", http.StatusServiceUnavailable)
 		return
 	}
 	h.flag.Readyz(w, r)
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/scheduler"
@@ -53,6 +54,15 @@
 					Required: true,
 					Kind:     settings.Address{},
 				},
+				{
+					Name:    "hidden",
+					Default: "10s",
+					Help:    "Longest time after the start without listening, while what a job needs isn't known; a caller that can't connect comes back, one that is refused does not.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Hour,
+					},
+				},
 				{
 					Name:    "linger",
 					Default: "3s",
@@ -120,11 +130,33 @@
 	for _, web := range others {
 		lc.Append(fx.StartStopHook(web.Start, web.Close))
 	}
-	lc.Append(fx.StartStopHook(callers.Start, func() {
+	loop.Append(lc, func(ctx context.Context) { h.open(ctx, callers, s.Duration(section, "hidden")) })
+	lc.Append(fx.StopHook(func() {
 		h.drain(callers, s.Duration(section, "linger"), s.Duration(section, "grace"))
 	}))
 }
 
+// openEvery is how often a starting host looks whether it can serve.
+const openEvery = 10 * time.Millisecond
+
+// open listens for callers once this host knows what a job needs.
+func (h *Handler) open(ctx context.Context, callers *server.Server, hidden time.Duration) {
+	start := time.Now()
+	for ctx.Err() == nil && !h.able() && time.Since(start) < hidden {
+		time.Sleep(openEvery)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	h.log.Info("callers are taken", "able", h.able(), "after", time.Since(start).String())
+	if err := callers.Start(); err != nil {
+		h.log.Error(err, "callers can't be taken")
+	}
+}
+
+// able reports whether a job could be served.
+func (h *Handler) able() bool { return h.watcher.Known() && h.scheduler.Able() }
+
 // stopMargin is kept between the end of the drain and the platform's kill.
 const stopMargin = 500 * time.Millisecond
 
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -21,6 +21,7 @@
 	PartHalt     Part = "halt"
 	PartRoom     Part = "room"
 	PartFind     Part = "find"
+	PartFetch    Part = "fetch"
 )
 
 // Handler serves one part; plug-ins provide them in the fx group "handlers".
@@ -52,6 +53,8 @@
 		return PartRoom
 	case f.Find != nil:
 		return PartFind
+	case f.Fetch != nil:
+		return PartFetch
 	}
 	return ""
 }
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -116,14 +116,27 @@
 type served struct {
 	fx.Out
 
-	Beat peer.Handler `group:"handlers"`
+	Beat  peer.Handler `group:"handlers"`
+	Fetch peer.Handler `group:"handlers"`
 }
 
-func newHandlers(r *Roster) served {
-	return served{Beat: peer.Handler{
-		Part:  peer.PartBeat,
-		Serve: r.ServeBeat,
-	}}
+func newHandlers(r *Roster, links *peer.Links, w *watch.Watcher, log logr.Logger) served {
+	f := &fetcher{
+		peers:   links,
+		watcher: w,
+		log:     log.WithName(section),
+	}
+	r.OnVersion(f.heard)
+	return served{
+		Beat: peer.Handler{
+			Part:  peer.PartBeat,
+			Serve: r.ServeBeat,
+		},
+		Fetch: peer.Handler{
+			Part:  peer.PartFetch,
+			Serve: f.serve,
+		},
+	}
 }
 
 func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -38,29 +38,28 @@
 	counters *telemetry.Counters
 	log      logr.Logger
 
-	mu       sync.Mutex
-	model    *member.Model
-	claims   owner.Claims
-	queues   map[string][]wire.Queue // by peer address
-	news     func() News
-	onLive   []func()
-	onNewer  func(address string, version int)
-	versions map[string]int
+	mu        sync.Mutex
+	model     *member.Model
+	claims    owner.Claims
+	queues    map[string][]wire.Queue // by peer address
+	news      func() News
+	onLive    []func()
+	onVersion func(address string, version int)
 }
 
 // New returns a view that knows only this host.
 func New(model *member.Model, peers Peers, period time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
 	return &Roster{
-		peers:    peers,
-		period:   period,
-		perHome:  perHome,
-		counters: counters,
-		log:      log.WithName("roster"),
-		model:    model,
-		claims:   owner.Claims{},
-		queues:   map[string][]wire.Queue{},
-		versions: map[string]int{},
-		news:     func() News { return News{} },
+		peers:     peers,
+		period:    period,
+		perHome:   perHome,
+		counters:  counters,
+		log:       log.WithName("roster"),
+		model:     model,
+		claims:    owner.Claims{},
+		queues:    map[string][]wire.Queue{},
+		news:      func() News { return News{} },
+		onVersion: func(string, int) {},
 	}
 }
 
@@ -70,8 +69,8 @@
 // OnChange calls f when live hosts or their claims change.
 func (r *Roster) OnChange(f func()) { r.onLive = append(r.onLive, f) }
 
-// OnNewer calls f when a host has a configuration of another version.
-func (r *Roster) OnNewer(f func(address string, version int)) { r.onNewer = f }
+// OnVersion calls f with the version of the configuration at each host that is heard.
+func (r *Roster) OnVersion(f func(address string, version int)) { r.onVersion = f }
 
 // Self returns this host's own entry.
 func (r *Roster) Self() member.Host {
@@ -250,8 +249,6 @@
 			f()
 		}
 	}
-	if r.onNewer != nil {
-		r.onNewer(b.Address, b.Print)
-	}
+	r.onVersion(b.Address, b.Print)
 	return wire.Frame{}, false
 }
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -175,6 +175,9 @@
 	return wire.Frame{}, false
 }
 
+// holds reports whether this host holds backend servers of the service.
+func (s *Shard) holds() bool { return len(s.Held()) > 0 }
+
 // tellRoom sends the free room of shards whose room changed to the other homes.
 func (s *Scheduler) tellRoom() {
 	for _, shard := range s.all() {
@@ -182,6 +185,9 @@
 		if !ok {
 			continue
 		}
+		if !shard.holds() {
+			continue
+		}
 		view := s.parts.Roster.View(s.Servers(shard.service))
 		for _, h := range view.All() {
 			if h.Address != s.parts.Self {
@@ -199,14 +205,19 @@
 	}
 }
 
+// tellPeriod is how often the free room is told though it didn't change, for
+// homes that are new.
+const tellPeriod = 500 * time.Millisecond
+
 func (s *Shard) roomFrame() (wire.Frame, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.changed {
+	now := time.Now()
+	if !s.changed && now.Sub(s.toldAt) < tellPeriod {
 		return wire.Frame{}, false
 	}
-	s.changed = false
-	room := s.pool.Room(time.Now())
+	s.changed, s.toldAt = false, now
+	room := s.pool.Room(now)
 	frame := wire.Room{
 		Host:    s.self,
 		Service: s.service,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -206,6 +206,29 @@
 	return sum
 }
 
+// Able reports whether the homes that jobs would go to hold backend servers.
+func (s *Scheduler) Able() bool {
+	claims := s.parts.Roster.Claims()
+	domain := s.parts.Roster.Self().Domain
+	for _, shard := range s.all() {
+		home, ok := s.parts.Roster.View(s.Servers(shard.service)).Home("", domain)
+		if ok && home.Address != s.parts.Self && len(claims[home.Address]) > 0 {
+			continue
+		}
+		if len(s.Servers(shard.service)) > 0 && shard.total() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// total returns the room of all pools that is known, in thousandths of a core.
+func (s *Shard) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs.Total()
+}
+
 // tick lets time pass in all shards.
 func (s *Scheduler) tick() {
 	for _, shard := range s.all() {
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -51,8 +51,8 @@
 	callers map[string]func(work.Outcome)
 	lent    map[string]func(pool.EndCmd)
 	next    int
-	roomAt  time.Time // when the room last changed
-	changed bool      // the room since it was last told
+	toldAt  time.Time // when the room was last told to other homes
+	changed bool      // the room since then
 }
 
 // effect is a command that is carried out without the lock.
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -56,7 +56,7 @@
 			Keys: []settings.Key{
 				{
 					Name:    "poll",
-					Default: "10s",
+					Default: "1s",
 					Help:    "Longest wait for a change in one read.",
 					Kind: settings.Duration{
 						Min: 100 * time.Millisecond,
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -50,6 +50,8 @@
 	Config(ctx context.Context, after int64, wait time.Duration) (ConfigPage, error)
 	Servers(ctx context.Context, after int64, wait time.Duration) (ServersPage, error)
 	Hosts(ctx context.Context, after int64, wait time.Duration) (HostsPage, error)
+	// Decode reads a configuration as the operator wrote it.
+	Decode(raw []byte) (route.Config, error)
 	Announce(ctx context.Context, h listing.Host) error
 	Withdraw(ctx context.Context, name string) error
 }
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -26,6 +26,7 @@
 	servers   map[string]listing.Server
 	absent    map[string]time.Time // servers without an entry, since when
 	hosts     map[string]listing.Host
+	listed    bool      // the backend servers were read once
 	failed    time.Time // when a read of servers last failed
 	onConfig  []func(route.Config)
 	onServers []func([]listing.Server)
@@ -93,6 +94,23 @@
 	}
 }
 
+// OfferRaw takes a configuration as the operator wrote it.
+func (w *Watcher) OfferRaw(raw []byte, from string) error {
+	c, err := w.source.Decode(raw)
+	if err != nil {
+		return err
+	}
+	w.Offer(c, raw, from)
+	return nil
+}
+
+// Known reports whether a configuration and the backend servers were read.
+func (w *Watcher) Known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.config.Version > 0 && w.listed
+}
+
 // follow reads one list for good: the whole of it first, then its changes.
 func (w *Watcher) follow(ctx context.Context, list string, pause time.Duration, read func(ctx context.Context, after int64) (int64, error)) {
 	position, down := int64(0), false
@@ -171,7 +189,8 @@
 func (w *Watcher) mergeServers(page ServersPage) ([]listing.Server, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	changed := false
+	changed := !w.listed
+	w.listed = true
 	present := map[string]bool{}
 	for _, s := range page.Servers {
 		present[s.ID] = true
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -89,6 +89,15 @@
 	Wait int `cbor:"wait" json:"wait"`
 }
 
+// Config is the configuration in force at a host.
+type Config struct {
+	// As the operator wrote it.
+	Body string `cbor:"body" json:"body"`
+
+	// Version.
+	Version int `cbor:"version" json:"version"`
+}
+
 // Demand is how many tasks of one team a host has or was asked for.
 type Demand struct {
 	// Tasks.
@@ -113,6 +122,12 @@
 	Task int `cbor:"task" json:"task"`
 }
 
+// Fetch asks a host for its configuration.
+type Fetch struct {
+	// Version that the sender has.
+	Version int `cbor:"version" json:"version"`
+}
+
 // Find asks what a host knows of a job.
 type Find struct {
 	// The job is to be canceled.
@@ -142,6 +157,12 @@
 	// Call corresponds to the JSON schema field "call".
 	Call *Call `cbor:"call,omitempty" json:"call,omitempty,omitzero"`
 
+	// Config corresponds to the JSON schema field "config".
+	Config *Config `cbor:"config,omitempty" json:"config,omitempty,omitzero"`
+
+	// Fetch corresponds to the JSON schema field "fetch".
+	Fetch *Fetch `cbor:"fetch,omitempty" json:"fetch,omitempty,omitzero"`
+
 	// Find corresponds to the JSON schema field "find".
 	Find *Find `cbor:"find,omitempty" json:"find,omitempty,omitzero"`
 
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(New(e, s))
+	return serve(New(e, s, fx.Invoke(watchReload(e, file))))
 }
 
 func serve(app *fx.App) error {
