--- /dev/null
+++ b/core/owner/owner_test.go
@@ -0,0 +1,126 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/member"
+)
+
+// fleet returns hosts in domains of three, the first the oldest.
+func fleet(n int) []member.Host {
+	var hosts []member.Host
+	for i := range n {
+		hosts = append(hosts, member.Host{
+			Address: fmt.Sprintf("10.0.0.%d:7100", i),
+			Domain:  fmt.Sprintf("domain-%d", i/3),
+			Born:    int64(100 + i),
+		})
+	}
+	return hosts
+}
+
+func servers(n int) []listing.Server {
+	var all []listing.Server
+	for i := range n {
+		all = append(all, listing.Server{
+			ID:     fmt.Sprintf("server-%d", i),
+			Domain: fmt.Sprintf("domain-%d", i%3),
+		})
+	}
+	return all
+}
+
+// TestEveryServerHasOneOwner: hosts that know the same choose the same, in the
+// server's own failure domain as long as that has a host.
+func TestEveryServerHasOneOwner(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func([]member.Host) []member.Host
+		perHome int
+		owners  int
+	}{
+		{
+			name:    "a home for each domain",
+			perHome: 100,
+			owners:  3,
+		},
+		{
+			name:    "two homes for each domain",
+			perHome: 5,
+			owners:  6,
+		},
+		{
+			name:    "a domain without hosts",
+			change:  func(h []member.Host) []member.Host { return h[3:] },
+			perHome: 100,
+			owners:  2,
+		},
+		{
+			name: "a host that stops",
+			change: func(h []member.Host) []member.Host {
+				h[0].Stopping = true
+				return h
+			},
+			perHome: 100,
+			owners:  3,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			hosts := fleet(9)
+			if test.change != nil {
+				hosts = test.change(hosts)
+			}
+			v := View{
+				Hosts:   hosts,
+				Servers: servers(30),
+				PerHome: test.perHome,
+			}
+			owners := map[string]bool{}
+			held := 0
+			for _, h := range hosts {
+				mine := v.Mine(h.Address, nil, nil)
+				held += len(mine)
+				if len(mine) > 0 {
+					owners[h.Address] = true
+				}
+			}
+			assert.Equal(t, held, 30)
+			assert.Equal(t, len(owners), test.owners)
+		})
+	}
+}
+
+// TestRestartKeepsHomes: a host that comes back younger takes nothing from the
+// home that replaced it.
+func TestRestartKeepsHomes(t *testing.T) {
+	v := View{
+		Hosts:   fleet(9),
+		Servers: servers(30),
+		PerHome: 100,
+	}
+	v.Hosts[0].Born = 1000
+	home, ok := v.Home("job", "domain-0")
+	assert.Assert(t, ok)
+	assert.Equal(t, home.Address, v.Hosts[1].Address)
+}
+
+// TestClaims: a server that another live host holds is waited for; one that
+// this host holds already is kept.
+func TestClaims(t *testing.T) {
+	v := View{
+		Hosts:   fleet(3),
+		Servers: servers(1),
+		PerHome: 100,
+	}
+	self, other := v.Hosts[0].Address, v.Hosts[1].Address
+	claims := Claims{other: {"server-0"}}
+	assert.Equal(t, len(v.Mine(self, nil, claims)), 0)
+	assert.Equal(t, len(v.Mine(self, []string{"server-0"}, claims)), 1)
+	v.Hosts = v.Hosts[:1]
+	assert.Equal(t, len(v.Mine(self, nil, claims)), 1)
+}
--- /dev/null
+++ b/core/schedule/model_test.go
@@ -0,0 +1,354 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/work"
+)
+
+var limits = Limits{
+	Lateness: 1,
+	Bounce:   5 * time.Millisecond,
+	Remember: 5 * time.Second,
+	Jobs:     100,
+}
+
+const self = "self"
+
+var epoch = time.Unix(1000, 0)
+
+// roomOf returns a room of servers that hold two tasks each.
+func roomOf(servers int) pool.Room {
+	room := pool.Room{Total: 16000 * servers}
+	for range servers {
+		room.Slots = append(room.Slots, pool.Slot{Free: work.Size{
+			CPU:    16000,
+			Memory: 1000,
+		}})
+	}
+	return room
+}
+
+func jobOf(id string, tasks int) work.Job {
+	return work.Job{
+		ID:    id,
+		Route: "r",
+		Steps: []work.Step{{
+			Count:    tasks,
+			Size:     work.Size{CPU: 7000},
+			Estimate: 100 * time.Millisecond,
+		}},
+		Attempts: 2,
+		Stretch:  1.6,
+		Slack:    60 * time.Millisecond,
+		Arrived:  epoch,
+		Deadline: epoch.Add(1500 * time.Millisecond),
+	}
+}
+
+func submit(j work.Job) SubmitMsg {
+	return SubmitMsg{
+		Job:    j,
+		Caller: "caller-" + j.ID,
+	}
+}
+
+func runs(cmds []Cmd) []RunCmd {
+	var found []RunCmd
+	for _, cmd := range cmds {
+		if run, ok := cmd.(RunCmd); ok {
+			found = append(found, run)
+		}
+	}
+	return found
+}
+
+func answers(cmds []Cmd) []AnswerCmd {
+	var found []AnswerCmd
+	for _, cmd := range cmds {
+		if answer, ok := cmd.(AnswerCmd); ok {
+			found = append(found, answer)
+		}
+	}
+	return found
+}
+
+func halts(cmds []Cmd) []HaltCmd {
+	var found []HaltCmd
+	for _, cmd := range cmds {
+		if halt, ok := cmd.(HaltCmd); ok {
+			found = append(found, halt)
+		}
+	}
+	return found
+}
+
+func ended(run RunCmd, end work.End) EndMsg {
+	return EndMsg{
+		Host: run.Host,
+		Task: run.Task,
+		End:  end,
+		Took: 100 * time.Millisecond,
+	}
+}
+
+func newModel(own int) *Model {
+	m := New(self, limits)
+	m.Update(epoch, RoomMsg{
+		Host: self,
+		Room: roomOf(own),
+	})
+	return m
+}
+
+// TestComplete: a job is answered once all its tasks are done, and only then.
+func TestComplete(t *testing.T) {
+	m := newModel(4)
+	placed := runs(m.Update(epoch, submit(jobOf("j", 3))))
+	assert.Equal(t, len(placed), 3)
+	for i, run := range placed {
+		told := answers(m.Update(epoch, ended(run, work.EndDone)))
+		if i < 2 {
+			assert.Equal(t, len(told), 0)
+			continue
+		}
+		assert.Equal(t, told[0].Outcome.State, work.Completed)
+	}
+}
+
+// TestResend: a submission that comes again joins the job, or gets the answer
+// that was given; one that was refused may run.
+func TestResend(t *testing.T) {
+	m := newModel(4)
+	placed := runs(m.Update(epoch, submit(jobOf("j", 1))))
+	again := submit(jobOf("j", 1))
+	again.Caller = "other"
+	assert.Equal(t, len(m.Update(epoch, again)), 0)
+	told := answers(m.Update(epoch, ended(placed[0], work.EndDone)))
+	assert.Equal(t, len(told), 2)
+	told = answers(m.Update(epoch, again))
+	assert.Equal(t, told[0].Outcome.State, work.Completed)
+}
+
+// TestEnds: each end of a run leads to what is right for its job.
+func TestEnds(t *testing.T) {
+	tests := []struct {
+		name  string
+		ends  []work.End
+		state work.State
+		runs  int // orders after the last end
+		run   int // number of the next start
+	}{
+		{
+			name: "failed once",
+			ends: []work.End{work.EndFailed},
+			runs: 1,
+			run:  2,
+		},
+		{
+			name:  "failed too often",
+			ends:  []work.End{work.EndFailed, work.EndFailed},
+			state: work.Failed,
+		},
+		{
+			name: "stopped",
+			ends: []work.End{work.EndStopped, work.EndLapsed, work.EndStopped},
+			runs: 1,
+			run:  4,
+		},
+		{
+			name: "never started",
+			ends: []work.End{work.EndNever},
+			runs: 1,
+			run:  1,
+		},
+		{
+			name:  "unknown",
+			ends:  []work.End{work.EndUnknown},
+			state: work.Broken,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(4)
+			now := epoch
+			placed := runs(m.Update(now, submit(jobOf("j", 1))))
+			var cmds []Cmd
+			for _, end := range test.ends {
+				cmds = m.Update(now, ended(placed[0], end))
+				now = now.Add(limits.Bounce)
+				cmds = append(cmds, m.Update(now, TickMsg{})...)
+				if next := runs(cmds); len(next) > 0 {
+					placed = next
+				}
+			}
+			assert.Equal(t, len(runs(cmds)), test.runs)
+			if test.runs > 0 {
+				assert.Equal(t, placed[0].Task.Run, test.run)
+				return
+			}
+			assert.Equal(t, answers(cmds)[0].Outcome.State, test.state)
+		})
+	}
+}
+
+// TestSplit: what doesn't fit the own pool goes to the host with most room.
+func TestSplit(t *testing.T) {
+	m := newModel(1)
+	m.Update(epoch, RoomMsg{
+		Host: "far-1",
+		Room: roomOf(1),
+	})
+	m.Update(epoch, RoomMsg{
+		Host: "far-2",
+		Room: roomOf(2),
+	})
+	hosts := map[string]int{}
+	for _, run := range runs(m.Update(epoch, submit(jobOf("j", 7)))) {
+		hosts[run.Host]++
+	}
+	assert.DeepEqual(t, hosts, map[string]int{
+		self:    2,
+		"far-1": 1,
+		"far-2": 4,
+	})
+}
+
+// TestRefusedAtOnce: under a burst, jobs that would start too late are refused
+// when they arrive, with a time to come back, and what was admitted starts in
+// the order of latest starts.
+func TestRefusedAtOnce(t *testing.T) {
+	m := newModel(1)
+	refused := 0
+	for n := range 20 {
+		cmds := m.Update(epoch, submit(jobOf(fmt.Sprintf("j%02d", n), 2)))
+		for _, answer := range answers(cmds) {
+			assert.Equal(t, answer.Outcome.State, work.Refused)
+			assert.Equal(t, answer.Outcome.Reason, core.ReasonWait)
+			assert.Assert(t, answer.Outcome.Retry > 0)
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 10 && refused < 20, "%d refused", refused)
+}
+
+// TestNothingRefusedWithRoom: no job is refused while its tasks fit anywhere.
+func TestNothingRefusedWithRoom(t *testing.T) {
+	m := newModel(2)
+	m.Update(epoch, RoomMsg{
+		Host: "far",
+		Room: roomOf(8),
+	})
+	for n := range 10 {
+		cmds := m.Update(epoch, submit(jobOf(fmt.Sprint(n), 2)))
+		assert.Equal(t, len(runs(cmds)), 2)
+		assert.Equal(t, len(answers(cmds)), 0)
+	}
+}
+
+// TestCallerLeaves: what runs for a caller that left is stopped.
+func TestCallerLeaves(t *testing.T) {
+	m := newModel(4)
+	m.Update(epoch, submit(jobOf("j", 3)))
+	cmds := m.Update(epoch, DropMsg{Caller: "caller-j"})
+	assert.Equal(t, len(halts(cmds)), 3)
+	assert.Equal(t, len(answers(cmds)), 0)
+	assert.Equal(t, m.Jobs(), 0)
+}
+
+// TestCanceled: a canceled job ends at once, and a submission that was still
+// on its way doesn't start.
+func TestCanceled(t *testing.T) {
+	m := newModel(4)
+	m.Update(epoch, submit(jobOf("j", 3)))
+	cmds := m.Update(epoch, CancelMsg{ID: "j"})
+	assert.Equal(t, len(halts(cmds)), 3)
+	assert.Equal(t, answers(cmds)[0].Outcome.State, work.Canceled)
+	m.Update(epoch, CancelMsg{ID: "k"})
+	cmds = m.Update(epoch, submit(jobOf("k", 3)))
+	assert.Equal(t, len(runs(cmds)), 0)
+	assert.Equal(t, answers(cmds)[0].Outcome.State, work.Canceled)
+}
+
+// TestSteps: a step starts when the steps before it are done.
+func TestSteps(t *testing.T) {
+	m := newModel(4)
+	job := jobOf("j", 1)
+	second := job.Steps[0]
+	second.After = []int{0}
+	job.Steps = append(job.Steps, second)
+	placed := runs(m.Update(epoch, submit(job)))
+	assert.Equal(t, len(placed), 1)
+	placed = runs(m.Update(epoch, ended(placed[0], work.EndDone)))
+	assert.Equal(t, placed[0].Task.Step, 1)
+}
+
+// TestDeadline: a job that didn't begin is refused as not run, one that began
+// is broken, and what runs is stopped.
+func TestDeadline(t *testing.T) {
+	tests := []struct {
+		name  string
+		room  int
+		state work.State
+	}{
+		{
+			name:  "began",
+			room:  1,
+			state: work.Broken,
+		},
+		{
+			name:  "did not begin",
+			state: work.Refused,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(test.room)
+			cmds := m.Update(epoch, submit(jobOf("j", 1)))
+			cmds = append(cmds, m.Update(epoch.Add(1500*time.Millisecond), TickMsg{})...)
+			assert.Equal(t, answers(cmds)[0].Outcome.State, test.state)
+			assert.Equal(t, len(halts(cmds)), test.room)
+		})
+	}
+}
+
+// TestTimes: predictions follow what ran, and a declared time counts by how
+// far declared times were off.
+func TestTimes(t *testing.T) {
+	var learned times
+	for range 200 {
+		learned = learned.withRun(200*time.Millisecond, 100*time.Millisecond)
+	}
+	tests := []struct {
+		name     string
+		declared time.Duration
+		want     time.Duration
+	}{
+		{
+			name:     "as usual",
+			declared: 100 * time.Millisecond,
+			want:     200 * time.Millisecond,
+		},
+		{
+			name:     "four times as long",
+			declared: 400 * time.Millisecond,
+			want:     400 * time.Millisecond,
+		},
+		{
+			name: "not declared",
+			want: 200 * time.Millisecond,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			off := learned.expect(test.declared) - test.want
+			assert.Assert(t, off.Abs() < 2*time.Millisecond, off)
+		})
+	}
+}
