Isolated hosts take nothing over; callers that come again are known; a starting host holds jobs

Now: a host that hears fewer than half of those that write their rows takes no server over; a server of another domain is reached without a token first. A caller that says a much shorter wait than is usual for its route has waited before, and its job's age counts. Jobs that arrive at a host that has just started are held up to 1 s. Links close on silence at the accepting end too, so a lender stops runs of a borrower that is cut off.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rosemarywalk/core/work"
 )
@@ -25,6 +26,13 @@
 	Address string // peer address, as host:port
 	Domain  string // failure domain
 	Count   int    // goes up while the host lives
+	Waits   []Wait // what it learned of its callers
+}
+
+// Wait is how long the callers of a route usually wait for an answer.
+type Wait struct {
+	Route string
+	Usual time.Duration
 }
 
 // Has reports whether the server has a label.
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -12,7 +12,8 @@
 
 // View is what a host knows when it chooses homes and owners.
 type View struct {
-	Hosts   []member.Host    // that are alive
+	Hosts   []member.Host    // that are heard, this one included
+	Known   []listing.Host   // that write their rows in the store
 	Servers []listing.Server // of one service
 	PerHome int              // most backend servers that one home should hold
 }
@@ -90,23 +91,55 @@
 // Claims is which hosts say that they hold which backend servers.
 type Claims map[string][]string // by peer address
 
+// Isolated reports whether a host hears fewer than half of the hosts that are
+// known to live, itself included. Such a host is more likely cut off than the
+// others are dead, and must not take over what they hold.
+func (v View) Isolated() bool {
+	known := map[string]bool{}
+	for _, h := range v.Hosts {
+		known[h.Address] = true
+	}
+	heard := len(known)
+	for _, h := range v.Known {
+		known[h.Address] = true
+	}
+	return 2*heard < len(known)
+}
+
+// lives reports whether the store shows a host of a failure domain alive.
+func (v View) lives(domain string) bool {
+	for _, h := range v.Known {
+		if h.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // Mine returns the servers that a host should hold: those that it owns, less
 // the ones that another live host still claims. A server that the host holds
-// already is not given up for a claim; its fencing token decides.
-func (v View) Mine(self string, held []string, claims Claims) []listing.Server {
+// already is not given up for a claim; its fencing token decides. Nothing new
+// is taken by an isolated host, nor from a failure domain that lives but isn't
+// heard.
+func (v View) Mine(self member.Host, held []string, claims Claims) []listing.Server {
 	claimed := map[string]bool{}
 	for _, h := range v.Hosts {
-		if h.Address == self {
+		if h.Address == self.Address {
 			continue
 		}
 		for _, id := range claims[h.Address] {
 			claimed[id] = true
 		}
 	}
+	isolated := v.Isolated()
 	var mine []listing.Server
 	for _, s := range v.Servers {
 		owner, ok := v.Owner(s)
-		if ok && owner.Address == self && (!claimed[s.ID] || slices.Contains(held, s.ID)) {
+		if !ok || owner.Address != self.Address {
+			continue
+		}
+		foreign := s.Domain != self.Domain && v.lives(s.Domain)
+		if slices.Contains(held, s.ID) || !(claimed[s.ID] || isolated || foreign) {
 			mine = append(mine, s)
 		}
 	}
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -83,7 +83,7 @@
 			owners := map[string]bool{}
 			held := 0
 			for _, h := range hosts {
-				mine := v.Mine(h.Address, nil, nil)
+				mine := v.Mine(h, nil, nil)
 				held += len(mine)
 				if len(mine) > 0 {
 					owners[h.Address] = true
@@ -117,10 +117,78 @@
 		Servers: servers(1),
 		PerHome: 100,
 	}
-	self, other := v.Hosts[0].Address, v.Hosts[1].Address
+	self, other := v.Hosts[0], v.Hosts[1].Address
 	claims := Claims{other: {"server-0"}}
 	assert.Equal(t, len(v.Mine(self, nil, claims)), 0)
 	assert.Equal(t, len(v.Mine(self, []string{"server-0"}, claims)), 1)
 	v.Hosts = v.Hosts[:1]
 	assert.Equal(t, len(v.Mine(self, nil, claims)), 1)
 }
+
+// TestIsolated: a host that hears few of those that live takes nothing over,
+// and keeps what it holds; the others take over from the silent ones of their
+// own failure domain only.
+func TestIsolated(t *testing.T) {
+	var known []listing.Host
+	for _, h := range fleet(9) {
+		known = append(known, listing.Host{
+			Address: h.Address,
+			Domain:  h.Domain,
+		})
+	}
+	tests := []struct {
+		name  string
+		heard []member.Host
+		known []listing.Host
+		held  []string
+		want  int
+	}{
+		{
+			name:  "hears all",
+			heard: fleet(9),
+			known: known,
+			want:  10,
+		},
+		{
+			name:  "hears nobody",
+			heard: fleet(1),
+			known: known,
+		},
+		{
+			name:  "hears nobody, holds one",
+			heard: fleet(1),
+			known: known,
+			held:  []string{"server-0"},
+			want:  1,
+		},
+		{
+			name:  "one failure domain is silent",
+			heard: fleet(6),
+			known: known,
+			want:  10,
+		},
+		{
+			name:  "one failure domain is dead",
+			heard: fleet(6),
+			known: known[:6],
+			want:  15,
+		},
+		{
+			name:  "all others are dead",
+			heard: fleet(1),
+			known: known[:1],
+			want:  30,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := View{
+				Hosts:   test.heard,
+				Known:   test.known,
+				Servers: servers(30),
+				PerHome: 100,
+			}
+			assert.Equal(t, len(v.Mine(test.heard[0], test.held, nil)), test.want)
+		})
+	}
+}
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -26,6 +26,8 @@
 		Seen:    s.seen,
 	}
 	switch s.phase {
+	case peeking:
+		cmd.Token = 0
 	case looking:
 	case clearing:
 		cmd.Wait = m.limits.Quick
@@ -58,6 +60,9 @@
 		return nil
 	}
 	s.holding = false
+	if s.phase == peeking {
+		return m.peeked(now, s, msg)
+	}
 	switch msg.Result {
 	case Accepted:
 		return m.lists(now, s, msg)
@@ -75,6 +80,23 @@
 	return []Cmd{RoomCmd{}}
 }
 
+// peeked takes the answer to a look without a token. It proves that a server of
+// another failure domain can be reached and disturbs nobody. Hosts of that
+// domain that live are heard before the takeover goes on, as a partition that
+// heals lets both through.
+func (m *Model) peeked(now time.Time, s *server, msg HeldMsg) []Cmd {
+	switch msg.Result {
+	case Accepted, Fenced:
+		s.phase = looking
+		s.nextAt = now.Add(m.limits.Confirm)
+	case Replaced:
+		return m.replaced(now, s)
+	case Old, Late, Full, Busy, Invalid, Unsent, Unanswered:
+		s.nextAt = now.Add(m.limits.Probe)
+	}
+	return nil
+}
+
 // missesBeforeProbes is how many calls in a row may go unanswered before a
 // server is only looked at now and then.
 const missesBeforeProbes = 8
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -18,6 +18,7 @@
 	Answer  time.Duration // after which an order without an answer is sent again
 	Wait    time.Duration // that a hold waits for an end
 	Quick   time.Duration // the same while ends are being waited for or answers get lost
+	Confirm time.Duration // between reaching a server of another failure domain and taking it over
 	Retake  time.Duration // pause before a server that was fenced off is taken over again
 	Slow    float64       // run time by its prediction that makes a server slow
 	Margin  time.Duration // added to a prediction before a run counts as slow
@@ -30,6 +31,7 @@
 
 // Model is the backend servers of one service that this host owns.
 type Model struct {
+	domain  string // failure domain of this host
 	limits  Limits
 	servers map[string]*server
 	token   int64                // highest token used
@@ -37,9 +39,10 @@
 	where   map[string]string    // run's task name to server
 }
 
-// New returns a pool without servers.
-func New(l Limits) *Model {
+// New returns a pool without servers, at a host of a failure domain.
+func New(domain string, l Limits) *Model {
 	return &Model{
+		domain:  domain,
 		limits:  l,
 		servers: map[string]*server{},
 		fenced:  map[string]time.Time{},
@@ -68,11 +71,13 @@
 	return nil
 }
 
-// Held returns the servers that this host holds, sorted.
+// Held returns the servers that this host holds or is taking over, sorted.
 func (m *Model) Held() []string {
 	ids := make([]string, 0, len(m.servers))
-	for id := range m.servers {
-		ids = append(ids, id)
+	for id, s := range m.servers {
+		if s.phase != peeking {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return ids
@@ -126,6 +131,9 @@
 		return nil
 	}
 	s = newServer(entry, m.token, m.limits)
+	if entry.Domain != m.domain {
+		s.phase = peeking
+	}
 	m.servers[entry.ID] = s
 	cmds := []Cmd{NoteCmd{
 		Server: entry.ID,
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -12,15 +12,16 @@
 )
 
 var limits = Limits{
-	Lease:  900 * time.Millisecond,
-	Answer: 80 * time.Millisecond,
-	Wait:   150 * time.Millisecond,
-	Quick:  30 * time.Millisecond,
-	Retake: time.Second,
-	Slow:   3,
-	Margin: 60 * time.Millisecond,
-	Give:   500 * time.Millisecond,
-	Probe:  200 * time.Millisecond,
+	Lease:   900 * time.Millisecond,
+	Answer:  80 * time.Millisecond,
+	Wait:    150 * time.Millisecond,
+	Quick:   30 * time.Millisecond,
+	Confirm: 400 * time.Millisecond,
+	Retake:  time.Second,
+	Slow:    3,
+	Margin:  60 * time.Millisecond,
+	Give:    500 * time.Millisecond,
+	Probe:   200 * time.Millisecond,
 	Health: health.Limits{
 		Failures: 2,
 		Backoff:  time.Second,
@@ -44,7 +45,7 @@
 	start := time.Unix(1000, 0)
 	b := &bench{
 		t:     t,
-		model: New(limits),
+		model: New("home", limits),
 		start: start,
 		now:   start,
 	}
@@ -65,6 +66,7 @@
 		servers = append(servers, listing.Server{
 			ID:      id,
 			Address: id + ":1",
+			Domain:  "home",
 			Capacity: work.Size{
 				CPU:    16000,
 				Memory: 1000,
@@ -543,3 +545,24 @@
 		assert.Equal(t, holds(cmds)[0].Deadline, b.clock()+limits.Lease.Milliseconds())
 	}
 }
+
+// TestForeignTakeover: a server of another failure domain is reached without a
+// token first, and taken over only after its own hosts had time to be heard.
+func TestForeignTakeover(t *testing.T) {
+	foreign := entries("a")
+	foreign[0].Domain = "away"
+	b := newBench(t)
+	cmds := b.do(OwnMsg{
+		Servers: foreign,
+		Token:   7,
+	})
+	assert.Equal(t, holds(cmds)[0].Token, int64(0))
+	b.held("a", func(m *HeldMsg) { m.Result = Unanswered })
+	assert.Equal(t, len(b.model.Held()), 0)
+	b.pass(limits.Probe)
+	assert.Equal(t, holds(b.do(TickMsg{}))[0].Token, int64(0))
+	b.held("a", func(m *HeldMsg) { m.Result = Fenced })
+	assert.Equal(t, len(holds(b.do(TickMsg{}))), 0)
+	b.pass(limits.Confirm)
+	assert.Equal(t, holds(b.do(TickMsg{}))[0].Token, int64(7))
+}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -13,7 +13,8 @@
 type phase uint8
 
 const (
-	looking  phase = iota // what runs there is unknown
+	peeking  phase = iota // whether it can be reached is unknown
+	looking               // what runs there is unknown
 	clearing              // runs of an earlier owner are being stopped
 	ready                 // everything that runs there is this host's
 )
@@ -71,6 +72,7 @@
 	return &server{
 		entry:  entry,
 		token:  token,
+		phase:  looking,
 		health: health.New(l.Health),
 		pace:   1,
 		runs:   map[string]*run{},
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,6 +37,9 @@
 	counters  *telemetry.Counters
 	log       logr.Logger
 	latency   *telemetry.Latency
+	hold      time.Duration // longest time that a starting host keeps a job
+	opened    atomic.Bool   // this host was able to serve once
+	waits     waits
 }
 
 // Router returns the callers' paths. They are chosen by the configuration, so
@@ -67,6 +71,7 @@
 
 func (h *Handler) routed(serve func(http.ResponseWriter, *http.Request, request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		h.untilAble(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
 			h.refuse(w, http.StatusServiceUnavailable, core.ReasonConfig, "no configuration has arrived yet", configRetry)
@@ -143,6 +148,8 @@
 	if wait <= 0 {
 		wait = req.route.Timeout
 	}
+	deadline := arrived.Add(wait)
+	arrived = arrived.Add(-h.waits.age(req.route.Name, wait))
 	return work.Job{
 		ID:       req.id,
 		Route:    req.route.Name,
@@ -154,7 +161,7 @@
 		Stretch:  req.route.Stretch,
 		Slack:    req.route.Slack,
 		Arrived:  arrived,
-		Deadline: arrived.Add(wait),
+		Deadline: deadline,
 		Version:  req.config.Version,
 	}
 }
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -11,7 +11,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
-	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/scheduler"
@@ -55,9 +54,9 @@
 					Kind:     settings.Address{},
 				},
 				{
-					Name:    "hidden",
-					Default: "10s",
-					Help:    "Longest time after the start without listening, while what a job needs isn't known; a caller that can't connect comes back, one that is refused does not.",
+					Name:    "hold",
+					Default: "1s",
+					Help:    "Longest time that a job waits at a host that has just started and doesn't know yet where jobs go.",
 					Kind: settings.Duration{
 						Min: 0,
 						Max: time.Hour,
@@ -94,6 +93,7 @@
 type needs struct {
 	fx.In
 
+	Settings  settings.Settings
 	Format    Format
 	Watcher   *watch.Watcher
 	Roster    *roster.Roster
@@ -105,7 +105,9 @@
 }
 
 func newHandler(n needs) *Handler {
-	return &Handler{
+	h := &Handler{
+		hold:      n.Settings.Duration(section, "hold"),
+		waits:     waits{routes: map[string]float64{}},
 		format:    n.Format,
 		watcher:   n.Watcher,
 		roster:    n.Roster,
@@ -115,6 +117,9 @@
 		latency:   n.Latency,
 		log:       n.Log.WithName("entry"),
 	}
+	n.Watcher.SetLearned(h.waits.learned)
+	n.Watcher.OnHosts(h.waits.take)
+	return h
 }
 
 func listen(lc fx.Lifecycle, s settings.Settings, h *Handler, registry *prometheus.Registry, log logr.Logger) {
@@ -130,33 +135,11 @@
 	for _, web := range others {
 		lc.Append(fx.StartStopHook(web.Start, web.Close))
 	}
-	loop.Append(lc, func(ctx context.Context) { h.open(ctx, callers, s.Duration(section, "hidden")) })
-	lc.Append(fx.StopHook(func() {
+	lc.Append(fx.StartStopHook(callers.Start, func() {
 		h.drain(callers, s.Duration(section, "linger"), s.Duration(section, "grace"))
 	}))
 }
 
-// openEvery is how often a starting host looks whether it can serve.
-const openEvery = 10 * time.Millisecond
-
-// open listens for callers once this host knows what a job needs.
-func (h *Handler) open(ctx context.Context, callers *server.Server, hidden time.Duration) {
-	start := time.Now()
-	for ctx.Err() == nil && !h.able() && time.Since(start) < hidden {
-		time.Sleep(openEvery)
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	h.log.Info("callers are taken", "able", h.able(), "after", time.Since(start).String())
-	if err := callers.Start(); err != nil {
-		h.log.Error(err, "callers can't be taken")
-	}
-}
-
-// able reports whether a job could be served.
-func (h *Handler) able() bool { return h.watcher.Known() && h.scheduler.Able() }
-
 // stopMargin is kept between the end of the drain and the platform's kill.
 const stopMargin = 500 * time.Millisecond
 
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -30,6 +31,7 @@
 	conn     *websocket.Conn
 	silence  time.Duration
 	counters *telemetry.Counters
+	serving  atomic.Int64 // calls of the other side without an answer
 
 	mu      sync.Mutex
 	next    int
@@ -80,7 +82,7 @@
 func (l *link) busy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pending) > 0
+	return len(l.pending) > 0 || l.serving.Load() > 0
 }
 
 func (l *link) close() {
@@ -124,7 +126,8 @@
 	}
 }
 
-// watch closes the link when it answers no ping while calls are pending.
+// watch closes the link when it answers no ping while calls of either side
+// are pending.
 func (l *link) watch() {
 	ticker := time.NewTicker(l.silence / 2)
 	defer ticker.Stop()
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -86,8 +86,8 @@
 	Handlers []Handler `group:"handlers"`
 }
 
-func newServer(h handlers, counters *telemetry.Counters, log logr.Logger) *Server {
-	return NewServer(h.Handlers, counters, log)
+func newServer(h handlers, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Server {
+	return NewServer(h.Handlers, s.Duration(section, "silence"), counters, log)
 }
 
 func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, log logr.Logger) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -17,6 +17,7 @@
 // Server takes links from other hosts.
 type Server struct {
 	handlers map[Part]Handler
+	silence  time.Duration
 	counters *telemetry.Counters
 	log      logr.Logger
 
@@ -26,10 +27,12 @@
 	links map[*link]bool
 }
 
-// NewServer returns a server for the given handlers.
-func NewServer(handlers []Handler, counters *telemetry.Counters, log logr.Logger) *Server {
+// NewServer returns a server for the given handlers; a link that stays silent
+// while a call is served is closed, and the call's context ends.
+func NewServer(handlers []Handler, silence time.Duration, counters *telemetry.Counters, log logr.Logger) *Server {
 	s := &Server{
 		handlers: map[Part]Handler{},
+		silence:  silence,
 		counters: counters,
 		log:      log.WithName("peer"),
 		links:    map[*link]bool{},
@@ -47,11 +50,12 @@
 		s.log.V(1).Info("link refused", "error", err.Error())
 		return
 	}
-	l := newLink(conn, 0, s.counters)
+	l := newLink(conn, s.silence, s.counters)
 	s.track(l, true)
 	defer s.track(l, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go l.watch()
 	l.read(func(f wire.Frame) { s.serve(ctx, l, f) })
 }
 
@@ -71,8 +75,10 @@
 		return
 	}
 	s.active.Add(1)
+	l.serving.Add(1)
 	go func() {
 		defer s.active.Add(-1)
+		defer l.serving.Add(-1)
 		answer, ok := h.Serve(ctx, f)
 		if !ok || f.Id == 0 {
 			return
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -12,7 +12,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/fx"
 
-	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/loop"
@@ -52,6 +51,15 @@
 						Max: time.Minute,
 					},
 				},
+				{
+					Name:    "stale",
+					Default: "6s",
+					Help:    "Age of a host's row in the store from which the host counts as dead, where it isn't heard either.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: time.Hour,
+					},
+				},
 				{
 					Name:    "forget",
 					Default: "60s",
@@ -109,7 +117,7 @@
 		Known:  s.Integer(section, "known"),
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
-	return New(model, links, s.Duration(section, "period"), s.Integer(section, "perhome"), counters, log), nil
+	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), counters, log), nil
 }
 
 // served is what the plug-in serves on peer links.
@@ -140,13 +148,7 @@
 }
 
 func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
-	w.OnHosts(func(hosts []listing.Host) {
-		addresses := make([]string, 0, len(hosts))
-		for _, h := range hosts {
-			addresses = append(addresses, h.Address)
-		}
-		r.Seed(addresses)
-	})
+	w.OnHosts(r.SetKnown)
 	loop.Append(lc, func(ctx context.Context) {
 		loop.Every(ctx, r.period, func(context.Context) { r.tick() })
 	})
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -42,13 +42,14 @@
 	model     *member.Model
 	claims    owner.Claims
 	queues    map[string][]wire.Queue // by peer address
+	known     known
 	news      func() News
 	onLive    []func()
 	onVersion func(address string, version int)
 }
 
 // New returns a view that knows only this host.
-func New(model *member.Model, peers Peers, period time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
+func New(model *member.Model, peers Peers, period, stale time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
 	return &Roster{
 		peers:     peers,
 		period:    period,
@@ -85,6 +86,7 @@
 	defer r.mu.Unlock()
 	return owner.View{
 		Hosts:   r.model.Live(),
+		Known:   r.known.alive(),
 		Servers: servers,
 		PerHome: r.perHome,
 	}
@@ -125,11 +127,27 @@
 	r.tick()
 }
 
-// Seed names addresses to look for hosts at.
-func (r *Roster) Seed(addresses []string) {
+// SetKnown takes the hosts' rows in the store, and looks for hosts there.
+func (r *Roster) SetKnown(hosts []listing.Host) {
+	addresses := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		addresses = append(addresses, h.Address)
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	first := len(r.known.rows) == 0
+	r.known.read(time.Now(), hosts)
 	r.model.Update(time.Now(), member.SeedMsg{Addresses: addresses})
+	r.mu.Unlock()
+	if first {
+		r.tick()
+	}
+}
+
+// Listed reports whether the hosts' rows were read.
+func (r *Roster) Listed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.known.rows) > 0
 }
 
 // Lost says that nothing listens at a host's address.
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -39,6 +39,7 @@
 				duration("answer", "80ms", "Wait for the answer to an order before it is sent again.", time.Millisecond, 10*time.Second),
 				duration("wait", "150ms", "Wait of a look at a backend server for the end of a run.", 0, 2*time.Second),
 				duration("quick", "30ms", "The same while an end is overdue or answers get lost.", 0, 2*time.Second),
+				duration("confirm", "400ms", "Silence of a backend server's failure domain, after the server was reached, before it is taken over from outside.", 0, time.Minute),
 				duration("retake", "1s", "Pause before a backend server that another host took is taken back.", 0, time.Minute),
 				duration("give", "500ms", "Time after which a start without an answer is given up.", 0, time.Minute),
 				duration("probe", "200ms", "Pause between looks at a backend server that doesn't answer.", time.Millisecond, time.Minute),
@@ -69,7 +70,7 @@
 			Name: section,
 			Help: "Jobs that this host coordinates.",
 			Keys: []settings.Key{
-				duration("settle", "400ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
+				duration("settle", "150ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
 				duration("tick", "10ms", "Time between checks for what is overdue.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
 				duration("bounce", "5ms", "Pause before a task that found no room is tried again.", 0, time.Second),
@@ -147,15 +148,16 @@
 
 func poolLimits(s settings.Settings) pool.Limits {
 	return pool.Limits{
-		Lease:  s.Duration(sectionPool, "lease"),
-		Answer: s.Duration(sectionPool, "answer"),
-		Wait:   s.Duration(sectionPool, "wait"),
-		Quick:  s.Duration(sectionPool, "quick"),
-		Retake: s.Duration(sectionPool, "retake"),
-		Give:   s.Duration(sectionPool, "give"),
-		Probe:  s.Duration(sectionPool, "probe"),
-		Margin: s.Duration(sectionPool, "margin"),
-		Slow:   s.Number(sectionPool, "slow"),
+		Lease:   s.Duration(sectionPool, "lease"),
+		Answer:  s.Duration(sectionPool, "answer"),
+		Wait:    s.Duration(sectionPool, "wait"),
+		Quick:   s.Duration(sectionPool, "quick"),
+		Confirm: s.Duration(sectionPool, "confirm"),
+		Retake:  s.Duration(sectionPool, "retake"),
+		Give:    s.Duration(sectionPool, "give"),
+		Probe:   s.Duration(sectionPool, "probe"),
+		Margin:  s.Duration(sectionPool, "margin"),
+		Slow:    s.Number(sectionPool, "slow"),
 		Health: health.Limits{
 			Failures: s.Integer(sectionPool, "failures"),
 			Backoff:  s.Duration(sectionPool, "backoff"),
@@ -228,7 +230,7 @@
 }
 
 // ownPeriod is how often ownership is computed again without a reason.
-const ownPeriod = 500 * time.Millisecond
+const ownPeriod = 100 * time.Millisecond
 
 // setConfig makes the shards of a configuration's services.
 func (s *Scheduler) setConfig(c route.Config) {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -39,7 +39,7 @@
 	mu      sync.Mutex
 	shards  map[string]*Shard
 	servers []listing.Server
-	stopped bool
+	listed  time.Time // when the list of hosts was first seen
 }
 
 // New returns a scheduler without shards.
@@ -67,7 +67,7 @@
 		answer:   s.parts.Answer,
 		counters: s.parts.Counters,
 		log:      s.parts.Log.WithName("scheduler").WithValues("service", service),
-		pool:     pool.New(s.parts.Pool),
+		pool:     pool.New(s.parts.Roster.Self().Domain, s.parts.Pool),
 		jobs:     schedule.New(s.parts.Self, s.parts.Jobs),
 		callers:  map[string]func(work.Outcome){},
 		lent:     map[string]func(pool.EndCmd){},
@@ -114,13 +114,14 @@
 
 // own computes again which servers this host holds.
 func (s *Scheduler) own() {
-	if time.Since(s.started) < s.parts.Settle {
+	if !s.settled() {
 		return
 	}
+	self := s.parts.Roster.Self()
 	claims := s.parts.Roster.Claims()
 	for _, shard := range s.all() {
 		view := s.parts.Roster.View(s.Servers(shard.service))
-		mine := view.Mine(s.parts.Self, shard.Held(), claims)
+		mine := view.Mine(self, shard.Held(), claims)
 		shard.update(pool.OwnMsg{
 			Servers: mine,
 			Token:   tokenAt(time.Now(), s.parts.Self),
@@ -128,6 +129,25 @@
 	}
 }
 
+// settled reports whether hosts that are alive must have been heard.
+func (s *Scheduler) settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.listed.IsZero() && s.parts.Roster.Listed() {
+		s.listed = now
+	}
+	since := s.started.Add(settleBlind)
+	if !s.listed.IsZero() {
+		since = s.listed
+	}
+	return now.Sub(since) >= s.parts.Settle
+}
+
+// settleBlind is how long a host waits for the list of hosts in the store
+// before it goes by what it hears alone.
+const settleBlind = time.Second
+
 // tokenAt returns a fencing token that is higher than those that hosts with
 // clocks alike drew before, and unlike that of any host of the same moment.
 func tokenAt(now time.Time, self string) int64 {
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -101,7 +101,7 @@
 				},
 				{
 					Name:    "announce",
-					Default: "5s",
+					Default: "2s",
 					Help:    "Time between writes of this host's own row.",
 					Kind: settings.Duration{
 						Min: 100 * time.Millisecond,
@@ -143,6 +143,7 @@
 func (w *Watcher) announce(ctx context.Context, self listing.Host, period time.Duration) {
 	for ctx.Err() == nil {
 		self.Count++
+		self.Waits = w.learned()
 		pause := period
 		if err := w.source.Announce(ctx, self); err != nil {
 			w.log.V(1).Info("own row not written", "error", err.Error())
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -31,6 +31,7 @@
 	onConfig  []func(route.Config)
 	onServers []func([]listing.Server)
 	onHosts   []func([]listing.Host)
+	learned   func() []listing.Wait
 }
 
 // Periods sets how often lists are read.
@@ -51,6 +52,7 @@
 		servers: map[string]listing.Server{},
 		absent:  map[string]time.Time{},
 		hosts:   map[string]listing.Host{},
+		learned: func() []listing.Wait { return nil },
 	}
 }
 
@@ -77,6 +79,9 @@
 // OnHosts calls f with all hosts when they change.
 func (w *Watcher) OnHosts(f func([]listing.Host)) { w.onHosts = append(w.onHosts, f) }
 
+// SetLearned sets what this host's own row says of its callers.
+func (w *Watcher) SetLearned(f func() []listing.Wait) { w.learned = f }
+
 // Offer takes a configuration, from wherever it came; an older one changes nothing.
 func (w *Watcher) Offer(c route.Config, raw []byte, from string) {
 	w.mu.Lock()
