--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -219,11 +219,17 @@
 func (m *Model) watch(now time.Time, s *server) []Cmd {
 	var cmds []Cmd
 	for _, r := range s.ordered() {
-		if !m.stalled(now, r) {
+		total, stalled := m.stalled(now, s, r)
+		if !stalled {
 			continue
 		}
-		s.health = s.health.WithFailure(now)
 		s.pace = max(s.pace, m.limits.Slow)
+		if r.percent == 0 {
+			s.health = s.health.WithFailure(now)
+		} else {
+			// If the task itself is long, the next server is not to blame.
+			r.task.Expect = total
+		}
 		cmds = append(cmds, NoteCmd{
 			Server: s.entry.ID,
 			Event:  "slow run",
@@ -237,17 +243,22 @@
 // percentDone is the share of a finished task.
 const percentDone = 100
 
-// stalled reports whether a run would end sooner when started anew elsewhere.
-func (m *Model) stalled(now time.Time, r *run) bool {
+// stalled reports whether a run would end sooner when started anew elsewhere,
+// and how long it takes here in all. A run on a server that ended another one
+// in its usual time meanwhile is a long task, not one on a slow server.
+func (m *Model) stalled(now time.Time, s *server, r *run) (total time.Duration, stalled bool) {
 	if r.state != running || r.task.Expect <= 0 {
-		return false
+		return 0, false
 	}
 	elapsed := now.Sub(r.confirmed)
 	if elapsed < m.limits.Margin+r.task.Expect/2 {
-		return false
+		return 0, false
+	}
+	total = elapsed * percentDone / time.Duration(max(r.percent, 1))
+	if r.percent > 0 && s.normal.After(r.confirmed) {
+		return total, false
 	}
-	total := elapsed * percentDone / time.Duration(max(r.percent, 1))
-	return float64(total) > m.limits.Slow*float64(r.task.Expect) && total-elapsed > 2*r.task.Expect
+	return total, float64(total) > m.limits.Slow*float64(r.task.Expect) && total-elapsed > 2*r.task.Expect
 }
 
 // tick repeats what got no answer and ends what must have expired.
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -471,8 +471,19 @@
 	tests := []struct {
 		name    string
 		percent int
+		other   bool // another run ended in its usual time meanwhile
 		stops   int
 	}{
+		{
+			name:    "slow",
+			percent: 10,
+			stops:   1,
+		},
+		{
+			name:    "a long task, as the server is not slow",
+			percent: 10,
+			other:   true,
+		},
 		{
 			name:    "stands still",
 			percent: 0,
@@ -488,8 +499,22 @@
 			b := newBench(t, "a")
 			b.do(RunMsg{Task: taskOf("j")})
 			b.accepted("a", "j.0.0.0", 1)
+			if test.other {
+				other := taskOf("k")
+				other.Expect = 190 * time.Millisecond
+				b.do(RunMsg{Task: other})
+				b.accepted("a", "k.0.0.0", 1)
+			}
 			b.pass(200 * time.Millisecond)
 			cmds := b.held("a", func(m *HeldMsg) {
+				if test.other {
+					m.Ended = []Ended{{
+						Number: 1,
+						Name:   "k.0.0.0",
+						Run:    1,
+						End:    work.EndDone,
+					}}
+				}
 				m.Running = []Running{{
 					Name:    "j.0.0.0",
 					Run:     1,
@@ -566,3 +591,37 @@
 	b.pass(limits.Confirm)
 	assert.Equal(t, holds(b.do(TickMsg{}))[0].Token, int64(7))
 }
+
+// TestLongTask: a task that was moved once as slow, though it is long itself,
+// runs to its end the next time.
+func TestLongTask(t *testing.T) {
+	b := newBench(t, "a", "b")
+	b.do(RunMsg{Task: taskOf("j")})
+	b.accepted("a", "j.0.0.0", 1)
+	long := func(run, percent int) func(*HeldMsg) {
+		return func(m *HeldMsg) {
+			m.Running = []Running{{
+				Name:    "j.0.0.0",
+				Run:     run,
+				Percent: percent,
+			}}
+		}
+	}
+	b.pass(200 * time.Millisecond)
+	assert.Equal(t, len(stops(b.held("a", long(1, 20)))), 1)
+	b.pass(time.Millisecond)
+	cmds := b.held("a", func(m *HeldMsg) {
+		m.Ended = []Ended{{
+			Number: 1,
+			Name:   "j.0.0.0",
+			Run:    1,
+			End:    work.EndStopped,
+		}}
+	})
+	again := ends(cmds)[0].Task
+	again.Run++
+	b.do(RunMsg{Task: again})
+	b.accepted("b", "j.0.0.0", 2)
+	b.pass(700 * time.Millisecond)
+	assert.Equal(t, len(stops(b.held("b", long(2, 70)))), 0)
+}
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -15,8 +15,10 @@
 
 // Room is what a pool could start now, and all that it has.
 type Room struct {
-	Slots []Slot
-	Total int // thousandths of a core, of servers that take work
+	Slots   []Slot
+	Total   int       // thousandths of a core, of servers that take work
+	Flow    int       // thousandths of a core that runs give back in a second, as predicted
+	Largest work.Size // that any server has
 }
 
 // Room returns the free room at a moment.
@@ -27,6 +29,8 @@
 			continue
 		}
 		room.Total += s.entry.Capacity.CPU
+		room.Flow += s.flow(now)
+		room.Largest = room.Largest.Max(s.entry.Capacity)
 		free := s.entry.Capacity.Minus(s.used())
 		if free.CPU <= 0 {
 			continue
@@ -51,3 +55,19 @@
 	}
 	return s.runs[name].owner, true
 }
+
+// overdue is the run time, by its prediction, after which a run is no longer
+// counted on to end.
+const overdue = 3
+
+// flow returns the thousandths of a core that the server's runs give back in a
+// second.
+func (s *server) flow(now time.Time) int {
+	sum := 0.0
+	for _, r := range s.runs {
+		if r.task.Expect > 0 && now.Sub(r.ordered) < overdue*r.task.Expect {
+			sum += float64(r.task.Size.CPU) / r.task.Expect.Seconds()
+		}
+	}
+	return int(sum)
+}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -52,7 +52,8 @@
 	phase     phase
 	releasing bool // takes no more work, and is let go when it is empty
 	health    health.Server
-	pace      float64 // run times by their prediction, averaged; 1 is as predicted
+	normal    time.Time // when a run last ended in about its predicted time
+	pace      float64   // run times by their prediction, averaged; 1 is as predicted
 
 	clock   int64     // last heard, in milliseconds
 	heard   time.Time // when
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -15,39 +15,67 @@
 	if !now.Before(j.Deadline) {
 		return core.ReasonDeadline
 	}
+	var largest work.Size
+	for _, r := range m.rooms {
+		largest = largest.Max(r.largest)
+	}
+	for _, s := range j.Steps {
+		if largest.CPU > 0 && !s.Size.Fits(largest) {
+			return core.ReasonFit
+		}
+	}
 	return ""
 }
 
 // wait estimates how long it takes until the last task of a job starts: what
-// is due before it and the job itself, at the rate of the own pool.
+// waits before it and the job itself, at the rate at which the own pool's runs
+// end. Room elsewhere needs no estimate, as waiting tasks go there at once.
 func (m *Model) wait(j *job) time.Duration {
-	own := m.rooms[m.self]
-	total := 0
-	if own != nil {
-		total = own.total
-	}
-	if total == 0 {
-		for _, r := range m.rooms {
-			total += r.total
-		}
-	}
-	if total == 0 {
-		return time.Hour
-	}
-	sum := 0.0
+	flow, free := m.rate()
+	sum := -free
 	for _, other := range m.queue {
 		if other == j || compare(other, j) < 0 {
 			sum += other.backlog()
 		}
 	}
-	return time.Duration(sum / float64(total) * float64(time.Second))
+	switch {
+	case sum <= 0:
+		return 0
+	case flow == 0:
+		return idleWait
+	}
+	return time.Duration(float64(sum) / float64(flow) * float64(time.Second))
 }
 
-// isLate reports whether a job that waits would start too late. The allowance
-// is a part of the time between arrival and latest start.
+// idleWait is the expected wait when nothing is known to end.
+const idleWait = time.Second
+
+// rate returns the flow and the free room that a waiting job can count on.
+func (m *Model) rate() (flow, free int) {
+	if own := m.rooms[m.self]; own != nil && own.total > 0 {
+		return own.flow, own.free()
+	}
+	for _, r := range m.rooms {
+		flow += r.flow
+		free += r.free()
+	}
+	return flow, free
+}
+
+// slack returns the time from a job's arrival to its latest start.
+func (j *job) slack() time.Duration { return j.latest.Sub(j.Arrived) }
+
+// isHopeless reports whether a job's wait is far longer than it can take.
+func (m *Model) isHopeless(j *job) bool {
+	return float64(m.wait(j)) > m.limits.Hopeless*float64(j.slack())
+}
+
+// isLate reports whether a job that waits would start too late.
 func (m *Model) isLate(now time.Time, j *job) bool {
-	slack := j.latest.Sub(j.Arrived)
-	latest := j.Arrived.Add(time.Duration(m.limits.Lateness * float64(slack)))
+	if now.Sub(j.taken) < m.limits.Patience {
+		return false
+	}
+	latest := j.Arrived.Add(time.Duration(m.limits.Lateness * float64(j.slack())))
 	return now.Add(m.wait(j)).After(latest)
 }
 
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -21,6 +21,7 @@
 		return nil
 	}
 	t.run = msg.Task.Run
+	t.expect = msg.Task.Expect
 	switch msg.End {
 	case work.EndDone:
 		return m.done(now, j, t, msg)
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"time"
 
 	"rosemarywalk/core/work"
@@ -22,9 +23,10 @@
 	state    state
 	run      int // number of its next or current run
 	failures int
-	host     string    // whose pool runs it
-	avoid    string    // backend server that failed it
-	after    time.Time // no new try before
+	host     string        // whose pool runs it
+	avoid    string        // backend server that failed it
+	expect   time.Duration // as its last run showed; 0 is as predicted for its step
+	after    time.Time     // no new try before
 }
 
 // job is one job with its tasks.
@@ -34,12 +36,14 @@
 	left    []int           // tasks of each step that aren't done
 	expect  []time.Duration // predicted run time of a task of each step
 	callers []string
+	taken   time.Time // when this host took it
 	latest  time.Time // start by which the objective is met
 	began   bool      // a task was ordered
 }
 
-func newJob(w work.Job, expect []time.Duration) *job {
+func newJob(now time.Time, w work.Job, expect []time.Duration) *job {
 	j := &job{
+		taken:  now,
 		Job:    w,
 		expect: expect,
 	}
@@ -89,13 +93,12 @@
 	return true
 }
 
-// backlog returns the work of tasks that wait, in thousandths of a core times
-// seconds.
-func (j *job) backlog() float64 {
-	sum := 0.0
+// backlog returns the thousandths of a core that tasks wait for.
+func (j *job) backlog() int {
+	sum := 0
 	for _, t := range j.tasks {
 		if t.state == waiting {
-			sum += float64(j.Steps[t.step].Size.CPU) * j.expect[t.step].Seconds()
+			sum += j.Steps[t.step].Size.CPU
 		}
 	}
 	return sum
@@ -154,7 +157,7 @@
 		Requires:  s.Requires,
 		Affinity:  s.Affinity,
 		PerServer: s.PerServer,
-		Expect:    j.expect[t.step],
+		Expect:    cmp.Or(t.expect, j.expect[t.step]),
 		Deadline:  j.Deadline,
 		Avoid:     t.avoid,
 	}
--- a/core/schedule/room.go
+++ b/core/schedule/room.go
@@ -9,14 +9,18 @@
 
 // room is what a host's pool could start, less what was sent there since.
 type room struct {
-	slots []pool.Slot
-	total int // thousandths of a core
+	slots   []pool.Slot
+	total   int // thousandths of a core
+	flow    int // thousandths of a core that runs give back in a second
+	largest work.Size
 }
 
 func newRoom(r pool.Room) *room {
 	return &room{
-		slots: slices.Clone(r.Slots),
-		total: r.Total,
+		slots:   slices.Clone(r.Slots),
+		total:   r.Total,
+		flow:    r.Flow,
+		largest: r.Largest,
 	}
 }
 
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// Max returns the larger of two sizes in each respect.
+func (s Size) Max(o Size) Size {
+	return Size{
+		CPU:    max(s.CPU, o.CPU),
+		Memory: max(s.Memory, o.Memory),
+		GPU:    max(s.GPU, o.GPU),
+	}
+}
+
 // Step is tasks of a job that are alike.
 type Step struct {
 	Count     int
--- a/io/entry/waits.go
+++ b/io/entry/waits.go
@@ -16,6 +16,9 @@
 	waitBelow = 0.05  // part of callers that say less
 )
 
+// waitNoise is the shortfall that callers who come for the first time may show.
+const waitNoise = 300 * time.Millisecond
+
 // waits learns how long the callers of each route usually wait when they first
 // hand in a job. One that says much less handed it in before, to a host that
 // gave no answer, and has waited since.
@@ -37,7 +40,7 @@
 	}
 	if seconds < usual {
 		w.routes[route] = usual - waitStep*(1-waitBelow)*usual
-		return time.Duration((usual - seconds) * float64(time.Second))
+		return max(0, time.Duration((usual-seconds)*float64(time.Second))-waitNoise)
 	}
 	w.routes[route] = usual + waitStep*waitBelow*usual
 	return 0
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -50,6 +50,7 @@
 		end.Task.Run = answer.Lent.Run
 		end.Server = answer.Lent.Server
 		end.Took = microseconds(answer.Lent.Took)
+		end.Task.Expect = microseconds(answer.Lent.Expect)
 	}
 	return end
 }
@@ -131,6 +132,7 @@
 		Run:    end.Task.Run,
 		Server: end.Server,
 		Took:   int(end.Took.Microseconds()),
+		Expect: int(end.Task.Expect.Microseconds()),
 		Reason: string(end.Reason),
 	}}, true
 }
@@ -160,7 +162,11 @@
 // ServeRoom takes another host's free room.
 func (s *Scheduler) ServeRoom(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	r := f.Room
-	room := pool.Room{Total: r.Total}
+	room := pool.Room{
+		Total:   r.Total,
+		Flow:    r.Flow,
+		Largest: sizeFrom(r.Largest),
+	}
 	for _, slot := range r.Slots {
 		room.Slots = append(room.Slots, pool.Slot{
 			Free:   sizeFrom(slot.Free),
@@ -222,6 +228,8 @@
 		Host:    s.self,
 		Service: s.service,
 		Total:   room.Total,
+		Flow:    room.Flow,
+		Largest: sizeOf(room.Largest),
 	}
 	for _, slot := range room.Slots {
 		frame.Slots = append(frame.Slots, wire.Slot{
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -322,6 +322,9 @@
 	// done, failed, stopped, lapsed, never or unknown.
 	End string `cbor:"end" json:"end"`
 
+	// Predicted run time of the next run, in microseconds.
+	Expect int `cbor:"expect" json:"expect"`
+
 	// Why it did not end as done.
 	Reason string `cbor:"reason" json:"reason"`
 
@@ -394,9 +397,15 @@
 
 // Room is what the sender's backend servers could start now.
 type Room struct {
+	// Thousandths of a core that its runs give back in a second.
+	Flow int `cbor:"flow" json:"flow"`
+
 	// Peer address of the sender.
 	Host string `cbor:"host" json:"host"`
 
+	// Largest corresponds to the JSON schema field "largest".
+	Largest Size `cbor:"largest" json:"largest"`
+
 	// Service.
 	Service string `cbor:"service" json:"service"`
 
