Jobs that miss their objective wait behind those that can meet it

Now: a job that has not begun and will be late is put behind the others, and refused when its expected wait takes 0.7 of the time in which a late answer is of use.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"rosemarywalk/core"
@@ -79,6 +80,21 @@
 	return now.Add(m.wait(j)).After(latest)
 }
 
+// postpone puts a job that will miss its objective behind those that won't,
+// and refuses it when not even a late answer is to be expected.
+func (m *Model) postpone(now time.Time, j *job) []Cmd {
+	if !j.late {
+		m.queue = slices.DeleteFunc(m.queue, func(o *job) bool { return o == j })
+		j.late = true
+		m.enqueue(j)
+	}
+	left := j.useful.Sub(now) - j.least()
+	if !j.began && float64(m.wait(j)) > m.limits.Hope*float64(left) {
+		return m.refuse(now, j, core.ReasonWait)
+	}
+	return nil
+}
+
 // expire refuses jobs that wait in vain and gives up those that can't end in
 // time.
 func (m *Model) expire(now time.Time) []Cmd {
@@ -88,10 +104,10 @@
 		case !now.Before(j.Deadline):
 			cmds = append(cmds, m.giveUp(now, j, core.ReasonDeadline)...)
 		case !j.waits():
-		case !j.began && m.isLate(now, j):
-			cmds = append(cmds, m.refuse(now, j, core.ReasonWait)...)
 		case !j.running() && now.Add(j.least()).After(j.Deadline):
 			cmds = append(cmds, m.giveUp(now, j, core.ReasonDeadline)...)
+		case !j.began && (j.late || m.isLate(now, j)):
+			cmds = append(cmds, m.postpone(now, j)...)
 		}
 	}
 	return cmds
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -38,10 +38,12 @@
 	callers []string
 	taken   time.Time // when this host took it
 	latest  time.Time // start by which the objective is met
+	useful  time.Time // end from which its outcome is worth nothing
+	late    bool      // it will miss its objective, and waits behind those that won't
 	began   bool      // a task was ordered
 }
 
-func newJob(now time.Time, w work.Job, expect []time.Duration) *job {
+func newJob(now time.Time, w work.Job, expect []time.Duration, useful float64) *job {
 	j := &job{
 		taken:  now,
 		Job:    w,
@@ -58,7 +60,12 @@
 		}
 	}
 	chain := j.chain()
-	j.latest = w.Objective(chain).Add(-chain)
+	objective := w.Objective(chain)
+	j.latest = objective.Add(-chain)
+	j.useful = w.Arrived.Add(time.Duration(useful * float64(objective.Sub(w.Arrived))))
+	if w.Deadline.Before(j.useful) {
+		j.useful = w.Deadline
+	}
 	return j
 }
 
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -64,13 +64,15 @@
 
 // request is a caller's request with its route.
 type request struct {
-	config route.Config
-	route  route.Route
-	id     string
+	arrived time.Time
+	config  route.Config
+	route   route.Route
+	id      string
 }
 
 func (h *Handler) routed(serve func(http.ResponseWriter, *http.Request, request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		arrived := time.Now()
 		h.untilAble(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
@@ -83,9 +85,10 @@
 			return
 		}
 		serve(w, r, request{
-			config: config,
-			route:  route,
-			id:     rest,
+			arrived: arrived,
+			config:  config,
+			route:   route,
+			id:      rest,
 		})
 	}
 }
@@ -109,7 +112,6 @@
 }
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request, req request) {
-	arrived := time.Now()
 	if !isID(req.id) {
 		h.refuse(w, http.StatusBadRequest, core.ReasonMalformed, fmt.Sprintf("%q is no job ID of %d hexadecimal digits", req.id, idDigits), 0)
 		return
@@ -136,7 +138,7 @@
 		h.refuse(w, http.StatusServiceUnavailable, core.ReasonUnsupported, "not served: "+submission.Missing, 0)
 		return
 	}
-	job := h.job(req, submission, arrived, h.format.Wait(r.Header))
+	job := h.job(req, submission, h.format.Wait(r.Header))
 	outcome, ok := h.scheduler.Do(r.Context(), job)
 	h.answered(job, outcome, ok)
 	if ok {
@@ -144,12 +146,12 @@
 	}
 }
 
-func (h *Handler) job(req request, s Submission, arrived time.Time, wait time.Duration) work.Job {
+func (h *Handler) job(req request, s Submission, wait time.Duration) work.Job {
 	if wait <= 0 {
 		wait = req.route.Timeout
 	}
-	deadline := arrived.Add(wait)
-	arrived = arrived.Add(-h.waits.age(req.route.Name, wait))
+	deadline := req.arrived.Add(wait)
+	arrived := req.arrived.Add(-h.waits.age(req.route.Name, wait))
 	return work.Job{
 		ID:       req.id,
 		Route:    req.route.Name,
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -75,9 +75,11 @@
 				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
 				duration("bounce", "5ms", "Pause before a task that found no room is tried again.", 0, time.Second),
 				duration("remember", "5s", "Time that outcomes are kept for submissions that come again.", 0, time.Hour),
-				number("hopeless", "1.5", "Expected wait, as part of a job's slack, from which the job is refused when it arrives.", 0, 100),
+				number("hopeless", "1.5", "Expected wait, as part of a job's slack, from which the job counts as late when it arrives.", 0, 100),
+				number("useful", "3", "Latency, in objectives, up to which a late answer is of use to callers.", 1, 1000),
+				number("hope", "0.7", "Part of the time left for a late answer that the expected wait may take before the job is refused.", 0, 100),
 				duration("patience", "25ms", "Time that a job which seems late gets to find room after all.", 0, time.Minute),
-				number("lateness", "1", "Part of a job's slack that its expected wait may take before it is refused.", 0, 100),
+				number("lateness", "1", "Part of a job's slack that its expected wait may take before it counts as late.", 0, 100),
 				{
 					Name:    "jobs",
 					Default: "5000",
@@ -174,6 +176,8 @@
 	return schedule.Limits{
 		Lateness: s.Number(section, "lateness"),
 		Hopeless: s.Number(section, "hopeless"),
+		Useful:   s.Number(section, "useful"),
+		Hope:     s.Number(section, "hope"),
 		Patience: s.Duration(section, "patience"),
 		Bounce:   s.Duration(section, "bounce"),
 		Remember: s.Duration(section, "remember"),
