--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -14,6 +14,7 @@
 	Hopeless float64       // part of a job's slack that its expected wait must pass to count as late on arrival
 	Useful   float64       // latency in objectives up to which a late answer is of use
 	Hope     float64       // part of the time that a late job has left which its expected wait may take
+	Spare    float64       // part of all room that must be free before a late job begins
 	Patience time.Duration // that a job which seems late gets to find room after all
 	Bounce   time.Duration // pause before a task that found no room is tried again
 	Remember time.Duration // that outcomes of finished jobs are kept for resends
@@ -165,6 +166,9 @@
 func (m *Model) dispatch(now time.Time) []Cmd {
 	var cmds []Cmd
 	for _, j := range m.queue {
+		if j.late && !j.began && !m.spare() {
+			break
+		}
 		for _, t := range j.tasks {
 			if !j.due(now, t) {
 				continue
@@ -179,6 +183,17 @@
 	return cmds
 }
 
+// spare reports whether enough room is free for jobs that are late already, so
+// that they don't make the next ones late too.
+func (m *Model) spare() bool {
+	free, total := 0, 0
+	for _, r := range m.rooms {
+		free += r.free()
+		total += r.total
+	}
+	return float64(free) >= m.limits.Spare*float64(total)
+}
+
 // place sends a task to the own pool when it fits there, or else to the host
 // with the most free room.
 func (m *Model) place(j *job, t *task) (Cmd, bool) {
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -78,6 +78,7 @@
 				number("hopeless", "1.5", "Expected wait, as part of a job's slack, from which the job counts as late when it arrives.", 0, 100),
 				number("useful", "3", "Latency, in objectives, up to which a late answer is of use to callers.", 1, 1000),
 				number("hope", "0.7", "Part of the time left for a late answer that the expected wait may take before the job is refused.", 0, 100),
+				number("spare", "0.1", "Part of all room that must be free before a late job begins.", 0, 1),
 				duration("patience", "25ms", "Time that a job which seems late gets to find room after all.", 0, time.Minute),
 				number("lateness", "1", "Part of a job's slack that its expected wait may take before it counts as late.", 0, 100),
 				{
@@ -178,6 +179,7 @@
 		Hopeless: s.Number(section, "hopeless"),
 		Useful:   s.Number(section, "useful"),
 		Hope:     s.Number(section, "hope"),
+		Spare:    s.Number(section, "spare"),
 		Patience: s.Duration(section, "patience"),
 		Bounce:   s.Duration(section, "bounce"),
 		Remember: s.Duration(section, "remember"),
