--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -120,7 +120,7 @@
 	}
 	listed := m.progress(now, s, msg)
 	cmds = append(cmds, m.absent(now, s, msg, listed)...)
-	cmds = append(cmds, m.clear(now, s, msg)...)
+	cmds = append(cmds, m.clear(s, msg)...)
 	cmds = append(cmds, m.watch(now, s)...)
 	if m.servers[s.entry.ID] != s {
 		return cmds
@@ -185,7 +185,7 @@
 
 // clear stops the runs of an earlier owner, and opens the server for work once
 // there are none.
-func (m *Model) clear(now time.Time, s *server, msg HeldMsg) []Cmd {
+func (m *Model) clear(s *server, msg HeldMsg) []Cmd {
 	if len(s.orphans) == 0 {
 		if s.phase == ready {
 			return nil
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -51,14 +51,18 @@
 // New returns a view that knows only this host.
 func New(model *member.Model, peers Peers, period, stale time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
 	return &Roster{
-		peers:     peers,
-		period:    period,
-		perHome:   perHome,
-		counters:  counters,
-		log:       log.WithName("roster"),
-		model:     model,
-		claims:    owner.Claims{},
-		queues:    map[string][]wire.Queue{},
+		peers:    peers,
+		period:   period,
+		perHome:  perHome,
+		counters: counters,
+		log:      log.WithName("roster"),
+		model:    model,
+		claims:   owner.Claims{},
+		queues:   map[string][]wire.Queue{},
+		known: known{
+			stale: stale,
+			rows:  map[string]row{},
+		},
 		news:      func() News { return News{} },
 		onVersion: func(string, int) {},
 	}
