--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -22,8 +22,8 @@
 const ErrNoLink = errors.ConstError("peer can't be reached")
 
 const (
-	frameBytesMax = 256 << 20
-	writeTimeout  = 5 * time.Second
+	frameBytesMax   = 256 << 20
+	writeTimeoutMax = 5 * time.Second
 )
 
 // link is one WebSocket connection with its pending calls.
@@ -32,6 +32,7 @@
 	silence  time.Duration
 	counters *telemetry.Counters
 	serving  atomic.Int64 // calls of the other side without an answer
+	wrote    atomic.Bool  // something was written since the last ping
 
 	mu      sync.Mutex
 	next    int
@@ -101,7 +102,8 @@
 		return errors.Annotate(err, "encode frame")
 	}
 	l.counters.Bytes(kindOf(f), len(raw))
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	l.wrote.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), l.writeTimeout())
 	defer cancel()
 	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
 		l.close()
@@ -110,6 +112,10 @@
 	return nil
 }
 
+// writeTimeout bounds one write: a peer that reads nothing fills the
+// connection, and must not hold back other frames for longer than its silence.
+func (l *link) writeTimeout() time.Duration { return min(writeTimeoutMax, 2*l.silence) }
+
 // read passes incoming frames on until the link breaks.
 func (l *link) read(serve func(wire.Frame)) {
 	defer l.close()
@@ -126,17 +132,23 @@
 	}
 }
 
-// watch closes the link when it answers no ping while calls of either side
-// are pending.
+// idleTicks is how many ticks of the watch pass between pings of a link that
+// only carries frames without an answer.
+const idleTicks = 2
+
+// watch closes the link when it answers no ping. It asks while calls of either
+// side are pending, and now and then after frames that have no answer: a
+// connection can go silent for good without an error.
 func (l *link) watch() {
 	ticker := time.NewTicker(l.silence / 2)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-l.done:
 			return
 		case <-ticker.C:
-			if l.busy() && !l.ping() {
+			due := l.busy() || (tick%idleTicks == 0 && l.wrote.Swap(false))
+			if due && !l.ping() {
 				l.close()
 				return
 			}
--- /dev/null
+++ b/io/peer/link_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
+)
+
+// muted is a connection that delivers nothing once it is told so.
+type muted struct {
+	net.Conn
+
+	mute *atomic.Bool
+}
+
+func (c muted) Write(p []byte) (int, error) {
+	if c.mute.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// TestSilentLink: a link whose connection delivers nothing any more is closed
+// and dialed anew, though it only carries frames without an answer.
+func TestSilentLink(t *testing.T) {
+	const silence = 100 * time.Millisecond
+	var heard atomic.Int64
+	counters := telemetry.NewCounters(telemetry.NewRegistry())
+	server := NewServer([]Handler{{
+		Part: PartBeat,
+		Serve: func(context.Context, wire.Frame) (wire.Frame, bool) {
+			heard.Add(1)
+			return wire.Frame{}, false
+		},
+	}}, silence, counters, logr.Discard())
+	web := httptest.NewServer(server)
+	defer web.Close()
+	defer server.Close()
+	address := strings.TrimPrefix(web.URL, "http://")
+
+	var mute atomic.Bool
+	first := true
+	links := New(&net.Dialer{Timeout: time.Second}, silence, counters, logr.Discard())
+	links.dialContext(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil || !first {
+			return conn, err
+		}
+		first = false
+		return muted{
+			Conn: conn,
+			mute: &mute,
+		}, nil
+	})
+	defer links.Close()
+	beat := wire.Frame{Beat: &wire.Beat{}}
+	assert.NilError(t, links.Send(t.Context(), address, beat))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if heard.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("first beat not heard")
+	})
+	mute.Store(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_ = links.Send(t.Context(), address, beat)
+		if heard.Load() > 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no beat heard over a new link")
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// dialContext replaces how connections are made.
+func (l *Links) dialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	l.http = &http.Client{Transport: &http.Transport{DialContext: dial}}
+}
+
 func (l *Links) slot(address string) *slot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
