Work for a host whose link broke goes on until it attaches again

Now: a home and a lender keep the work for 300 ms; the same call attaches to it or gets the end that it missed. A link that can't be made again gives 502 as before; a run is stopped well before its caller's resend. TestReattach.

--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -24,7 +24,10 @@
 func hashOf(text string) uint64 { return xxhash.Sum64String(text) }
 
 // lender lends over peer links.
-type lender struct{ peers Peers }
+type lender struct {
+	peers    Peers
+	reattach time.Duration // that work goes on after a link broke
+}
 
 // sendTimeout bounds the sending of a frame that needs no answer.
 const sendTimeout = time.Second
@@ -35,7 +38,9 @@
 		Host: host,
 		Task: t,
 	}
-	answer, err := l.peers.Call(ctx, host, wire.Frame{Lend: lendOf(service, t, time.Now())})
+	answer, err := again(ctx, l.reattach, func() (wire.Frame, error) {
+		return l.peers.Call(ctx, host, wire.Frame{Lend: lendOf(service, t, time.Now())})
+	})
 	switch {
 	case errors.Is(err, peer.ErrNoLink):
 		end.End, end.Reason = work.EndNever, core.ReasonUnreachable
@@ -55,6 +60,28 @@
 	return end
 }
 
+// again repeats a call whose link broke, within the time in which the other
+// host waits for it. A link that can't be made again leaves the first error.
+func again(ctx context.Context, within time.Duration, call func() (wire.Frame, error)) (wire.Frame, error) {
+	answer, err := call()
+	end := time.Now().Add(within - reattachMargin)
+	for errors.Is(err, peer.ErrBroken) && ctx.Err() == nil && time.Now().Before(end) {
+		next, again := call()
+		if !errors.Is(again, peer.ErrNoLink) {
+			answer, err = next, again
+			continue
+		}
+		time.Sleep(reattachEvery)
+	}
+	return answer, err
+}
+
+const (
+	reattachEvery = 20 * time.Millisecond
+	// reattachMargin covers what a frame takes to travel and to be handled.
+	reattachMargin = 50 * time.Millisecond
+)
+
 // Halt stops a lent task.
 func (l lender) Halt(host, service, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
--- /dev/null
+++ b/io/scheduler/lent_test.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/schedule"
+	"rosemarywalk/core/work"
+	"rosemarywalk/io/telemetry"
+)
+
+// fakeServer runs one task for a set time; it counts starts and stops.
+type fakeServer struct {
+	runs   time.Duration
+	starts chan string
+	stops  chan string
+}
+
+func (f *fakeServer) Start(_ context.Context, cmd pool.StartCmd) pool.StartedMsg {
+	f.starts <- cmd.Task.Name()
+	return pool.StartedMsg{
+		Server: cmd.Server,
+		Name:   cmd.Task.Name(),
+		Run:    cmd.Task.Run,
+		Clock:  1,
+	}
+}
+
+func (f *fakeServer) Stop(_ context.Context, cmd pool.StopCmd) pool.StoppedMsg {
+	f.stops <- cmd.Name
+	return pool.StoppedMsg{
+		Server: cmd.Server,
+		Name:   cmd.Name,
+		Run:    cmd.Run,
+		Clock:  1,
+	}
+}
+
+// Hold shows the task of these tests running, and done after its time.
+func (f *fakeServer) Hold(_ context.Context, cmd pool.HoldCmd) pool.HeldMsg {
+	msg := pool.HeldMsg{
+		Server: cmd.Server,
+		Serial: cmd.Serial,
+		Sent:   time.Now(),
+		Clock:  1,
+	}
+	if cmd.Deadline == 0 {
+		return msg
+	}
+	time.Sleep(f.runs)
+	msg.Ended = []pool.Ended{{
+		Number: cmd.Seen + 1,
+		Name:   "j.0.0.0",
+		Run:    1,
+		End:    work.EndDone,
+	}}
+	return msg
+}
+
+func newShard(servers Servers) *Shard {
+	limits := pool.Limits{
+		Lease: time.Second,
+		Health: health.Limits{
+			Failures: 2,
+			Backoff:  time.Second,
+			Most:     time.Second,
+		},
+		Slow:    3,
+		PaceMax: 2,
+		Give:    time.Second,
+		Answer:  time.Second,
+	}
+	s := New(Parts{
+		Servers:  servers,
+		Pool:     limits,
+		Jobs:     schedule.Limits{Jobs: 10},
+		Answer:   time.Second,
+		Reattach: 100 * time.Millisecond,
+		Counters: telemetry.NewCounters(telemetry.NewRegistry()),
+		Log:      logr.Discard(),
+	}).newShard("service", "")
+	s.update(pool.OwnMsg{
+		Servers: []listing.Server{{
+			ID:       "a",
+			Capacity: work.Size{CPU: 1000},
+		}},
+		Token: 1,
+	})
+	for s.Room().Total == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return s
+}
+
+// TestReattach: the run of a host whose link broke goes on, and the same call
+// gets its end; it is stopped when nobody comes back.
+func TestReattach(t *testing.T) {
+	tests := []struct {
+		name  string
+		again bool
+		end   work.End
+		stops int
+	}{
+		{
+			name:  "the host comes back",
+			again: true,
+			end:   work.EndDone,
+		},
+		{
+			name:  "nobody comes back",
+			stops: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := &fakeServer{
+				runs:   500 * time.Millisecond,
+				starts: make(chan string, 10),
+				stops:  make(chan string, 10),
+			}
+			s := newShard(f)
+			task := work.Task{
+				Job:  "j",
+				Run:  1,
+				Size: work.Size{CPU: 500},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			broken := make(chan pool.EndCmd)
+			go func() { broken <- s.RunLent(ctx, task) }()
+			<-f.starts
+			cancel()
+			assert.Equal(t, (<-broken).End, work.EndUnknown)
+			if !test.again {
+				assert.Equal(t, <-f.stops, "j.0.0.0")
+				return
+			}
+			assert.Equal(t, s.RunLent(t.Context(), task).End, test.end)
+			assert.Equal(t, len(f.starts), 0)
+			assert.Equal(t, len(f.stops), test.stops)
+		})
+	}
+}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -71,6 +71,7 @@
 			Help: "Jobs that this host coordinates.",
 			Keys: []settings.Key{
 				duration("settle", "150ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
+				duration("reattach", "300ms", "Time that work for a host whose link broke goes on, so that the host can attach to it again.", 0, time.Second),
 				duration("tick", "10ms", "Time between checks for what is overdue.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
 				duration("bounce", "5ms", "Pause before a task that found no room is tried again.", 0, time.Second),
@@ -146,6 +147,7 @@
 		Jobs:     jobLimits(s),
 		Answer:   s.Duration(sectionPool, "answer"),
 		Settle:   s.Duration(section, "settle"),
+		Reattach: s.Duration(section, "reattach"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	Pool     pool.Limits
 	Jobs     schedule.Limits
 	Answer   time.Duration // longest wait for an order's answer
+	Reattach time.Duration // that work for a host whose link broke goes on
 	Settle   time.Duration // after the start, before servers are taken over
 	Counters *telemetry.Counters
 	Log      logr.Logger
@@ -59,21 +60,30 @@
 	if shard != nil {
 		return shard
 	}
-	shard = &Shard{
-		service:  service,
-		self:     s.parts.Self,
-		servers:  s.parts.Servers,
-		lender:   lender{peers: s.parts.Peers},
+	shard = s.newShard(service, s.parts.Roster.Self().Domain)
+	s.shards[service] = shard
+	return shard
+}
+
+// newShard returns a shard for a host of a failure domain.
+func (s *Scheduler) newShard(service, domain string) *Shard {
+	return &Shard{
+		service: service,
+		self:    s.parts.Self,
+		servers: s.parts.Servers,
+		lender: lender{
+			peers:    s.parts.Peers,
+			reattach: s.parts.Reattach,
+		},
 		answer:   s.parts.Answer,
 		counters: s.parts.Counters,
 		log:      s.parts.Log.WithName("scheduler").WithValues("service", service),
-		pool:     pool.New(s.parts.Roster.Self().Domain, s.parts.Pool),
+		pool:     pool.New(domain, s.parts.Pool),
 		jobs:     schedule.New(s.parts.Self, s.parts.Jobs),
 		callers:  map[string]func(work.Outcome){},
-		lent:     map[string]func(pool.EndCmd){},
+		lent:     map[string]*lentRun{},
+		reattach: s.parts.Reattach,
 	}
-	s.shards[service] = shard
-	return shard
 }
 
 // all returns the shards in a fixed order.
@@ -178,6 +188,13 @@
 	return s.pool.Held()
 }
 
+// Room returns the free room of the servers that this host holds.
+func (s *Shard) Room() pool.Room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Room(time.Now())
+}
+
 func (s *Shard) lenders() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-logr/logr"
 
-	"rosemarywalk/core"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
@@ -42,6 +41,7 @@
 	servers  Servers
 	lender   Lender
 	answer   time.Duration // longest wait for an order's answer
+	reattach time.Duration // that work for a host whose link broke goes on
 	counters *telemetry.Counters
 	log      logr.Logger
 
@@ -49,7 +49,7 @@
 	pool    *pool.Model
 	jobs    *schedule.Model
 	callers map[string]func(work.Outcome)
-	lent    map[string]func(pool.EndCmd)
+	lent    map[string]*lentRun // by owner
 	next    int
 	toldAt  time.Time // when the room was last told to other homes
 	changed bool      // the room since then
@@ -147,15 +147,6 @@
 	}}
 }
 
-func (s *Shard) lentEnd(cmd pool.EndCmd) []effect {
-	tell := s.lent[cmd.Owner]
-	delete(s.lent, cmd.Owner)
-	if tell == nil {
-		return nil
-	}
-	return []effect{func() { tell(cmd) }}
-}
-
 // jobCmd turns a command of the scheduler into messages and effects.
 func (s *Shard) jobCmd(cmd schedule.Cmd) (msgs []any, run []effect) {
 	switch cmd := cmd.(type) {
@@ -228,8 +219,9 @@
 	s.update(s.lender.Lend(ctx, cmd.Host, s.service, cmd.Task))
 }
 
-// Do runs a job and returns its outcome; ok is false when ctx ended before.
-func (s *Shard) Do(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
+// Do runs a job and returns its outcome; ok is false when ctx ended before. The
+// job goes on for the given time then, so that its caller can come back.
+func (s *Shard) Do(ctx context.Context, job work.Job, linger time.Duration) (outcome work.Outcome, ok bool) {
 	answer := make(chan work.Outcome, 1)
 	s.mu.Lock()
 	s.next++
@@ -244,35 +236,7 @@
 	case o := <-answer:
 		return o, true
 	case <-ctx.Done():
-		s.update(schedule.DropMsg{Caller: caller})
+		time.AfterFunc(linger, func() { s.update(schedule.DropMsg{Caller: caller}) })
 		return work.Outcome{}, false
 	}
 }
-
-// RunLent runs a task for another host and returns how its run ended.
-func (s *Shard) RunLent(ctx context.Context, task work.Task) pool.EndCmd {
-	ended := make(chan pool.EndCmd, 1)
-	s.mu.Lock()
-	s.next++
-	name := lentTo + strconv.Itoa(s.next)
-	s.lent[name] = func(cmd pool.EndCmd) { ended <- cmd }
-	s.mu.Unlock()
-	s.update(pool.RunMsg{
-		Task:  task,
-		Owner: name,
-	})
-	select {
-	case cmd := <-ended:
-		return cmd
-	case <-ctx.Done():
-	}
-	s.mu.Lock()
-	delete(s.lent, name)
-	s.mu.Unlock()
-	s.update(pool.StopMsg{Owner: name})
-	return pool.EndCmd{
-		Task:   task,
-		End:    work.EndUnknown,
-		Reason: core.ReasonCanceled,
-	}
-}
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -23,7 +23,7 @@
 		view := s.parts.Roster.View(s.Servers(job.Service))
 		home, found := view.Home(job.ID, s.parts.Roster.Self().Domain)
 		if !found || home.Address == s.parts.Self {
-			return s.Shard(job.Service).Do(ctx, job)
+			return s.Shard(job.Service).Do(ctx, job, 0)
 		}
 		outcome, err := s.forward(ctx, home.Address, job)
 		switch {
@@ -54,7 +54,9 @@
 const homeRetry = time.Second
 
 func (s *Scheduler) forward(ctx context.Context, home string, job work.Job) (work.Outcome, error) {
-	answer, err := s.parts.Peers.Call(ctx, home, wire.Frame{Submit: submitOf(job, time.Now())})
+	answer, err := again(ctx, s.parts.Reattach, func() (wire.Frame, error) {
+		return s.parts.Peers.Call(ctx, home, wire.Frame{Submit: submitOf(job, time.Now())})
+	})
 	if err != nil {
 		return work.Outcome{}, err
 	}
@@ -79,7 +81,7 @@
 // ServeSubmit coordinates a job that another host took.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	job := jobOf(f.Submit, time.Now())
-	outcome, ok := s.Shard(job.Service).Do(ctx, job)
+	outcome, ok := s.Shard(job.Service).Do(ctx, job, s.parts.Reattach)
 	return wire.Frame{Outcome: &wire.Outcome{
 		State:  string(outcome.State),
 		Reason: string(outcome.Reason),
