A start without an answer is sent once more beside the first; lost answers are told from lost servers

Now a start is repeated after 25 ms, and while a tenth of all calls get no answer a server may leave two in a row unanswered.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -46,6 +46,9 @@
 	if s.misses > 0 {
 		return 0
 	}
+	if m.loss >= lossHigh {
+		return m.limits.Quick
+	}
 	for _, r := range s.runs {
 		if r.state != running || r.unclear {
 			return m.limits.Quick
@@ -72,8 +75,11 @@
 		return m.replaced(now, s)
 	case Old, Late, Full, Busy, Invalid, Unsent, Unanswered:
 	}
-	s.misses++
-	s.nextAt = now.Add(m.limits.Quick)
+	m.heardOf(s, false)
+	s.nextAt = now
+	if s.misses > 1 {
+		s.nextAt = now.Add(m.limits.Quick)
+	}
 	if s.misses > missesBeforeProbes {
 		s.nextAt = now.Add(m.limits.Probe)
 	}
@@ -111,6 +117,7 @@
 		s.entry.Born = msg.Born
 	}
 	missed := s.misses > 0
+	m.heardOf(s, true)
 	s.listen(now, msg.Clock)
 	if missed {
 		cmds = append(cmds, RoomCmd{})
@@ -269,6 +276,9 @@
 			cmds = append(cmds, m.endAll(now, s, work.EndLapsed, core.ReasonLapsed)...)
 		}
 		for _, r := range s.ordered() {
+			if r.state == starting && r.sends == 1 && r.open == 1 && now.Sub(r.sent) >= m.limits.Hedge {
+				cmds = append(cmds, m.start(now, s, r))
+			}
 			if r.state == stopping && !r.stopped && now.Sub(r.sent) >= m.limits.Answer {
 				cmds = append(cmds, m.orderStop(now, s, r))
 			}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -15,7 +15,8 @@
 // Limits sets the pace of orders and how servers are judged.
 type Limits struct {
 	Lease   time.Duration // length of the leases asked for
-	Answer  time.Duration // after which an order without an answer is sent again
+	Answer  time.Duration // after which an order counts as unanswered
+	Hedge   time.Duration // after which a start without an answer is sent once more beside the first
 	Wait    time.Duration // that a hold waits for an end
 	Quick   time.Duration // the same while ends are being waited for or answers get lost
 	Confirm time.Duration // between reaching a server of another failure domain and taking it over
@@ -35,6 +36,7 @@
 	limits  Limits
 	servers map[string]*server
 	token   int64                // highest token used
+	loss    float64              // part of recent calls that got no answer
 	fenced  map[string]time.Time // servers that another host took, and when
 	where   map[string]string    // run's task name to server
 }
@@ -50,6 +52,33 @@
 	}
 }
 
+// The measure of lost answers over all servers: a few lost ones mean that a
+// server is gone, many mean that answers get lost everywhere.
+const (
+	lossPart       = 0.02 // part of one call in the average
+	lossHigh       = 0.1  // from which answers get lost everywhere
+	missesWhenHigh = 2    // calls in a row that a server may then leave unanswered
+)
+
+// heardOf notes whether a call got its answer.
+func (m *Model) heardOf(s *server, answered bool) {
+	lost := 0.0
+	if !answered {
+		lost = 1
+		s.misses++
+	}
+	m.loss += lossPart * (lost - m.loss)
+}
+
+// misses returns how many calls in a row a server may leave unanswered before
+// it gets no new work.
+func (m *Model) misses() int {
+	if m.loss >= lossHigh {
+		return missesWhenHigh
+	}
+	return 0
+}
+
 // Update takes one message and returns what has to be done about it.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
 	switch msg := msg.(type) {
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -14,6 +14,7 @@
 var limits = Limits{
 	Lease:   900 * time.Millisecond,
 	Answer:  80 * time.Millisecond,
+	Hedge:   25 * time.Millisecond,
 	Wait:    150 * time.Millisecond,
 	Quick:   30 * time.Millisecond,
 	Confirm: 400 * time.Millisecond,
@@ -625,3 +626,48 @@
 	b.pass(700 * time.Millisecond)
 	assert.Equal(t, len(stops(b.held("b", long(2, 70)))), 0)
 }
+
+// TestHedge: a start without an answer is sent once more beside the first, and
+// whichever answer comes counts.
+func TestHedge(t *testing.T) {
+	b := newBench(t, "a")
+	b.do(RunMsg{Task: taskOf("j")})
+	assert.Equal(t, len(starts(b.do(TickMsg{}))), 0)
+	b.pass(limits.Hedge)
+	assert.Equal(t, len(starts(b.do(TickMsg{}))), 1)
+	b.pass(limits.Hedge)
+	assert.Equal(t, len(starts(b.do(TickMsg{}))), 0)
+	b.accepted("a", "j.0.0.0", 1)
+	cmds := b.do(StartedMsg{
+		Server: "a",
+		Name:   "j.0.0.0",
+		Run:    1,
+		Result: Unanswered,
+	})
+	assert.Equal(t, len(starts(cmds)), 0)
+	assert.Equal(t, len(ends(cmds)), 0)
+}
+
+// TestAnswersLostEverywhere: one silent server gets no work; when answers get
+// lost at all servers, a lost one says little of its server.
+func TestAnswersLostEverywhere(t *testing.T) {
+	b := newBench(t, "a")
+	lose := func() {
+		b.model.servers["a"].misses = 0
+		b.do(RunMsg{Task: taskOf("j")})
+		b.do(StartedMsg{
+			Server: "a",
+			Name:   "j.0.0.0",
+			Run:    1,
+			Result: Unanswered,
+		})
+	}
+	lose()
+	assert.Equal(t, b.model.Room(b.now).Total, 0)
+	for range 10 {
+		lose()
+		b.model.heardOf(b.model.servers["a"], false)
+	}
+	b.model.servers["a"].misses = 1
+	assert.Equal(t, b.model.Room(b.now).Total, 16000)
+}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -62,7 +62,7 @@
 }
 
 func (m *Model) admits(now time.Time, s *server, t work.Task) bool {
-	if !s.takes(now) || !s.entry.Has(t.Requires) {
+	if !m.takes(now, s) || !s.entry.Has(t.Requires) {
 		return false
 	}
 	if t.PerServer > 0 && s.countOf(t.Job, t.Step) >= t.PerServer {
@@ -91,6 +91,7 @@
 // start orders a run, for the first time or again.
 func (m *Model) start(now time.Time, s *server, r *run) Cmd {
 	r.sends++
+	r.open++
 	r.sent = now
 	r.deadline = s.grant(now, m.limits.Lease)
 	return StartCmd{
@@ -161,11 +162,13 @@
 		return nil
 	}
 	if answered(msg.Result) {
+		m.heardOf(s, true)
 		s.listen(now, msg.Clock)
 	}
 	if r == nil {
 		return nil
 	}
+	r.open--
 	if r.state != starting {
 		return m.startedLate(now, s, r, msg)
 	}
@@ -206,7 +209,7 @@
 		}
 	case Old, Late, Unsent:
 	case Unanswered:
-		r.unclear = true
+		r.unclear = r.unclear || r.confirmed.IsZero()
 	}
 	return nil
 }
@@ -260,7 +263,10 @@
 	if result == Unanswered {
 		r.unclear = true
 	}
-	s.misses++
+	m.heardOf(s, false)
+	if r.open > 0 {
+		return nil
+	}
 	if result == Unsent && !r.unclear {
 		cmds := m.end(now, s, r, work.EndNever, core.ReasonConnect)
 		return append(append(cmds, RoomCmd{}), m.hold(now, s)...)
@@ -291,7 +297,7 @@
 		return m.hold(now, s)
 	case Old, Late, Full, Busy, Invalid:
 	case Unsent, Unanswered:
-		s.misses++
+		m.heardOf(s, false)
 		return []Cmd{RoomCmd{}}
 	}
 	return nil
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -25,7 +25,7 @@
 func (m *Model) Room(now time.Time) Room {
 	var room Room
 	for _, s := range m.sorted() {
-		if !s.takes(now) {
+		if !m.takes(now, s) {
 			continue
 		}
 		room.Total += s.entry.Capacity.CPU
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -36,6 +36,7 @@
 	ordered   time.Time // first order
 	sent      time.Time // latest order of the current kind
 	sends     int       // orders of the current kind
+	open      int       // start orders without a result
 	unclear   bool      // an order got no answer, so it may have been carried out
 	confirmed time.Time
 	deadline  int64 // latest deadline of its start orders, on the server's clock
@@ -129,9 +130,9 @@
 	return deadline
 }
 
-// takes reports whether new work may go to the server.
-func (s *server) takes(now time.Time) bool {
-	return s.phase == ready && !s.releasing && !s.entry.Draining && s.misses == 0 &&
+// takes reports whether new work may go to a server.
+func (m *Model) takes(now time.Time, s *server) bool {
+	return s.phase == ready && !s.releasing && !s.entry.Draining && s.misses <= m.misses() &&
 		s.health.State(now) != health.Ejected
 }
 
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -37,6 +37,7 @@
 			Keys: []settings.Key{
 				duration("lease", "900ms", "Length of the leases asked for; at most what backend servers grant.", 100*time.Millisecond, time.Minute),
 				duration("answer", "80ms", "Wait for the answer to an order before it is sent again.", time.Millisecond, 10*time.Second),
+				duration("hedge", "25ms", "Wait for the answer to a start before it is sent once more beside the first.", time.Millisecond, 10*time.Second),
 				duration("wait", "150ms", "Wait of a look at a backend server for the end of a run.", 0, 2*time.Second),
 				duration("quick", "30ms", "The same while an end is overdue or answers get lost.", 0, 2*time.Second),
 				duration("confirm", "400ms", "Silence of a backend server's failure domain, after the server was reached, before it is taken over from outside.", 0, time.Minute),
@@ -157,6 +158,7 @@
 	return pool.Limits{
 		Lease:   s.Duration(sectionPool, "lease"),
 		Answer:  s.Duration(sectionPool, "answer"),
+		Hedge:   s.Duration(sectionPool, "hedge"),
 		Wait:    s.Duration(sectionPool, "wait"),
 		Quick:   s.Duration(sectionPool, "quick"),
 		Confirm: s.Duration(sectionPool, "confirm"),
