A host that comes is answered at once; servers are taken over after 60 ms

Cause: after the loss of all power the first host served 0.20 s after its start, waiting for heartbeats and for a period of 100 ms. The homes of each failure domain are computed once for all servers.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -56,12 +56,31 @@
 	return homes
 }
 
-// Owner returns the host that should hold a backend server: a home of its own
+// owners chooses owners with the homes of each failure domain computed once.
+type owners struct {
+	view  View
+	homes map[string][]member.Host
+	all   []member.Host
+}
+
+func (v View) owners() owners {
+	return owners{
+		view:  v,
+		homes: map[string][]member.Host{},
+		all:   v.All(),
+	}
+}
+
+// of returns the host that should hold a backend server: a home of its own
 // failure domain, or of any when that has no hosts.
-func (v View) Owner(s listing.Server) (member.Host, bool) {
-	homes := v.Homes(s.Domain)
+func (o owners) of(s listing.Server) (member.Host, bool) {
+	homes, known := o.homes[s.Domain]
+	if !known {
+		homes = o.view.Homes(s.Domain)
+		o.homes[s.Domain] = homes
+	}
 	if len(homes) == 0 {
-		homes = v.All()
+		homes = o.all
 	}
 	return pick(s.ID, homes)
 }
@@ -131,10 +150,10 @@
 			claimed[id] = true
 		}
 	}
-	isolated := v.Isolated()
+	isolated, owners := v.Isolated(), v.owners()
 	var mine []listing.Server
 	for _, s := range v.Servers {
-		owner, ok := v.Owner(s)
+		owner, ok := owners.of(s)
 		if !ok || owner.Address != self.Address {
 			continue
 		}
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -163,12 +163,16 @@
 }
 
 func (r *Roster) tick() {
-	news := r.news()
 	r.mu.Lock()
 	cmds := r.model.Update(time.Now(), member.TickMsg{})
-	self := r.model.Self()
 	r.mu.Unlock()
-	r.run(cmds, wire.Beat{
+	r.run(cmds, r.beat())
+}
+
+// beat returns a heartbeat of this host.
+func (r *Roster) beat() wire.Beat {
+	news, self := r.news(), r.Self()
+	return wire.Beat{
 		Host:     self.Incarnation,
 		Address:  self.Address,
 		Domain:   self.Domain,
@@ -178,7 +182,7 @@
 		Held:     news.Held,
 		Queues:   news.Queues,
 		Print:    news.Version,
-	})
+	}
 }
 
 func (r *Roster) run(cmds []member.Cmd, beat wire.Beat) {
@@ -266,6 +270,10 @@
 	r.queues[b.Address] = b.Queues
 	r.mu.Unlock()
 	r.run(cmds, wire.Beat{})
+	if len(cmds) > 0 {
+		// A host that has just come hears of this one at once.
+		go r.send(b.Address, r.beat())
+	}
 	if claimed && len(cmds) == 0 {
 		for _, f := range r.onLive {
 			f()
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -71,7 +71,7 @@
 			Name: section,
 			Help: "Jobs that this host coordinates.",
 			Keys: []settings.Key{
-				duration("settle", "150ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
+				duration("settle", "60ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
 				duration("reattach", "300ms", "Time that work for a host whose link broke goes on, so that the host can attach to it again.", 0, time.Second),
 				duration("tick", "10ms", "Time between checks for what is overdue.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
@@ -244,7 +244,7 @@
 }
 
 // ownPeriod is how often ownership is computed again without a reason.
-const ownPeriod = 100 * time.Millisecond
+const ownPeriod = 50 * time.Millisecond
 
 // setConfig makes the shards of a configuration's services.
 func (s *Scheduler) setConfig(c route.Config) {
