--- a/cmd/rosemarywalk/main_test.go
+++ b/cmd/rosemarywalk/main_test.go
@@ -60,10 +60,19 @@
 	}
 }
 
+// editions are all programs that the command can run.
+var editions = []kernel.Edition{
+	kernel.Standalone,
+	kernel.Platform,
+}
+
 // TestDefaultsAreAccepted: serve accepts what settings prints.
 func TestDefaultsAreAccepted(t *testing.T) {
-	_, err := settings.Parse("default.ini", []byte(settings.Annotated(kernel.Schema(kernel.Standalone))), kernel.Schema(kernel.Standalone))
-	assert.NilError(t, err)
+	for _, edition := range editions {
+		schema := kernel.Schema(edition)
+		_, err := settings.Parse("default.ini", []byte(settings.Annotated(schema)), schema)
+		assert.NilError(t, err)
+	}
 }
 
 // TestDemo: the README's first command completes its job.
@@ -88,5 +97,7 @@
 func TestSettingsPage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(page), settings.Annotated(kernel.Schema(kernel.Standalone))), "docs/SETTINGS.md is out of date")
+	for _, edition := range editions {
+		assert.Assert(t, strings.Contains(string(page), settings.Annotated(kernel.Schema(edition))), "docs/SETTINGS.md is out of date for %s", edition)
+	}
 }
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -44,6 +44,16 @@
 	return room
 }
 
+// Idle reports whether nothing runs and every server is known to be free.
+func (m *Model) Idle() bool {
+	for _, s := range m.servers {
+		if len(s.runs) > 0 || s.phase != ready || s.misses > 0 || s.releasing {
+			return false
+		}
+	}
+	return true
+}
+
 // Pending returns how many runs have not ended.
 func (m *Model) Pending() int { return len(m.where) }
 
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -81,6 +81,9 @@
 // Jobs returns how many jobs have not ended.
 func (m *Model) Jobs() int { return len(m.jobs) }
 
+// Idle reports whether nothing is kept that time changes.
+func (m *Model) Idle() bool { return len(m.jobs) == 0 && len(m.finished) == 0 }
+
 // Waiting returns how many jobs of a route have not begun.
 func (m *Model) Waiting(route string) int {
 	n := 0
--- a/io/plugins/plugins.go
+++ b/io/plugins/plugins.go
@@ -13,6 +13,7 @@
 	_ "rosemarywalk/io/feed"
 	_ "rosemarywalk/io/host"
 	_ "rosemarywalk/io/member"
+	_ "rosemarywalk/io/memory"
 	_ "rosemarywalk/io/operator"
 	_ "rosemarywalk/io/peer"
 	_ "rosemarywalk/io/platform"
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -239,11 +239,11 @@
 		loop.Every(ctx, set.Duration(section, "tell"), func(context.Context) { s.tellRoom() })
 	})
 	loop.Append(lc, func(ctx context.Context) {
-		loop.Every(ctx, ownPeriod, func(context.Context) { s.own() })
+		loop.Every(ctx, ownPeriod, func(context.Context) { s.ownAgain() })
 	})
 }
 
-// ownPeriod is how often ownership is computed again without a reason.
+// ownPeriod is how often a host looks whether ownership is to be computed.
 const ownPeriod = 50 * time.Millisecond
 
 // setConfig makes the shards of a configuration's services.
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	shards  map[string]*Shard
 	servers []listing.Server
+	dirty   bool      // ownership is to be computed again
+	ownedAt time.Time // when it was
 	listed  time.Time // when the list of hosts was first seen
 }
 
@@ -122,11 +124,31 @@
 	return servers
 }
 
+// ownAgain computes which servers this host holds when something changed since,
+// or a while passed, in which rows may have aged.
+func (s *Scheduler) ownAgain() {
+	s.mu.Lock()
+	due := s.dirty || time.Since(s.ownedAt) >= ownLeast
+	s.mu.Unlock()
+	if due {
+		s.own()
+	}
+}
+
+// ownLeast is how often ownership is computed again without a change.
+const ownLeast = 500 * time.Millisecond
+
 // own computes again which servers this host holds.
 func (s *Scheduler) own() {
 	if !s.settled() {
+		s.mu.Lock()
+		s.dirty = true
+		s.mu.Unlock()
 		return
 	}
+	s.mu.Lock()
+	s.dirty, s.ownedAt = false, time.Now()
+	s.mu.Unlock()
 	self := s.parts.Roster.Self()
 	claims := s.parts.Roster.Claims()
 	for _, shard := range s.all() {
@@ -266,9 +288,18 @@
 	return s.jobs.Total()
 }
 
+// idle reports whether no time needs to pass in a shard.
+func (s *Shard) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs.Idle() && s.pool.Idle()
+}
+
 // tick lets time pass in all shards.
 func (s *Scheduler) tick() {
 	for _, shard := range s.all() {
-		shard.update(pool.TickMsg{}, schedule.TickMsg{})
+		if !shard.idle() {
+			shard.update(pool.TickMsg{}, schedule.TickMsg{})
+		}
 	}
 }
--- a/io/telemetry/log.go
+++ b/io/telemetry/log.go
@@ -1,31 +1,61 @@
 package telemetry
 
 import (
+	"os"
+	"time"
+
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
-	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"rosemarywalk/io/settings"
 )
 
-// NewLogger returns a logger to standard error with the format and level set.
-func NewLogger(s settings.Settings) (logr.Logger, error) {
-	config := zap.NewProductionConfig()
-	if s.Text(section, "format") == "console" {
-		config = zap.NewDevelopmentConfig()
-		config.Development = false
+// In each second, this many lines of one message are written, and then each
+// so-many-th; those left out are counted.
+const (
+	sampleFirst = 200
+	sampleEach  = 50
+)
+
+// The causes for which log lines are left out.
+const (
+	causeSampled = "sampled" // more lines of one message than are written in a second
+	causeFull    = "full"    // the lines can't be written as fast as they come
+)
+
+// NewLogger returns a logger with the format, level and output set; it never
+// blocks its callers.
+func NewLogger(lc fx.Lifecycle, s settings.Settings, r *prometheus.Registry) logr.Logger {
+	dropped := vector("log_lines_dropped_total", "Log lines that were not written.", "cause")
+	sampled, full := dropped.WithLabelValues(causeSampled), dropped.WithLabelValues(causeFull)
+	r.MustRegister(dropped)
+	out := os.Stderr
+	if s.Text(section, "output") == "stdout" {
+		out = os.Stdout
 	}
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.Level = zap.NewAtomicLevelAt(level(s.Text(section, "level")))
-	logger, err := config.Build()
-	if err != nil {
-		return logr.Discard(), errors.Annotate(err, "build logger")
+	lines := newWriter(out, full)
+	lc.Append(fx.StopHook(lines.drain))
+	core := zapcore.NewCore(encoder(s), lines, level(s.Text(section, "level")))
+	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleEach,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				sampled.Inc()
+			}
+		}))
+	return zapr.NewLogger(zap.New(core))
+}
+
+func encoder(s settings.Settings) zapcore.Encoder {
+	if s.Text(section, "format") == "console" {
+		return zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig())
 	}
-	return zapr.NewLogger(logger), nil
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zapcore.NewJSONEncoder(config)
 }
 
 func level(name string) zapcore.Level {
--- a/io/telemetry/plugin.go
+++ b/io/telemetry/plugin.go
@@ -19,7 +19,7 @@
 		Order: 0,
 		Settings: settings.Section{
 			Name: section,
-			Help: "Logs, written to standard error.",
+			Help: "Logs.",
 			Keys: []settings.Key{
 				{
 					Name:    "format",
@@ -27,6 +27,12 @@
 					Help:    "How log lines look.",
 					Kind:    settings.Choice{Of: []string{"json", "console"}},
 				},
+				{
+					Name:    "output",
+					Default: "stderr",
+					Help:    "Where log lines are written.",
+					Kind:    settings.Choice{Of: []string{"stdout", "stderr"}},
+				},
 				{
 					Name:    "level",
 					Default: "info",
