A stand-in of the users' platform, proofs with real processes, and a stop that cuts no request

Cause, found by TestPlatformStop (about one run in ten): net/http's Shutdown closes a connection whose first request it reads after the call, without an answer (jobs 26 to 28 of the run: no line in the log, EOF at the client). The standalone edition's stop had the same fault. Drain closes the listener and answers every request whose first byte has arrived. Ruled out: jobs left at the scheduler (busy 0). A connection reset before it was accepted is allowed by the test: seen as a dial error, no request was sent.

--- a/io/drain/plugin.go
+++ b/io/drain/plugin.go
@@ -130,8 +130,8 @@
 		s.log.Info("drain limit reached", "failed", cut)
 	}
 	s.handOver(ctx)
-	if err := s.Caller.Shutdown(ctx); err != nil {
-		s.log.Error(err, "callers were cut")
+	if !s.Caller.Drain(ctx) {
+		s.log.Info("callers were cut")
 	}
 	s.Peers.Finish(ctx)
 	s.log.Info("stopped")
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -153,8 +153,8 @@
 	time.Sleep(min(linger, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	h.log.Info("callers drained", "busy", h.scheduler.Busy(), "complete", err == nil)
+	complete := callers.Drain(ctx)
+	h.log.Info("callers drained", "busy", h.scheduler.Busy(), "complete", complete)
 	for time.Now().Before(end) && h.scheduler.Busy() > 0 {
 		time.Sleep(drainEvery)
 	}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -15,20 +15,26 @@
 
 // Server is one HTTP listener.
 type Server struct {
-	name string
-	http *http.Server
-	log  logr.Logger
+	name   string
+	http   *http.Server
+	active *active
+	log    logr.Logger
+
+	listener net.Listener
 }
 
 // New returns a listener that isn't started.
 func New(name, address string, handler http.Handler, log logr.Logger) *Server {
+	a := &active{conns: map[net.Conn]bool{}}
 	return &Server{
-		name: name,
-		log:  log.WithName(name),
+		name:   name,
+		active: a,
+		log:    log.WithName(name),
 		http: &http.Server{
 			Addr:              address,
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
+			ConnState:         a.note,
 		},
 	}
 }
@@ -39,18 +45,30 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for %s", s.name)
 	}
+	s.listener = listener
 	s.log.Info("listening", "address", listener.Addr().String())
 	go func() {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error(err, "listener failed")
 		}
 	}()
 	return nil
 }
 
-// Shutdown stops accepting and waits until no request is in flight.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Annotatef(s.http.Shutdown(ctx), "shut down %s", s.name)
+// drainEvery is how often Drain looks whether requests are left.
+const drainEvery = 5 * time.Millisecond
+
+// Drain stops accepting and answers every request that began to arrive, until
+// none is left or ctx ends; it reports whether none was. Shutdown would close a
+// connection whose request it reads after the call, without an answer.
+func (s *Server) Drain(ctx context.Context) bool {
+	_ = s.listener.Close()
+	for s.active.count() > 0 && ctx.Err() == nil {
+		time.Sleep(drainEvery)
+	}
+	left := s.active.count()
+	s.Close()
+	return left == 0
 }
 
 // Close ends the listener and its connections at once.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -214,11 +214,17 @@
 func (h *hostProcess) start() {
 	h.t.Helper()
 	h.log = &logFile{}
-	h.cmd = exec.Command(os.Args[0])
-	h.cmd.Env = append(os.Environ(), settingsVariable+"="+h.file)
+	h.run(exec.Command(os.Args[0]))
+}
+
+// run starts a command as a host, with more variables.
+func (h *hostProcess) run(cmd *exec.Cmd, variables ...string) {
+	h.t.Helper()
+	h.cmd = cmd
+	h.cmd.Env = append(append(os.Environ(), settingsVariable+"="+h.file), variables...)
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	assert.NilError(h.t, h.cmd.Start())
-	cmd, log := h.cmd, h.log
+	log := h.log
 	h.t.Cleanup(func() {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"testing"
@@ -11,15 +12,20 @@
 	_ "rosemarywalk/io/plugins"
 )
 
-// settingsVariable makes the test binary run as a host.
-const settingsVariable = "ROSEMARYWALK_PROOF_SETTINGS"
+// These make the test binary run as a host, of the standalone edition unless
+// another one is named.
+const (
+	settingsVariable = "ROSEMARYWALK_PROOF_SETTINGS"
+	editionVariable  = "ROSEMARYWALK_PROOF_EDITION"
+)
 
 func TestMain(m *testing.M) {
 	file := os.Getenv(settingsVariable)
 	if file == "" {
 		os.Exit(m.Run())
 	}
-	if err := kernel.Run(kernel.Standalone, file); err != nil {
+	edition := kernel.Edition(cmp.Or(os.Getenv(editionVariable), string(kernel.Standalone)))
+	if err := kernel.Run(edition, file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
