A refusal after a repeated call isn't passed on as not run; waiters share a failed dial

It came so late because each of the calls waiting for the same address dialed in turn, 200 ms each. Now: a refusal after a repeated call is answered as broken; calls that waited for a dial that failed share its failure. TestForward fails before.

--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -31,8 +31,10 @@
 
 // slot is one address; its lock keeps two dials from racing.
 type slot struct {
-	mu   sync.Mutex
-	link *link
+	mu     sync.Mutex
+	link   *link
+	failed time.Time // when the last dial failed
+	err    error     // why
 }
 
 // New returns an empty set of links; the dialer's timeout bounds a handshake too.
@@ -65,16 +67,23 @@
 
 func (l *Links) link(ctx context.Context, address string) (*link, error) {
 	s := l.slot(address)
+	began := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.link != nil && s.link.open() {
 		return s.link, nil
 	}
+	if s.failed.After(began) {
+		// The dial that this call waited for failed; each waiter trying again
+		// would hold up the next.
+		return nil, s.err
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.dial)
 	defer cancel()
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{HTTPClient: l.http})
 	if err != nil {
-		return nil, errors.WithType(err, ErrNoLink)
+		s.failed, s.err = time.Now(), errors.WithType(err, ErrNoLink)
+		return nil, s.err
 	}
 	s.link = newLink(conn, l.silence, l.counters)
 	go s.link.read(s.link.deliver)
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -38,7 +38,7 @@
 		Host: host,
 		Task: t,
 	}
-	answer, err := again(ctx, l.reattach, func() (wire.Frame, error) {
+	answer, repeated, err := again(ctx, l.reattach, func() (wire.Frame, error) {
 		return l.peers.Call(ctx, host, wire.Frame{Lend: lendOf(service, t, time.Now())})
 	})
 	switch {
@@ -51,6 +51,10 @@
 		end.End, end.Reason = work.EndUnknown, core.ReasonMalformed
 	default:
 		end.End = work.End(answer.Lent.End)
+		if repeated && end.End == work.EndNever {
+			// The first call may have started it.
+			end.End = work.EndUnknown
+		}
 		end.Reason = core.Reason(answer.Lent.Reason)
 		end.Task.Run = answer.Lent.Run
 		end.Server = answer.Lent.Server
@@ -61,19 +65,20 @@
 }
 
 // again repeats a call whose link broke, within the time in which the other
-// host waits for it. A link that can't be made again leaves the first error.
-func again(ctx context.Context, within time.Duration, call func() (wire.Frame, error)) (wire.Frame, error) {
-	answer, err := call()
+// host waits for it, and reports whether it did. A link that can't be made again
+// leaves the first error.
+func again(ctx context.Context, within time.Duration, call func() (wire.Frame, error)) (answer wire.Frame, repeated bool, err error) {
+	answer, err = call()
 	end := time.Now().Add(within - reattachMargin)
 	for errors.Is(err, peer.ErrBroken) && ctx.Err() == nil && time.Now().Before(end) {
 		next, again := call()
 		if !errors.Is(again, peer.ErrNoLink) {
-			answer, err = next, again
+			answer, repeated, err = next, true, again
 			continue
 		}
 		time.Sleep(reattachEvery)
 	}
-	return answer, err
+	return answer, repeated, err
 }
 
 const (
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -54,7 +54,7 @@
 const homeRetry = time.Second
 
 func (s *Scheduler) forward(ctx context.Context, home string, job work.Job) (work.Outcome, error) {
-	answer, err := again(ctx, s.parts.Reattach, func() (wire.Frame, error) {
+	answer, repeated, err := again(ctx, s.parts.Reattach, func() (wire.Frame, error) {
 		return s.parts.Peers.Call(ctx, home, wire.Frame{Submit: submitOf(job, time.Now())})
 	})
 	if err != nil {
@@ -63,11 +63,17 @@
 	if answer.Outcome == nil {
 		return work.Outcome{}, errors.New("answer without an outcome")
 	}
-	return work.Outcome{
+	outcome := work.Outcome{
 		State:  work.State(answer.Outcome.State),
 		Reason: core.Reason(answer.Outcome.Reason),
 		Retry:  time.Duration(answer.Outcome.Retry) * time.Millisecond,
-	}, nil
+	}
+	if repeated && outcome.State == work.Refused {
+		// A home that restarted knows nothing of the first call, after which
+		// tasks may have run.
+		outcome.State = work.Broken
+	}
+	return outcome, nil
 }
 
 // drop tells a home that no caller waits for a job.
