--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -25,6 +25,7 @@
 	defaultBodyBytes = 256 << 10
 	idDigits         = 16
 	configRetry      = 500 * time.Millisecond
+	leavingRetry     = 100 * time.Millisecond
 )
 
 // Handler serves callers.
@@ -39,6 +40,7 @@
 	latency   *telemetry.Latency
 	hold      time.Duration // longest time that a starting host keeps a job
 	opened    atomic.Bool   // this host was able to serve once
+	leaving   atomic.Bool   // a planned stop takes no more requests
 	waits     waits
 }
 
@@ -72,6 +74,10 @@
 
 func (h *Handler) routed(serve func(http.ResponseWriter, *http.Request, request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if h.leaving.Load() {
+			h.refuse(w, http.StatusServiceUnavailable, core.ReasonDraining, "this host stops; another one serves", leavingRetry)
+			return
+		}
 		arrived := time.Now()
 		h.untilAble(r.Context())
 		config := h.watcher.Config()
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -151,6 +151,8 @@
 	h.flag.Stop()
 	h.roster.Stop()
 	time.Sleep(min(linger, grace/2))
+	// What is taken from here on might not end before the process is killed.
+	h.leaving.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	complete := callers.Drain(ctx)
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -337,6 +338,43 @@
 	assert.Equal(t, s.submit(1001), http.StatusOK)
 }
 
+// TestPlatformStopRefuses: late in a planned stop, a request on a connection that
+// is still open is refused as not run, while a job that runs gets its answer.
+func TestPlatformStopRefuses(t *testing.T) {
+	s := newSite(t, 2, 4, standin.Conduct{
+		Run:   2 * time.Second,
+		Slots: 4,
+	})
+	h := s.hosts[0]
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.callers, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	ask := func(method, path, body string) int {
+		_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", method, path, siteVhost, len(body), body)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		return response.StatusCode
+	}
+	assert.Equal(t, ask(http.MethodGet, siteRoute, ""), http.StatusOK)
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := h.call(http.MethodPost, siteRoute+"00000000000000dd", submission(2))
+		answered <- status
+	}()
+	eventually(t, "the job runs", func() bool { return s.referee.Starts("00000000000000dd") == 2 })
+	h.signal(syscall.SIGTERM)
+	eventually(t, "the host leaves", func() bool { return containsMessage(h.log.String(), "stop began") })
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, ask(http.MethodPost, siteRoute+"00000000000000ee", submission(2)), http.StatusServiceUnavailable)
+	assert.Equal(t, <-answered, http.StatusOK)
+	assert.Equal(t, s.referee.Starts("00000000000000ee"), 0)
+	h.stopped()
+}
+
 // TestPlatformConfig: a configuration is in force soon after it is written,
 // and a host that can't read the store takes no older one back.
 func TestPlatformConfig(t *testing.T) {
