--- a/core/work/work.go
+++ b/core/work/work.go
@@ -131,4 +131,5 @@
 	State  State
 	Reason core.Reason
 	Retry  time.Duration // when to come back; 0 where that doesn't help
+	Home   string        // peer address of the host that coordinated the job
 }
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -183,7 +183,8 @@
 	age := time.Since(job.Arrived)
 	h.latency.Observe(job.Route, state, age)
 	h.log.Info("answer", "job", job.ID, "route", job.Route, "state", state, "reason", o.Reason,
-		"retry", o.Retry.String(), "age", age.String(), "config", job.Version)
+		"retry", o.Retry.String(), "home", o.Home, "age", age.String(), "wait", time.Until(job.Deadline).String(),
+		"config", job.Version)
 }
 
 func (h *Handler) look(w http.ResponseWriter, r *http.Request, req request) {
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -112,7 +112,7 @@
 		return nil, []effect{func() { go s.hold(cmd) }}, false
 	case pool.EndCmd:
 		if cmd.Owner != ownerSelf {
-			return nil, s.lentEnd(cmd), false
+			return nil, append(s.lentEnd(cmd), s.endNote(cmd)...), false
 		}
 		return []any{schedule.EndMsg{
 			Host:   s.self,
@@ -143,7 +143,7 @@
 	}
 	return []effect{func() {
 		s.log.Info("run ended", "job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run,
-			"end", cmd.End, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String())
+			"end", cmd.End, "for", cmd.Owner, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String())
 	}}
 }
 
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -23,9 +23,12 @@
 		view := s.parts.Roster.View(s.Servers(job.Service))
 		home, found := view.Home(job.ID, s.parts.Roster.Self().Domain)
 		if !found || home.Address == s.parts.Self {
-			return s.Shard(job.Service).Do(ctx, job, 0)
+			outcome, ok = s.Shard(job.Service).Do(ctx, job, 0)
+			outcome.Home = s.parts.Self
+			return outcome, ok
 		}
 		outcome, err := s.forward(ctx, home.Address, job)
+		outcome.Home = home.Address
 		switch {
 		case ctx.Err() != nil:
 			go s.drop(home.Address, job)
@@ -35,10 +38,11 @@
 			s.parts.Roster.Lost(home.Address)
 			continue
 		case err != nil:
-			s.parts.Log.Info("home lost", "job", job.ID, "home", home.Address, "error", err.Error())
+			s.parts.Log.Info("home lost", "job", job.ID, "home", home.Address, "age", time.Since(job.Arrived).String(), "error", err.Error())
 			return work.Outcome{
 				State:  work.Broken,
 				Reason: core.ReasonLink,
+				Home:   home.Address,
 			}, true
 		}
 		return outcome, true
