--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -9,6 +9,7 @@
 	"rosemarywalk/core/health"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/work"
+	"rosemarywalk/internal/pick"
 )
 
 var limits = Limits{
@@ -124,46 +125,10 @@
 	}
 }
 
-// ends returns the ends that a pool told.
-func ends(cmds []Cmd) []EndCmd {
-	var found []EndCmd
-	for _, cmd := range cmds {
-		if end, ok := cmd.(EndCmd); ok {
-			found = append(found, end)
-		}
-	}
-	return found
-}
-
-func starts(cmds []Cmd) []StartCmd {
-	var found []StartCmd
-	for _, cmd := range cmds {
-		if start, ok := cmd.(StartCmd); ok {
-			found = append(found, start)
-		}
-	}
-	return found
-}
-
-func holds(cmds []Cmd) []HoldCmd {
-	var found []HoldCmd
-	for _, cmd := range cmds {
-		if hold, ok := cmd.(HoldCmd); ok {
-			found = append(found, hold)
-		}
-	}
-	return found
-}
-
-func stops(cmds []Cmd) []StopCmd {
-	var found []StopCmd
-	for _, cmd := range cmds {
-		if stop, ok := cmd.(StopCmd); ok {
-			found = append(found, stop)
-		}
-	}
-	return found
-}
+func ends(cmds []Cmd) []EndCmd     { return pick.Of[EndCmd](cmds) }
+func starts(cmds []Cmd) []StartCmd { return pick.Of[StartCmd](cmds) }
+func holds(cmds []Cmd) []HoldCmd   { return pick.Of[HoldCmd](cmds) }
+func stops(cmds []Cmd) []StopCmd   { return pick.Of[StopCmd](cmds) }
 
 // TestTakeover: a new owner looks without extending any lease, stops what it
 // doesn't know, and uses the server only when that is gone.
--- a/core/schedule/model_test.go
+++ b/core/schedule/model_test.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/work"
+	"rosemarywalk/internal/pick"
 )
 
 var limits = Limits{
@@ -70,35 +71,9 @@
 	}
 }
 
-func runs(cmds []Cmd) []RunCmd {
-	var found []RunCmd
-	for _, cmd := range cmds {
-		if run, ok := cmd.(RunCmd); ok {
-			found = append(found, run)
-		}
-	}
-	return found
-}
-
-func answers(cmds []Cmd) []AnswerCmd {
-	var found []AnswerCmd
-	for _, cmd := range cmds {
-		if answer, ok := cmd.(AnswerCmd); ok {
-			found = append(found, answer)
-		}
-	}
-	return found
-}
-
-func halts(cmds []Cmd) []HaltCmd {
-	var found []HaltCmd
-	for _, cmd := range cmds {
-		if halt, ok := cmd.(HaltCmd); ok {
-			found = append(found, halt)
-		}
-	}
-	return found
-}
+func runs(cmds []Cmd) []RunCmd       { return pick.Of[RunCmd](cmds) }
+func answers(cmds []Cmd) []AnswerCmd { return pick.Of[AnswerCmd](cmds) }
+func halts(cmds []Cmd) []HaltCmd     { return pick.Of[HaltCmd](cmds) }
 
 func ended(run RunCmd, end work.End) EndMsg {
 	return EndMsg{
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,13 @@
+// Package pick selects the commands of one type in tests.
+package pick
+
+// Of returns the commands of type T, in their order.
+func Of[T, C any](cmds []C) []T {
+	var found []T
+	for _, cmd := range cmds {
+		if match, ok := any(cmd).(T); ok {
+			found = append(found, match)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/io/beat/beat.go
@@ -0,0 +1,45 @@
+package beat
+
+import (
+	"rosemarywalk/core/member"
+	"rosemarywalk/io/wire"
+)
+
+// Known returns hosts as they ride on a heartbeat.
+func Known(hosts []member.Host) []wire.Known {
+	known := make([]wire.Known, 0, len(hosts))
+	for _, h := range hosts {
+		known = append(known, wire.Known{
+			Host:     h.Incarnation,
+			Address:  h.Address,
+			Domain:   h.Domain,
+			Count:    h.Count,
+			Stopping: h.Stopping,
+			Born:     int(h.Born),
+		})
+	}
+	return known
+}
+
+// Msg returns what a heartbeat says of its sender and of other hosts.
+func Msg(b *wire.Beat) member.BeatMsg {
+	msg := member.BeatMsg{From: member.Host{
+		Incarnation: b.Host,
+		Address:     b.Address,
+		Domain:      b.Domain,
+		Count:       b.Count,
+		Stopping:    b.Stopping,
+		Born:        int64(b.Born),
+	}}
+	for _, k := range b.Known {
+		msg.Known = append(msg.Known, member.Host{
+			Incarnation: k.Host,
+			Address:     k.Address,
+			Domain:      k.Domain,
+			Count:       k.Count,
+			Stopping:    k.Stopping,
+			Born:        int64(k.Born),
+		})
+	}
+	return msg
+}
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -11,6 +11,7 @@
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/place"
 	"rosemarywalk/core/ticket"
+	"rosemarywalk/io/beat"
 	"rosemarywalk/io/platform"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -201,12 +202,12 @@
 	return beat
 }
 
-func (f *Fleet) run(cmds []member.Cmd, beat wire.Beat) {
+func (f *Fleet) run(cmds []member.Cmd, news wire.Beat) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case member.SendCmd:
-			own := beat
-			own.Known = knownOf(cmd.Known)
+			own := news
+			own.Known = beat.Known(cmd.Known)
 			go f.send(cmd.Address, own)
 		case member.LiveCmd:
 			f.sizer.SetRoles(f.role)
@@ -224,41 +225,10 @@
 	}
 }
 
-func knownOf(hosts []member.Host) []wire.Known {
-	known := make([]wire.Known, 0, len(hosts))
-	for _, h := range hosts {
-		known = append(known, wire.Known{
-			Host:     h.Incarnation,
-			Address:  h.Address,
-			Domain:   h.Domain,
-			Count:    h.Count,
-			Stopping: h.Stopping,
-		})
-	}
-	return known
-}
-
 // ServeBeat takes a heartbeat from another host.
 func (f *Fleet) ServeBeat(_ context.Context, frame wire.Frame) (wire.Frame, bool) {
 	b := frame.Beat
-	msg := member.BeatMsg{
-		From: member.Host{
-			Incarnation: b.Host,
-			Address:     b.Address,
-			Domain:      b.Domain,
-			Count:       b.Count,
-			Stopping:    b.Stopping,
-		},
-	}
-	for _, k := range b.Known {
-		msg.Known = append(msg.Known, member.Host{
-			Incarnation: k.Host,
-			Address:     k.Address,
-			Domain:      k.Domain,
-			Count:       k.Count,
-			Stopping:    k.Stopping,
-		})
-	}
+	msg := beat.Msg(b)
 	f.mu.Lock()
 	cmds := f.model.Update(f.now(), msg)
 	f.learnSuccessors(b.Successors)
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/owner"
+	"rosemarywalk/io/beat"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -185,12 +186,12 @@
 	}
 }
 
-func (r *Roster) run(cmds []member.Cmd, beat wire.Beat) {
+func (r *Roster) run(cmds []member.Cmd, news wire.Beat) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case member.SendCmd:
-			own := beat
-			own.Known = knownOf(cmd.Known)
+			own := news
+			own.Known = beat.Known(cmd.Known)
 			go r.send(cmd.Address, own)
 		case member.LiveCmd:
 			r.changed(cmd.Hosts)
@@ -227,42 +228,10 @@
 	}
 }
 
-func knownOf(hosts []member.Host) []wire.Known {
-	known := make([]wire.Known, 0, len(hosts))
-	for _, h := range hosts {
-		known = append(known, wire.Known{
-			Host:     h.Incarnation,
-			Address:  h.Address,
-			Domain:   h.Domain,
-			Count:    h.Count,
-			Stopping: h.Stopping,
-			Born:     int(h.Born),
-		})
-	}
-	return known
-}
-
 // ServeBeat takes a heartbeat from another host.
 func (r *Roster) ServeBeat(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	b := f.Beat
-	msg := member.BeatMsg{From: member.Host{
-		Incarnation: b.Host,
-		Address:     b.Address,
-		Domain:      b.Domain,
-		Count:       b.Count,
-		Stopping:    b.Stopping,
-		Born:        int64(b.Born),
-	}}
-	for _, k := range b.Known {
-		msg.Known = append(msg.Known, member.Host{
-			Incarnation: k.Host,
-			Address:     k.Address,
-			Domain:      k.Domain,
-			Count:       k.Count,
-			Stopping:    k.Stopping,
-			Born:        int64(k.Born),
-		})
-	}
+	msg := beat.Msg(b)
 	r.mu.Lock()
 	cmds := r.model.Update(time.Now(), msg)
 	claimed := !slices.Equal(r.claims[b.Address], b.Held)
