--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -123,19 +123,28 @@
 	})
 }
 
-func (s *site) addHost(i int) {
-	ip := hostIP(i)
-	port := func() string {
+// freeAddresses returns four addresses that nothing listens at. All are held
+// until the last is found, or else one may be given twice.
+func freeAddresses(t *testing.T, ip string) [4]string {
+	t.Helper()
+	var addresses [4]string
+	for i := range addresses {
 		l, err := net.Listen("tcp", ip+":0")
-		assert.NilError(s.t, err)
+		assert.NilError(t, err)
 		defer func() { _ = l.Close() }()
-		return l.Addr().String()
+		addresses[i] = l.Addr().String()
 	}
-	callers, ready := port(), port()
+	return addresses
+}
+
+func (s *site) addHost(i int) {
+	ip := hostIP(i)
+	addresses := freeAddresses(s.t, ip)
+	callers, ready := addresses[0], addresses[1]
 	lines := []string{
 		"[self]", fmt.Sprintf("name = host-%d", i), "domain = " + domains[i%2],
-		"[entry]", "listen = " + callers, "ready = " + ready, "metrics = " + port(), "linger = 200ms", "grace = 20s",
-		"[peer]", "listen = " + port(), "silence = 2s",
+		"[entry]", "listen = " + callers, "ready = " + ready, "metrics = " + addresses[2], "linger = 200ms", "grace = 20s",
+		"[peer]", "listen = " + addresses[3], "silence = 2s",
 		"[store]", "address = " + s.address,
 		// A loaded machine must not look like a lost answer.
 		"[pool]", "answer = 900ms", "hedge = 300ms",
