--- a/examples/schedule/main.go
+++ b/examples/schedule/main.go
@@ -46,7 +46,7 @@
 }
 
 // room is servers that each hold two of the jobs' tasks, and give them back
-// within a tenth of a second.
+// within a third of a second.
 func room() pool.Room {
 	size := work.Size{
 		CPU:    16000,
@@ -54,7 +54,7 @@
 	}
 	r := pool.Room{
 		Total:   servers * size.CPU,
-		Flow:    servers * size.CPU * 10,
+		Flow:    servers * size.CPU * 3,
 		Largest: size,
 	}
 	for range servers {
