--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -56,6 +56,18 @@
 	return homes
 }
 
+// Coordinators returns the hosts that may have jobs: the homes, and those that
+// stop, which still end what they took.
+func (v View) Coordinators() []member.Host {
+	hosts := v.All()
+	for _, h := range v.Hosts {
+		if h.Stopping {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // owners chooses owners with the homes of each failure domain computed once.
 type owners struct {
 	view  View
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -192,3 +192,18 @@
 		})
 	}
 }
+
+// TestCoordinators: a host that stops still hears of room, as its jobs go on.
+func TestCoordinators(t *testing.T) {
+	v := View{
+		Hosts:   fleet(3),
+		Servers: servers(9),
+		PerHome: 100,
+	}
+	v.Hosts[0].Stopping = true
+	var addresses []string
+	for _, h := range v.Coordinators() {
+		addresses = append(addresses, h.Address)
+	}
+	assert.DeepEqual(t, addresses, []string{v.Hosts[1].Address, v.Hosts[0].Address})
+}
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -216,7 +216,8 @@
 // holds reports whether this host holds backend servers of the service.
 func (s *Shard) holds() bool { return len(s.Held()) > 0 }
 
-// tellRoom sends the free room of shards whose room changed to the other homes.
+// tellRoom sends the free room of shards whose room changed to the other hosts
+// that coordinate jobs.
 func (s *Scheduler) tellRoom() {
 	for _, shard := range s.all() {
 		frame, ok := shard.roomFrame()
@@ -227,7 +228,7 @@
 			continue
 		}
 		view := s.parts.Roster.View(s.Servers(shard.service))
-		for _, h := range view.All() {
+		for _, h := range view.Coordinators() {
 			if h.Address != s.parts.Self {
 				go s.send(h.Address, frame)
 			}
