--- a/core/route/route.go
+++ b/core/route/route.go
@@ -48,22 +48,3 @@
 	}
 	return r, rest, ok
 }
-
-// Find returns a route by its name.
-func (c Config) Find(name string) (Route, bool) {
-	for _, r := range c.Routes {
-		if r.Name == name {
-			return r, true
-		}
-	}
-	return Route{}, false
-}
-
-// Newer returns the configuration with the higher version, so that no order
-// of arrival makes a host go back.
-func (c Config) Newer(other Config) Config {
-	if other.Version > c.Version {
-		return other
-	}
-	return c
-}
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -53,5 +53,4 @@
 	// Decode reads a configuration as the operator wrote it.
 	Decode(raw []byte) (route.Config, error)
 	Announce(ctx context.Context, h listing.Host) error
-	Withdraw(ctx context.Context, name string) error
 }
