One answer to a start sent twice proves nothing about the other order

Cause: a start without an answer for 25 ms is sent once more beside the first. Ruled out: the same job at two homes; both starts were ordered or lent by one. Now a rejection counts only when no other order of the run is open. Tests: TestHedgeAnswers, TestHedgeAnswersWhileStopped, which failed before.

--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -636,3 +636,102 @@
 	b.model.servers["a"].misses = 1
 	assert.Equal(t, b.model.Room(b.now).Total, 16000)
 }
+
+// TestHedgeAnswers: one answer to a start that was sent twice proves nothing
+// about the other order, which may have been carried out.
+func TestHedgeAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  Result
+		second Result
+		ends   []work.End
+		runs   int // that are still counted on the server
+		run    int // number of the run that is counted
+	}{
+		{
+			name:   "one unhealthy, the other accepted",
+			first:  Busy,
+			second: Accepted,
+			runs:   1,
+			run:    1,
+		},
+		{
+			name:   "one without room, the other accepted",
+			first:  Full,
+			second: Accepted,
+			runs:   1,
+			run:    1,
+		},
+		{
+			name:   "one unhealthy, the other unanswered",
+			first:  Busy,
+			second: Unanswered,
+			runs:   1,
+			run:    1,
+		},
+		{
+			name:   "one too old, the other accepted",
+			first:  Old,
+			second: Accepted,
+			runs:   1,
+			run:    1,
+		},
+		{
+			name:   "both unhealthy",
+			first:  Busy,
+			second: Busy,
+			ends:   []work.End{work.EndNever},
+		},
+		{
+			name:   "never sent, the other unhealthy",
+			first:  Unsent,
+			second: Busy,
+			ends:   []work.End{work.EndNever},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, "a")
+			b.do(RunMsg{Task: taskOf("j")})
+			b.pass(limits.Hedge)
+			assert.Equal(t, len(starts(b.do(TickMsg{}))), 1)
+			var got []work.End
+			for _, result := range []Result{test.first, test.second} {
+				for _, end := range ends(b.do(StartedMsg{
+					Server: "a",
+					Name:   "j.0.0.0",
+					Run:    1,
+					Result: result,
+					Clock:  b.clock(),
+				})) {
+					got = append(got, end.End)
+				}
+			}
+			assert.DeepEqual(t, got, test.ends)
+			assert.Equal(t, len(b.model.servers["a"].runs), test.runs)
+			if test.runs > 0 {
+				assert.Equal(t, b.model.servers["a"].runs["j.0.0.0"].task.Run, test.run)
+			}
+		})
+	}
+}
+
+// TestHedgeAnswersWhileStopped: the same for a run whose stop was ordered.
+func TestHedgeAnswersWhileStopped(t *testing.T) {
+	b := newBench(t, "a")
+	b.do(RunMsg{Task: taskOf("j")})
+	b.pass(limits.Hedge)
+	b.do(TickMsg{})
+	b.do(StopMsg{Name: "j.0.0.0"})
+	answer := func(result Result) []EndCmd {
+		return ends(b.do(StartedMsg{
+			Server: "a",
+			Name:   "j.0.0.0",
+			Run:    1,
+			Result: result,
+			Clock:  b.clock(),
+		}))
+	}
+	assert.Equal(t, len(answer(Busy)), 0)
+	assert.Equal(t, answer(Busy)[0].End, work.EndNever)
+}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -172,6 +172,10 @@
 	if r.state != starting {
 		return m.startedLate(now, s, r, msg)
 	}
+	if r.open > 0 && rejects(msg.Result) {
+		// The other order may have been carried out; its answer decides.
+		return nil
+	}
 	switch msg.Result {
 	case Accepted:
 		r.state, r.confirmed, r.listed = running, now, now
@@ -204,7 +208,7 @@
 	case Replaced:
 		return m.replaced(now, s)
 	case Full, Busy, Invalid:
-		if !r.unclear && r.confirmed.IsZero() {
+		if r.open == 0 && !r.unclear && r.confirmed.IsZero() {
 			return m.end(now, s, r, work.EndNever, core.ReasonBusy)
 		}
 	case Old, Late, Unsent:
@@ -217,6 +221,9 @@
 // answered reports whether a server itself gave the result.
 func answered(r Result) bool { return r != Unsent && r != Unanswered && r != Replaced }
 
+// rejects reports whether a server did nothing for an order.
+func rejects(r Result) bool { return r == Old || r == Full || r == Busy || r == Invalid }
+
 // old takes the answer that the run's number is too low there: the run has
 // ended unseen, or an earlier life of the same job used the number.
 func (m *Model) old(now time.Time, s *server, r *run) []Cmd {
