Heartbeats cost less

Cause: of the 1.7 % of a core that an idle host of nine takes on the stand-in, two thirds are heartbeats: 42 a second are sent and as many taken, each with a goroutine on both sides and two timers. Ruled out: their size; encoding is a tenth of it. Now a foreign failure domain gets one each second period, live hosts in turn, and a silent one each fourth time; handlers that don't wait serve frames in order without a goroutine; the watch that pings a link bounds its writes too. TestUnreadLink replaces the write's own time-out.

--- a/core/member/model.go
+++ b/core/member/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -78,18 +79,21 @@
 type Model struct {
 	self   Host
 	limits Limits
-	rng    *rand.Rand
+	offset int // of this host's turns, so that hosts don't all choose the same target
 	peers  map[string]*peer
 	turn   int // of the entries that ride along in turn
 	period int // heartbeat periods so far
 }
 
+// offsets is how many different turns hosts may begin at.
+const offsets = 1 << 10
+
 // New returns a view that knows only the host itself; rng must be seeded.
 func New(self Host, limits Limits, rng *rand.Rand) *Model {
 	return &Model{
 		self:   self,
 		limits: limits,
-		rng:    rng,
+		offset: rng.IntN(offsets),
 		peers:  map[string]*peer{},
 		period: 1, // 0 is for hosts that were never heard themselves
 	}
@@ -230,26 +234,60 @@
 	return changed
 }
 
-// targets returns own-domain hosts, unknown seeds, and one host a foreign domain.
+// foreignEvery is after how many periods a foreign failure domain gets the next
+// heartbeat; its hosts relay each one within a period.
+const foreignEvery = 2
+
+// probeEvery is after how many of its heartbeats a foreign failure domain gets one
+// more, at a host that is silent.
+const probeEvery = 4
+
+// targets returns own-domain hosts, unknown seeds, and one host of each foreign
+// domain whose turn it is.
 func (m *Model) targets() []string {
 	var targets []string
-	foreign := map[string][]string{}
+	foreign := map[string]*candidates{}
 	for _, p := range m.sorted() {
 		switch p.host.Domain {
 		case m.self.Domain, "":
 			targets = append(targets, p.host.Address)
-		default:
-			foreign[p.host.Domain] = append(foreign[p.host.Domain], p.host.Address)
+			continue
+		}
+		c := foreign[p.host.Domain]
+		if c == nil {
+			c = &candidates{}
+			foreign[p.host.Domain] = c
+		}
+		c.add(p)
+	}
+	for i, domain := range slices.Sorted(maps.Keys(foreign)) {
+		if (m.period+i)%foreignEvery == 0 {
+			targets = append(targets, foreign[domain].next(m.offset+m.period/foreignEvery)...)
 		}
 	}
-	domains := make([]string, 0, len(foreign))
-	for domain := range foreign {
-		domains = append(domains, domain)
+	return targets
+}
+
+// candidates is the hosts of a foreign failure domain.
+type candidates struct{ live, silent []string }
+
+func (c *candidates) add(p *peer) {
+	if p.alive {
+		c.live = append(c.live, p.host.Address)
+		return
+	}
+	c.silent = append(c.silent, p.host.Address)
+}
+
+// next returns the targets of one turn: the live hosts one after the other, and
+// now and then a silent one, which may have come back.
+func (c *candidates) next(turn int) []string {
+	var targets []string
+	if len(c.live) > 0 {
+		targets = append(targets, c.live[turn%len(c.live)])
 	}
-	slices.Sort(domains)
-	for _, domain := range domains {
-		hosts := foreign[domain]
-		targets = append(targets, hosts[m.rng.IntN(len(hosts))])
+	if len(c.silent) > 0 && (len(c.live) == 0 || turn%probeEvery == 0) {
+		targets = append(targets, c.silent[turn/probeEvery%len(c.silent)])
 	}
 	return targets
 }
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -28,6 +28,9 @@
 type Handler struct {
 	Part  Part
 	Serve func(ctx context.Context, f wire.Frame) (answer wire.Frame, ok bool)
+	// InOrder serves frames one after the other, as they arrived on a link; for
+	// handlers that don't wait.
+	InOrder bool
 }
 
 // partOf returns what a frame asks for, or "" for an answer.
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -21,10 +21,7 @@
 // ErrNoLink says that no link could be made; the call was not sent.
 const ErrNoLink = errors.ConstError("peer can't be reached")
 
-const (
-	frameBytesMax   = 256 << 20
-	writeTimeoutMax = 5 * time.Second
-)
+const frameBytesMax = 256 << 20
 
 // link is one WebSocket connection with its pending calls.
 type link struct {
@@ -103,19 +100,14 @@
 	}
 	l.counters.Bytes(kindOf(f), len(raw))
 	l.wrote.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), l.writeTimeout())
-	defer cancel()
-	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
+	// The watch closes a link whose peer reads nothing, which ends the write.
+	if err := l.conn.Write(context.Background(), websocket.MessageBinary, raw); err != nil {
 		l.close()
 		return errors.WithType(err, ErrBroken)
 	}
 	return nil
 }
 
-// writeTimeout bounds one write: a peer that reads nothing fills the
-// connection, and must not hold back other frames for longer than its silence.
-func (l *link) writeTimeout() time.Duration { return min(writeTimeoutMax, 2*l.silence) }
-
 // read passes incoming frames on until the link breaks.
 func (l *link) read(serve func(wire.Frame)) {
 	defer l.close()
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -81,3 +83,25 @@
 		return poll.Continue("no beat heard over a new link")
 	}, poll.WithTimeout(20*time.Second))
 }
+
+// TestUnreadLink: a link whose peer reads nothing is closed, and the write that
+// waits for it ends.
+func TestUnreadLink(t *testing.T) {
+	const silence = 100 * time.Millisecond
+	release := make(chan struct{})
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, nil)
+		assert.Check(t, err)
+		<-release
+		_ = conn.CloseNow()
+	}))
+	defer web.Close()
+	defer close(release)
+	counters := telemetry.NewCounters(telemetry.NewRegistry())
+	links := New(&net.Dialer{Timeout: time.Second}, silence, counters, logr.Discard())
+	defer links.Close()
+	const overAllBuffers = 64 << 20
+	frame := wire.Frame{Config: &wire.Config{Body: strings.Repeat("x", overAllBuffers)}}
+	err := links.Send(t.Context(), strings.TrimPrefix(web.URL, "http://"), frame)
+	assert.ErrorIs(t, err, ErrBroken)
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -74,22 +74,30 @@
 	if !ok {
 		return
 	}
+	if h.InOrder {
+		s.answer(ctx, l, h, f)
+		return
+	}
 	s.active.Add(1)
 	l.serving.Add(1)
 	go func() {
 		defer s.active.Add(-1)
 		defer l.serving.Add(-1)
-		answer, ok := h.Serve(ctx, f)
-		if !ok || f.Id == 0 {
-			return
-		}
-		answer.Id = f.Id
-		if err := l.write(answer); err != nil {
-			s.log.V(1).Info("answer not delivered", "error", err.Error())
-		}
+		s.answer(ctx, l, h, f)
 	}()
 }
 
+func (s *Server) answer(ctx context.Context, l *link, h Handler, f wire.Frame) {
+	answer, ok := h.Serve(ctx, f)
+	if !ok || f.Id == 0 {
+		return
+	}
+	answer.Id = f.Id
+	if err := l.write(answer); err != nil {
+		s.log.V(1).Info("answer not delivered", "error", err.Error())
+	}
+}
+
 // Finish waits until every call has its answer, or until ctx ends.
 func (s *Server) Finish(ctx context.Context) {
 	ticker := time.NewTicker(finishEvery)
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -137,8 +137,9 @@
 	r.OnVersion(f.heard)
 	return served{
 		Beat: peer.Handler{
-			Part:  peer.PartBeat,
-			Serve: r.ServeBeat,
+			Part:    peer.PartBeat,
+			Serve:   r.ServeBeat,
+			InOrder: true,
 		},
 		Fetch: peer.Handler{
 			Part:  peer.PartFetch,
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -219,10 +219,8 @@
 }
 
 func (r *Roster) send(address string, beat wire.Beat) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.period)
-	defer cancel()
 	r.counters.Messages("heartbeat", 1)
-	err := r.peers.Send(ctx, address, wire.Frame{Beat: &beat})
+	err := r.peers.Send(context.Background(), address, wire.Frame{Beat: &beat})
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		r.Lost(address)
 	}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -217,8 +217,9 @@
 			Serve: s.ServeHalt,
 		},
 		Room: peer.Handler{
-			Part:  peer.PartRoom,
-			Serve: s.ServeRoom,
+			Part:    peer.PartRoom,
+			Serve:   s.ServeRoom,
+			InOrder: true,
 		},
 		Find: peer.Handler{
 			Part:  peer.PartFind,
