--- a/core/member/model.go
+++ b/core/member/model.go
@@ -16,6 +16,8 @@
 	Count       int    // heartbeat counter
 	Stopping    bool   // a planned stop began
 	Born        int64  // start of the process, Unix milliseconds; 0 is unknown
+
+	Age time.Duration // of Count, where another host tells of this one
 }
 
 // Limits sets the pace of heartbeats and how long silence is tolerated.
@@ -134,7 +136,11 @@
 func (m *Model) beat(now time.Time, msg BeatMsg) []Cmd {
 	changed := m.direct(now, msg)
 	for _, h := range msg.Known {
-		changed = m.indirect(now, h) || changed
+		heard := now.Add(-h.Age)
+		h.Age = 0
+		if now.Sub(heard) < m.limits.Dead {
+			changed = m.indirect(heard, h) || changed
+		}
 	}
 	if !changed {
 		return nil
@@ -162,8 +168,9 @@
 	return changed
 }
 
-// indirect takes what a third host says; it can't replace a live incarnation.
-func (m *Model) indirect(now time.Time, h Host) bool {
+// indirect takes what a third host heard at some time; it can't replace a live
+// incarnation.
+func (m *Model) indirect(heard time.Time, h Host) bool {
 	if h.Address == m.self.Address {
 		return false
 	}
@@ -172,16 +179,16 @@
 	case p == nil:
 		m.peers[h.Address] = &peer{
 			host:  h,
-			heard: now,
+			heard: heard,
 			alive: true,
 		}
 		return true
 	case p.host.Incarnation == h.Incarnation && h.Count > p.host.Count:
 		changed := !p.alive || p.host.Stopping != h.Stopping
-		p.host, p.heard, p.alive = h, now, true
+		p.host, p.heard, p.alive = h, heard, true
 		return changed
 	case p.host.Incarnation != h.Incarnation && !p.alive:
-		p.host, p.heard, p.alive = h, now, true
+		p.host, p.heard, p.alive = h, heard, true
 		return true
 	}
 	return false
@@ -190,11 +197,11 @@
 func (m *Model) tick(now time.Time) []Cmd {
 	m.self.Count++
 	changed := m.expire(now)
-	fresh := m.fresh()
+	fresh := m.fresh(now)
 	m.period++
 	var cmds []Cmd
 	for _, address := range m.targets() {
-		known := m.known(address)
+		known := m.known(now, address)
 		if m.isOwnDomain(address) {
 			known = append(known, fresh...)
 		}
@@ -295,11 +302,11 @@
 // fresh returns the foreign hosts that were heard themselves in this period.
 // Each of them chose this host alone in its failure domain, so the others
 // learn of it from here, one hop and one period later.
-func (m *Model) fresh() []Host {
+func (m *Model) fresh(now time.Time) []Host {
 	var fresh []Host
 	for _, p := range m.sorted() {
 		if p.direct == m.period && p.host.Domain != m.self.Domain {
-			fresh = append(fresh, p.host)
+			fresh = append(fresh, p.aged(now))
 		}
 	}
 	return fresh
@@ -320,19 +327,31 @@
 }
 
 // known returns the next few live entries in turn, without the receiver.
-func (m *Model) known(receiver string) []Host {
-	live := m.Live()
+func (m *Model) known(now time.Time, receiver string) []Host {
+	var live []*peer
+	for _, p := range m.sorted() {
+		if p.alive {
+			live = append(live, p)
+		}
+	}
 	var known []Host
 	for range min(m.limits.Known, len(live)) {
-		h := live[m.turn%len(live)]
+		p := live[m.turn%len(live)]
 		m.turn++
-		if h.Address != receiver && h.Address != m.self.Address {
-			known = append(known, h)
+		if p.host.Address != receiver {
+			known = append(known, p.aged(now))
 		}
 	}
 	return known
 }
 
+// aged returns the host with the age of what is known of it.
+func (p *peer) aged(now time.Time) Host {
+	h := p.host
+	h.Age = now.Sub(p.heard)
+	return h
+}
+
 // Live returns the hosts that count as alive, this one included, by address.
 func (m *Model) Live() []Host {
 	live := []Host{m.self}
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -82,6 +82,10 @@
 	return true
 }
 
+// noticed is after how many periods a death must be known: the silence that is
+// tolerated, one period for the relay, and one that rounds up.
+const noticed = 7
+
 // TestFleetFindsItself: from one seed, every host learns of all others, a
 // dead host is noticed by all, and nobody is taken for dead without cause.
 func TestFleetFindsItself(t *testing.T) {
@@ -93,6 +97,10 @@
 			hosts:   9,
 			domains: 4,
 		},
+		{
+			hosts:   29,
+			domains: 4,
+		},
 		{
 			hosts:   63,
 			domains: 7,
@@ -113,7 +121,7 @@
 			w.down[addressOf(test.hosts-1)] = true
 			silent := 0
 			for ; !w.agreed(); silent++ {
-				assert.Assert(t, silent < 30, "a dead host isn't noticed")
+				assert.Assert(t, silent < noticed, "a dead host isn't noticed")
 				w.step()
 			}
 			w.sent = 0
--- a/io/beat/beat.go
+++ b/io/beat/beat.go
@@ -1,6 +1,8 @@
 package beat
 
 import (
+	"time"
+
 	"rosemarywalk/core/member"
 	"rosemarywalk/io/wire"
 )
@@ -16,6 +18,7 @@
 			Count:    h.Count,
 			Stopping: h.Stopping,
 			Born:     int(h.Born),
+			Age:      int(h.Age.Milliseconds()),
 		})
 	}
 	return known
@@ -39,6 +42,7 @@
 			Count:       k.Count,
 			Stopping:    k.Stopping,
 			Born:        int64(k.Born),
+			Age:         time.Duration(k.Age) * time.Millisecond,
 		})
 	}
 	return msg
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -259,6 +259,9 @@
 	// Peer address.
 	Address string `cbor:"address" json:"address"`
 
+	// Milliseconds since the host's counter was heard.
+	Age int `cbor:"age" json:"age"`
+
 	// Start of the process, Unix milliseconds.
 	Born int `cbor:"born" json:"born"`
 
