--- a/core/member/model.go
+++ b/core/member/model.go
@@ -16,6 +16,7 @@
 	Count       int    // heartbeat counter
 	Stopping    bool   // a planned stop began
 	Born        int64  // start of the process, Unix milliseconds; 0 is unknown
+	Cores       int    // of its processor, in thousandths; 0 is unknown
 
 	Age time.Duration // of Count, where another host tells of this one
 }
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,8 +19,8 @@
 	PerHome int              // most backend servers that one home should hold
 }
 
-// Homes returns the homes of a failure domain, the oldest host first. A domain
-// without hosts has none.
+// Homes returns the homes of a failure domain: its strongest hosts, and the
+// oldest among equals. A domain without hosts has none.
 func (v View) Homes(domain string) []member.Host {
 	var hosts []member.Host
 	for _, h := range v.Hosts {
@@ -27,7 +28,7 @@
 			hosts = append(hosts, h)
 		}
 	}
-	slices.SortFunc(hosts, older)
+	slices.SortFunc(hosts, fitter)
 	servers := 0
 	for _, s := range v.Servers {
 		if s.Domain == domain {
@@ -38,8 +39,8 @@
 	return hosts[:min(len(hosts), max(1, count))]
 }
 
-func older(a, b member.Host) int {
-	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Address, b.Address))
+func fitter(a, b member.Host) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Born, b.Born), cmp.Compare(a.Address, b.Address))
 }
 
 // All returns the homes of every failure domain that has hosts.
@@ -106,19 +107,31 @@
 	return pick(job, homes)
 }
 
-// pick chooses a host by rendezvous hashing.
+// pick chooses a host by rendezvous hashing, each as often as its processor is
+// strong.
 func pick(key string, hosts []member.Host) (member.Host, bool) {
 	var best member.Host
-	var most uint64
+	var least float64
 	for i, h := range hosts {
-		score := xxhash.Sum64String(key + "\x00" + h.Address)
-		if i == 0 || score > most {
-			best, most = h, score
+		score := drawOf(key, h.Address) / float64(max(1, h.Cores))
+		if i == 0 || score < least {
+			best, least = h, score
 		}
 	}
 	return best, len(hosts) > 0
 }
 
+// drawOf returns an exponentially distributed number that only depends on a key
+// and a host.
+func drawOf(key, address string) float64 {
+	const (
+		fraction = 53 // bits
+		spare    = 64 - fraction
+	)
+	hash := xxhash.Sum64String(key + "\x00" + address)
+	return -math.Log((float64(hash>>spare) + 1) / (1 << fraction))
+}
+
 // Claims is which hosts say that they hold which backend servers.
 type Claims map[string][]string // by peer address
 
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -207,3 +207,32 @@
 	}
 	assert.DeepEqual(t, addresses, []string{v.Hosts[1].Address, v.Hosts[0].Address})
 }
+
+// TestHomesByProcessor: the strongest hosts are homes, however long others run,
+// and among several each gets its part.
+func TestHomesByProcessor(t *testing.T) {
+	hosts := fleet(3)
+	hosts[1].Cores, hosts[2].Cores = 200, 800
+	view := View{
+		Hosts:   hosts,
+		Servers: servers(30),
+		PerHome: 100,
+	}
+	assert.Equal(t, view.Homes("domain-0")[0].Address, hosts[2].Address)
+	hosts[2].Stopping = true
+	assert.Equal(t, view.Homes("domain-0")[0].Address, hosts[1].Address)
+	hosts[2].Stopping = false
+	view.PerHome = 5
+	assert.Equal(t, len(view.Homes("domain-0")), 2)
+	const jobs = 2000
+	strong := 0
+	for n := range jobs {
+		home, ok := view.Home(fmt.Sprint("job-", n), "domain-0")
+		assert.Assert(t, ok)
+		if home.Address == hosts[2].Address {
+			strong++
+		}
+	}
+	const fair, off = jobs * 800 / 1000, jobs / 20
+	assert.Assert(t, strong > fair-off && strong < fair+off, strong)
+}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -35,6 +35,7 @@
 	domain  string // failure domain of this host
 	limits  Limits
 	servers map[string]*server
+	order   []*server            // the same by ID; nil when it is to be made anew
 	token   int64                // highest token used
 	loss    float64              // part of recent calls that got no answer
 	fenced  map[string]time.Time // servers that another host took, and when
@@ -112,14 +113,27 @@
 	return ids
 }
 
-// sorted returns the servers in a fixed order, so that decisions repeat.
+// sorted returns the servers in a fixed order, so that decisions repeat. Callers
+// may remove servers while they go through it.
 func (m *Model) sorted() []*server {
-	servers := make([]*server, 0, len(m.servers))
-	for _, s := range m.servers {
-		servers = append(servers, s)
+	if m.order == nil {
+		m.order = make([]*server, 0, len(m.servers))
+		for _, s := range m.servers {
+			m.order = append(m.order, s)
+		}
+		slices.SortFunc(m.order, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 	}
-	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-	return servers
+	return m.order
+}
+
+func (m *Model) add(s *server) {
+	m.servers[s.entry.ID] = s
+	m.order = nil
+}
+
+func (m *Model) remove(s *server) {
+	delete(m.servers, s.entry.ID)
+	m.order = nil
 }
 
 // own takes over servers that are new and lets go of those that left the list.
@@ -163,7 +177,7 @@
 	if entry.Domain != m.domain {
 		s.phase = peeking
 	}
-	m.servers[entry.ID] = s
+	m.add(s)
 	cmds := []Cmd{NoteCmd{
 		Server: entry.ID,
 		Event:  "takeover",
@@ -177,7 +191,7 @@
 	if !s.releasing || len(s.runs) > 0 {
 		return nil
 	}
-	delete(m.servers, s.entry.ID)
+	m.remove(s)
 	return []Cmd{NoteCmd{
 		Server: s.entry.ID,
 		Event:  "released",
@@ -202,7 +216,7 @@
 // lose drops a server that another host holds; its runs may go on.
 func (m *Model) lose(now time.Time, s *server) []Cmd {
 	cmds := m.endAll(now, s, work.EndUnknown, core.ReasonUnknown)
-	delete(m.servers, s.entry.ID)
+	m.remove(s)
 	m.fenced[s.entry.ID] = now
 	m.token++
 	return append(cmds, NoteCmd{
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -257,7 +257,7 @@
 // replaced drops a server whose address now belongs to another one.
 func (m *Model) replaced(now time.Time, s *server) []Cmd {
 	cmds := m.endAll(now, s, work.EndLapsed, core.ReasonLapsed)
-	delete(m.servers, s.entry.ID)
+	m.remove(s)
 	m.fenced[s.entry.ID] = now
 	return append(cmds, NoteCmd{
 		Server: s.entry.ID,
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -28,24 +28,30 @@
 	return ""
 }
 
-// wait estimates how long it takes until the last task of a job starts: what
-// waits before it and the job itself, at the rate at which the own pool's runs
-// end. Room elsewhere needs no estimate, as waiting tasks go there at once.
+// wait estimates how long it takes until the last task of a job starts.
 func (m *Model) wait(j *job) time.Duration {
-	flow, free := m.rate()
-	sum := -free
+	ahead := 0
 	for _, other := range m.queue {
 		if other == j || compare(other, j) < 0 {
-			sum += other.backlog()
+			ahead += other.backlog
 		}
 	}
+	return m.waitBehind(ahead)
+}
+
+// waitBehind estimates how long it takes until a number of thousandths of a core
+// have been taken, at the rate at which the own pool's runs end. Room elsewhere
+// needs no estimate, as waiting tasks go there at once.
+func (m *Model) waitBehind(ahead int) time.Duration {
+	flow, free := m.rate()
+	ahead -= free
 	switch {
-	case sum <= 0:
+	case ahead <= 0:
 		return 0
 	case flow == 0:
 		return idleWait
 	}
-	return time.Duration(float64(sum) / float64(flow) * float64(time.Second))
+	return time.Duration(float64(ahead) / float64(flow) * float64(time.Second))
 }
 
 // idleWait is the expected wait when nothing is known to end.
@@ -54,11 +60,11 @@
 // rate returns the flow and the free room that a waiting job can count on.
 func (m *Model) rate() (flow, free int) {
 	if own := m.rooms[m.self]; own != nil && own.total > 0 {
-		return own.flow, own.free()
+		return own.flow, own.free
 	}
 	for _, r := range m.rooms {
 		flow += r.flow
-		free += r.free()
+		free += r.free
 	}
 	return flow, free
 }
@@ -71,13 +77,13 @@
 	return float64(m.wait(j)) > m.limits.Hopeless*float64(j.slack())
 }
 
-// isLate reports whether a job that waits would start too late.
-func (m *Model) isLate(now time.Time, j *job) bool {
+// isLate reports whether a job that has to wait would start too late.
+func (m *Model) isLate(now time.Time, j *job, wait time.Duration) bool {
 	if now.Sub(j.taken) < m.limits.Patience {
 		return false
 	}
 	latest := j.Arrived.Add(time.Duration(m.limits.Lateness * float64(j.slack())))
-	return now.Add(m.wait(j)).After(latest)
+	return now.Add(wait).After(latest)
 }
 
 // postpone puts a job that will miss its objective behind those that won't,
@@ -88,8 +94,13 @@
 		j.late = true
 		m.enqueue(j)
 	}
+	return m.giveUpHopeless(now, j, m.wait(j))
+}
+
+// giveUpHopeless refuses a late job that has to wait for too long.
+func (m *Model) giveUpHopeless(now time.Time, j *job, wait time.Duration) []Cmd {
 	left := j.useful.Sub(now) - j.least()
-	if !j.began && float64(m.wait(j)) > m.limits.Hope*float64(left) {
+	if !j.began && float64(wait) > m.limits.Hope*float64(left) {
 		return m.refuse(now, j, core.ReasonWait)
 	}
 	return nil
@@ -99,15 +110,26 @@
 // time.
 func (m *Model) expire(now time.Time) []Cmd {
 	var cmds []Cmd
+	ahead := 0 // of a job, with its own backlog, by jobs that stay
 	for _, j := range m.sorted() {
+		wait := m.waitBehind(ahead + j.backlog)
 		switch {
 		case !now.Before(j.Deadline):
 			cmds = append(cmds, m.giveUp(now, j, core.ReasonDeadline)...)
 		case !j.waits():
 		case !j.running() && now.Add(j.least()).After(j.Deadline):
 			cmds = append(cmds, m.giveUp(now, j, core.ReasonDeadline)...)
-		case !j.began && (j.late || m.isLate(now, j)):
+		case j.began:
+			ahead += j.backlog
+		case j.late:
+			cmds = append(cmds, m.giveUpHopeless(now, j, wait)...)
+			if m.jobs[j.ID] == j {
+				ahead += j.backlog
+			}
+		case m.isLate(now, j, wait):
 			cmds = append(cmds, m.postpone(now, j)...)
+		default:
+			ahead += j.backlog
 		}
 	}
 	return cmds
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -46,13 +46,14 @@
 			Reason: core.ReasonUnknown,
 		})
 	}
-	t.state, t.host = waiting, ""
+	j.set(t, waiting)
+	t.host = ""
 	m.enqueue(j)
 	return []Cmd{m.note(now, j, "run ended "+string(msg.End), msg.Reason)}
 }
 
 func (m *Model) done(now time.Time, j *job, t *task, msg EndMsg) []Cmd {
-	t.state = done
+	j.set(t, done)
 	j.left[t.step]--
 	m.times[j.Route] = m.times[j.Route].withRun(msg.Took, j.Steps[t.step].Estimate)
 	if !j.complete() {
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -33,6 +33,8 @@
 type job struct {
 	work.Job
 	tasks   []*task
+	waiting int             // tasks that wait
+	backlog int             // thousandths of a core that they wait for
 	left    []int           // tasks of each step that aren't done
 	expect  []time.Duration // predicted run time of a task of each step
 	callers []string
@@ -58,6 +60,8 @@
 				run:   1,
 			})
 		}
+		j.waiting += s.Count
+		j.backlog += s.Count * s.Size.CPU
 	}
 	chain := j.chain()
 	objective := w.Objective(chain)
@@ -100,26 +104,22 @@
 	return true
 }
 
-// backlog returns the thousandths of a core that tasks wait for.
-func (j *job) backlog() int {
-	sum := 0
-	for _, t := range j.tasks {
-		if t.state == waiting {
-			sum += j.Steps[t.step].Size.CPU
-		}
+// set changes a task's state.
+func (j *job) set(t *task, to state) {
+	cpu := j.Steps[t.step].Size.CPU
+	if t.state == waiting {
+		j.waiting--
+		j.backlog -= cpu
+	}
+	if to == waiting {
+		j.waiting++
+		j.backlog += cpu
 	}
-	return sum
+	t.state = to
 }
 
 // waits reports whether a task of the job waits.
-func (j *job) waits() bool {
-	for _, t := range j.tasks {
-		if t.state == waiting {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) waits() bool { return j.waiting > 0 }
 
 // running reports whether a task of the job is placed.
 func (j *job) running() bool {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -35,6 +35,7 @@
 	queue    []*job // with waiting tasks, by latest start
 	callers  map[string]string
 	rooms    map[string]*room
+	hosts    []string // with room, sorted
 	times    map[string]times
 	finished map[string]memory
 }
@@ -64,10 +65,11 @@
 	case CancelMsg:
 		return m.cancel(now, msg)
 	case RoomMsg:
-		m.rooms[msg.Host] = newRoom(msg.Room)
+		m.setRoom(msg.Host, newRoom(msg.Room))
 		return m.dispatch(now)
 	case GoneMsg:
 		delete(m.rooms, msg.Host)
+		m.hosts = slices.DeleteFunc(m.hosts, func(h string) bool { return h == msg.Host })
 		return nil
 	case EndMsg:
 		return append(m.end(now, msg), m.dispatch(now)...)
@@ -168,6 +170,7 @@
 // dispatch places what waits, in order, wherever it fits.
 func (m *Model) dispatch(now time.Time) []Cmd {
 	var cmds []Cmd
+	var none full
 	for _, j := range m.queue {
 		if j.late && !j.began && !m.spare() {
 			break
@@ -176,9 +179,14 @@
 			if !j.due(now, t) {
 				continue
 			}
-			cmd, ok := m.place(j, t)
-			if ok {
+			order := j.order(t)
+			if none.covers(order) {
+				continue
+			}
+			if cmd, ok := m.place(j, t, order); ok {
 				cmds = append(cmds, cmd)
+			} else {
+				none.add(order)
 			}
 		}
 	}
@@ -191,7 +199,7 @@
 func (m *Model) spare() bool {
 	free, total := 0, 0
 	for _, r := range m.rooms {
-		free += r.free()
+		free += r.free
 		total += r.total
 	}
 	return float64(free) >= m.limits.Spare*float64(total)
@@ -199,14 +207,14 @@
 
 // place sends a task to the own pool when it fits there, or else to the host
 // with the most free room.
-func (m *Model) place(j *job, t *task) (Cmd, bool) {
-	order := j.order(t)
+func (m *Model) place(j *job, t *task, order work.Task) (Cmd, bool) {
 	host, slot := m.choose(order)
 	if slot < 0 {
 		return nil, false
 	}
 	m.rooms[host].take(slot, order.Size)
-	t.state, t.host = placed, host
+	j.set(t, placed)
+	t.host = host
 	j.began = true
 	return RunCmd{
 		Host: host,
@@ -223,26 +231,24 @@
 	slot = -1
 	var most int
 	slow := false
-	for _, name := range m.hosts() {
+	for _, name := range m.hosts {
 		r := m.rooms[name]
 		s := r.best(order)
 		if s < 0 {
 			continue
 		}
-		better := slot < 0 || (slow && !r.slots[s].Slow) || (slow == r.slots[s].Slow && r.free() > most)
+		better := slot < 0 || (slow && !r.slots[s].Slow) || (slow == r.slots[s].Slow && r.free > most)
 		if better {
-			host, slot, most, slow = name, s, r.free(), r.slots[s].Slow
+			host, slot, most, slow = name, s, r.free, r.slots[s].Slow
 		}
 	}
 	return host, slot
 }
 
-// hosts returns the hosts with room, in a fixed order.
-func (m *Model) hosts() []string {
-	names := make([]string, 0, len(m.rooms))
-	for name := range m.rooms {
-		names = append(names, name)
+func (m *Model) setRoom(host string, r *room) {
+	if m.rooms[host] == nil {
+		at, _ := slices.BinarySearch(m.hosts, host)
+		m.hosts = slices.Insert(m.hosts, at, host)
 	}
-	slices.Sort(names)
-	return names
+	m.rooms[host] = r
 }
--- a/core/schedule/model_test.go
+++ b/core/schedule/model_test.go
@@ -383,16 +383,16 @@
 	m.Update(now, submit(fresh))
 	cmds := m.Update(now, ended(placed[0], work.EndDone))
 	assert.Equal(t, len(runs(cmds)), 0)
-	room := roomOf(1)
-	room.Slots[0].Free.CPU = 9000
-	first := runs(m.Update(now, RoomMsg{
-		Host: self,
-		Room: room,
-	}))
+	room := func() RoomMsg {
+		room := roomOf(1)
+		room.Slots[0].Free.CPU = 9000
+		return RoomMsg{
+			Host: self,
+			Room: room,
+		}
+	}
+	first := runs(m.Update(now, room()))
 	assert.Equal(t, first[0].Task.Job, "fresh")
-	second := runs(m.Update(now, RoomMsg{
-		Host: self,
-		Room: room,
-	}))
+	second := runs(m.Update(now, room()))
 	assert.Equal(t, second[0].Task.Job, "late")
 }
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -27,7 +27,8 @@
 // CancelMsg cancels a job for all its callers.
 type CancelMsg struct{ ID string }
 
-// RoomMsg is the room of one host's pool, the own one included.
+// RoomMsg is the room of one host's pool, the own one included. The slots are the
+// scheduler's from then on.
 type RoomMsg struct {
 	Host string
 	Room pool.Room
--- a/core/schedule/room.go
+++ b/core/schedule/room.go
@@ -10,27 +10,24 @@
 // room is what a host's pool could start, less what was sent there since.
 type room struct {
 	slots   []pool.Slot
+	free    int // thousandths of a core in all slots
 	total   int // thousandths of a core
 	flow    int // thousandths of a core that runs give back in a second
 	largest work.Size
 }
 
-func newRoom(r pool.Room) *room {
-	return &room{
-		slots:   slices.Clone(r.Slots),
-		total:   r.Total,
-		flow:    r.Flow,
-		largest: r.Largest,
+// newRoom takes the room of a pool, and its slots for its own.
+func newRoom(from pool.Room) *room {
+	r := &room{
+		slots:   from.Slots,
+		total:   from.Total,
+		flow:    from.Flow,
+		largest: from.Largest,
 	}
-}
-
-// free returns the free thousandths of a core.
-func (r *room) free() int {
-	sum := 0
 	for _, s := range r.slots {
-		sum += s.Free.CPU
+		r.free += s.Free.CPU
 	}
-	return sum
+	return r
 }
 
 // best returns the tightest slot that a task fits, or -1. Slow slots come last.
@@ -57,10 +54,31 @@
 // take subtracts a task from a slot.
 func (r *room) take(slot int, size work.Size) {
 	r.slots[slot].Free = r.slots[slot].Free.Minus(size)
+	r.free -= size.CPU
+}
+
+// full is what found no room in one pass over the queue; room only shrinks
+// within a pass, so whatever needs as much finds none either.
+type full struct{ tasks []work.Task }
+
+// covers reports whether a task needs as much as one that found no room.
+func (f *full) covers(t work.Task) bool {
+	for _, o := range f.tasks {
+		if (o.Requires == "" || o.Requires == t.Requires) && o.Size.Fits(t.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// add notes a task that found no room, in place of those that need more.
+func (f *full) add(t work.Task) {
+	one := full{tasks: []work.Task{t}}
+	f.tasks = append(slices.DeleteFunc(f.tasks, one.covers), t)
 }
 
 // Hosts returns the hosts whose room is known, sorted.
-func (m *Model) Hosts() []string { return m.hosts() }
+func (m *Model) Hosts() []string { return slices.Clone(m.hosts) }
 
 // Total returns all that the pools have, in thousandths of a core.
 func (m *Model) Total() int {
--- a/io/beat/beat.go
+++ b/io/beat/beat.go
@@ -19,6 +19,7 @@
 			Stopping: h.Stopping,
 			Born:     int(h.Born),
 			Age:      int(h.Age.Milliseconds()),
+			Cores:    h.Cores,
 		})
 	}
 	return known
@@ -33,6 +34,7 @@
 		Count:       b.Count,
 		Stopping:    b.Stopping,
 		Born:        int64(b.Born),
+		Cores:       b.Cores,
 	}}
 	for _, k := range b.Known {
 		msg.Known = append(msg.Known, member.Host{
@@ -43,6 +45,7 @@
 			Stopping:    k.Stopping,
 			Born:        int64(k.Born),
 			Age:         time.Duration(k.Age) * time.Millisecond,
+			Cores:       k.Cores,
 		})
 	}
 	return msg
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -96,6 +96,9 @@
 	})
 }
 
+// thousandths of a core make one.
+const thousandths = 1000
+
 // incarnationBytes is the length of a process's random name.
 const incarnationBytes = 16
 
@@ -110,6 +113,7 @@
 		Address:     local.PeerAddress(s),
 		Domain:      s.Text("self", "domain"),
 		Born:        time.Now().UnixMilli(),
+		Cores:       int(thousandths * s.Number("self", "cores") * s.Number("self", "share")),
 	}
 	limits := member.Limits{
 		Dead:   s.Duration(section, "dead"),
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -180,6 +180,7 @@
 		Count:    self.Count,
 		Stopping: self.Stopping,
 		Born:     int(self.Born),
+		Cores:    self.Cores,
 		Held:     news.Held,
 		Queues:   news.Queues,
 		Print:    news.Version,
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -42,6 +42,24 @@
 					Required: true,
 					Kind:     settings.Text{Min: 1},
 				},
+				{
+					Name:    "cores",
+					Default: "1",
+					Help:    "Speed of this host's processor, in usual cores.",
+					Kind: settings.Number{
+						Min: 0.001,
+						Max: 1000,
+					},
+				},
+				{
+					Name:    "share",
+					Default: "1",
+					Help:    "Part of the processor that this host may use.",
+					Kind: settings.Number{
+						Min: 0.001,
+						Max: 1,
+					},
+				},
 			},
 		},
 		Module: fx.Options(),
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -28,6 +28,9 @@
 	// Start of the process, Unix milliseconds.
 	Born int `cbor:"born" json:"born"`
 
+	// Processor of the sender, in thousandths of a core; 0 is unknown.
+	Cores int `cbor:"cores" json:"cores"`
+
 	// Heartbeat counter of the sender; only goes up.
 	Count int `cbor:"count" json:"count"`
 
@@ -265,6 +268,9 @@
 	// Start of the process, Unix milliseconds.
 	Born int `cbor:"born" json:"born"`
 
+	// Processor of the host, in thousandths of a core; 0 is unknown.
+	Cores int `cbor:"cores" json:"cores"`
+
 	// Heartbeat counter.
 	Count int `cbor:"count" json:"count"`
 
