A pool's servers and runs are kept in order

Cause: every step of a run sorted all servers by ID and summed their runs anew. No decision changes.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -49,7 +49,7 @@
 	if m.loss >= lossHigh {
 		return m.limits.Quick
 	}
-	for _, r := range s.runs {
+	for _, r := range s.ordered() {
 		if r.state != running || r.unclear {
 			return m.limits.Quick
 		}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -234,20 +234,10 @@
 	return cmds
 }
 
-// ordered returns a server's runs in a fixed order.
-func (s *server) ordered() []*run {
-	runs := make([]*run, 0, len(s.runs))
-	for _, r := range s.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.Name(), b.task.Name()) })
-	return runs
-}
-
 // end forgets a run and tells its owner.
 func (m *Model) end(now time.Time, s *server, r *run, end work.End, reason core.Reason) []Cmd {
 	name := r.task.Name()
-	delete(s.runs, name)
+	s.remove(name)
 	if m.where[name] == s.entry.ID {
 		delete(m.where, name)
 	}
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -35,14 +35,14 @@
 
 // bench drives a pool by messages, on a clock of its own.
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	model *Model
 	start time.Time
 	now   time.Time
 	cmds  []Cmd
 }
 
-func newBench(t *testing.T, servers ...string) *bench {
+func newBench(t testing.TB, servers ...string) *bench {
 	t.Helper()
 	start := time.Unix(1000, 0)
 	b := &bench{
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -23,7 +23,7 @@
 		owner:   msg.Owner,
 		ordered: now,
 	}
-	s.runs[name] = r
+	s.add(name, r)
 	m.where[name] = s.entry.ID
 	s.health = s.health.WithStart(now)
 	cmds := []Cmd{m.start(now, s, r), RoomCmd{}}
@@ -52,7 +52,7 @@
 		r := rank{
 			slow: s.pace > m.limits.PaceMax || s.health.State(now) == health.Probing || s.entry.ID == t.Avoid,
 			far:  t.Affinity != "" && !s.entry.Has(t.Affinity),
-			left: s.entry.Capacity.Minus(s.used()).CPU - t.Size.CPU,
+			left: s.entry.Capacity.Minus(s.used).CPU - t.Size.CPU,
 		}
 		if best == nil || r.before(bestRank) {
 			best, bestRank = s, r
@@ -68,7 +68,7 @@
 	if t.PerServer > 0 && s.countOf(t.Job, t.Step) >= t.PerServer {
 		return false
 	}
-	return t.Size.Fits(s.entry.Capacity.Minus(s.used()))
+	return t.Size.Fits(s.entry.Capacity.Minus(s.used))
 }
 
 // rank orders servers for a task.
--- a/core/pool/room.go
+++ b/core/pool/room.go
@@ -31,7 +31,7 @@
 		room.Total += s.entry.Capacity.CPU
 		room.Flow += s.flow(now)
 		room.Largest = room.Largest.Max(s.entry.Capacity)
-		free := s.entry.Capacity.Minus(s.used())
+		free := s.entry.Capacity.Minus(s.used)
 		if free.CPU <= 0 {
 			continue
 		}
@@ -74,7 +74,7 @@
 // second.
 func (s *server) flow(now time.Time) int {
 	sum := 0.0
-	for _, r := range s.runs {
+	for _, r := range s.ordered() {
 		if r.task.Expect > 0 && now.Sub(r.ordered) < overdue*r.task.Expect {
 			sum += float64(r.task.Size.CPU) / r.task.Expect.Seconds()
 		}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rosemarywalk/core"
@@ -62,6 +64,8 @@
 	seen    int
 
 	runs    map[string]*run
+	order   []*run    // the same by name; nil when it is to be made anew
+	used    work.Size // by the runs
 	orphans []Running // of an earlier owner, as last listed
 
 	serial  int // of the latest hold
@@ -81,13 +85,31 @@
 	}
 }
 
-// used returns what the server's runs take.
-func (s *server) used() work.Size {
-	var sum work.Size
-	for _, r := range s.runs {
-		sum = sum.Plus(r.task.Size)
+// add notes a new run.
+func (s *server) add(name string, r *run) {
+	s.runs[name] = r
+	s.used = s.used.Plus(r.task.Size)
+	s.order = nil
+}
+
+// remove forgets a run.
+func (s *server) remove(name string) {
+	if r := s.runs[name]; r != nil {
+		s.used = s.used.Minus(r.task.Size)
+		delete(s.runs, name)
+		s.order = nil
+	}
+}
+
+// ordered returns the runs by name, so that decisions repeat. Callers may end runs
+// while they go through it.
+func (s *server) ordered() []*run {
+	if s.order == nil && len(s.runs) > 0 {
+		for _, name := range slices.Sorted(maps.Keys(s.runs)) {
+			s.order = append(s.order, s.runs[name])
+		}
 	}
-	return sum
+	return s.order
 }
 
 // listen notes the server's clock from an answer.
@@ -139,7 +161,7 @@
 // countOf returns how many tasks of a job's step run on the server.
 func (s *server) countOf(job string, step int) int {
 	n := 0
-	for _, r := range s.runs {
+	for _, r := range s.ordered() {
 		if r.task.Job == job && r.task.Step == step {
 			n++
 		}
