Jobs count as late at half of their slack, and free room is what tasks can take

Cause: under overload the queue took every job whose expected wait fitted its whole slack, so that errors of the estimate and of run times made most of them late; and free room was summed over servers, of which each had less free than one task needs, so that waits came out too short and late jobs began as if there were room to spare. Test: TestOverload, which fails at 2.5 times the load before, by the credit that the users ask for.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -36,14 +36,14 @@
 			ahead += other.backlog
 		}
 	}
-	return m.waitBehind(ahead)
+	return m.waitBehind(ahead, j.largest())
 }
 
 // waitBehind estimates how long it takes until a number of thousandths of a core
 // have been taken, at the rate at which the own pool's runs end. Room elsewhere
 // needs no estimate, as waiting tasks go there at once.
-func (m *Model) waitBehind(ahead int) time.Duration {
-	flow, free := m.rate()
+func (m *Model) waitBehind(ahead int, size work.Size) time.Duration {
+	flow, free := m.rate(size)
 	ahead -= free
 	switch {
 	case ahead <= 0:
@@ -57,14 +57,15 @@
 // idleWait is the expected wait when nothing is known to end.
 const idleWait = time.Second
 
-// rate returns the flow and the free room that a waiting job can count on.
-func (m *Model) rate() (flow, free int) {
+// rate returns the flow and the free room that a waiting job can count on, where
+// its largest task has a size.
+func (m *Model) rate(size work.Size) (flow, free int) {
 	if own := m.rooms[m.self]; own != nil && own.total > 0 {
-		return own.flow, own.free
+		return own.flow, own.usable(size)
 	}
 	for _, r := range m.rooms {
 		flow += r.flow
-		free += r.free
+		free += r.usable(size)
 	}
 	return flow, free
 }
@@ -112,7 +113,7 @@
 	var cmds []Cmd
 	ahead := 0 // of a job, with its own backlog, by jobs that stay
 	for _, j := range m.sorted() {
-		wait := m.waitBehind(ahead + j.backlog)
+		wait := m.waitBehind(ahead+j.backlog, j.largest())
 		switch {
 		case !now.Before(j.Deadline):
 			cmds = append(cmds, m.giveUp(now, j, core.ReasonDeadline)...)
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -121,6 +121,15 @@
 // waits reports whether a task of the job waits.
 func (j *job) waits() bool { return j.waiting > 0 }
 
+// largest returns the most that any task of the job needs.
+func (j *job) largest() work.Size {
+	var size work.Size
+	for _, s := range j.Steps {
+		size = size.Max(s.Size)
+	}
+	return size
+}
+
 // running reports whether a task of the job is placed.
 func (j *job) running() bool {
 	for _, t := range j.tasks {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -172,7 +172,7 @@
 	var cmds []Cmd
 	var none full
 	for _, j := range m.queue {
-		if j.late && !j.began && !m.spare() {
+		if j.late && !j.began && !m.spare(j.largest()) {
 			break
 		}
 		for _, t := range j.tasks {
@@ -196,10 +196,10 @@
 
 // spare reports whether enough room is free for jobs that are late already, so
 // that they don't make the next ones late too.
-func (m *Model) spare() bool {
+func (m *Model) spare(size work.Size) bool {
 	free, total := 0, 0
 	for _, r := range m.rooms {
-		free += r.free
+		free += r.usable(size)
 		total += r.total
 	}
 	return float64(free) >= m.limits.Spare*float64(total)
--- a/core/schedule/replay_test.go
+++ b/core/schedule/replay_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/work"
 )
@@ -109,7 +111,6 @@
 	running  map[string]runningTask
 	jobs     map[string]submitted
 	verdicts map[string]*verdict
-	wasted   float64 // core-seconds that were stopped
 }
 
 func newReplay(seed uint64, l Limits, servers int) *replay {
@@ -187,7 +188,7 @@
 				}
 			case HaltCmd:
 				changed = true
-				r.halt(now, cmd.Name)
+				r.halt(cmd.Name)
 			case AnswerCmd:
 				r.answer(now, cmd)
 			case NoteCmd:
@@ -240,14 +241,13 @@
 	return true
 }
 
-func (r *replay) halt(now time.Time, name string) {
+func (r *replay) halt(name string) {
 	t, ok := r.running[name]
 	if !ok {
 		return
 	}
 	delete(r.running, name)
 	r.free[t.server] += t.task.Size.CPU
-	r.wasted += float64(t.task.Size.CPU) / 1000 * now.Sub(t.began).Seconds()
 }
 
 func (r *replay) answer(now time.Time, cmd AnswerCmd) {
@@ -338,7 +338,7 @@
 
 // deployed is the limits that hosts use unless told otherwise.
 var deployed = Limits{
-	Lateness: 1,
+	Lateness: 0.5,
 	Hopeless: 1.5,
 	Useful:   3,
 	Hope:     0.7,
@@ -349,18 +349,53 @@
 	Jobs:     5000,
 }
 
-func TestReplayShow(t *testing.T) {
-	for _, x := range []float64{0.9, 1.0, 1.1, 1.2, 1.3, 1.5, 2} {
-		var sum float64
-		line := ""
-		r := newReplay(1, deployed, 88)
-		for name, v := range r.play(valuations(), []phase{
-			{length: 2 * time.Second, times: 0.8, servers: 88},
-			{length: 6 * time.Second, times: x, servers: 88},
-		}) {
-			sum += v.credit() / 3
-			line += fmt.Sprintf(" %s %.2f %+v", name, v.credit(), *v)
-		}
-		t.Logf("%.1f: %.3f wasted %.0f %s", x, sum, r.wasted, line)
+// creditTarget is the mean worth that the users ask for on days of trouble.
+const creditTarget = 0.59
+
+// TestOverload: while more comes than the servers can do, those jobs that are
+// taken are answered in time.
+func TestOverload(t *testing.T) {
+	tests := []struct {
+		name  string
+		times float64
+	}{
+		{
+			name:  "half more than usual",
+			times: 1.5,
+		},
+		{
+			name:  "twice the usual",
+			times: 2,
+		},
+		{
+			name:  "two and a half times the usual",
+			times: 2.5,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			classes := valuations()
+			const servers = 88
+			verdicts := newReplay(1, deployed, servers).play(classes, []phase{
+				{
+					length:  time.Second,
+					times:   0.8,
+					servers: servers,
+				},
+				{
+					length:  4 * time.Second,
+					times:   test.times,
+					servers: servers,
+				},
+			})
+			sum := 0.0
+			for name, v := range verdicts {
+				t.Logf("%s: credit %.3f, %+v", name, v.credit(), *v)
+				sum += v.credit()
+			}
+			credit := sum / float64(len(classes))
+			t.Logf("credit %.3f", credit)
+			assert.Assert(t, credit >= creditTarget)
+		})
 	}
 }
--- a/core/schedule/room.go
+++ b/core/schedule/room.go
@@ -30,6 +30,17 @@
 	return r
 }
 
+// usable returns the free thousandths of a core that tasks of a size can take.
+func (r *room) usable(size work.Size) int {
+	sum := 0
+	for _, s := range r.slots {
+		if size.CPU > 0 && size.Fits(s.Free) {
+			sum += s.Free.CPU / size.CPU * size.CPU
+		}
+	}
+	return sum
+}
+
 // best returns the tightest slot that a task fits, or -1. Slow slots come last.
 func (r *room) best(t work.Task) int {
 	found := -1
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -82,7 +82,7 @@
 				number("hope", "0.7", "Part of the time left for a late answer that the expected wait may take before the job is refused.", 0, 100),
 				number("spare", "0.1", "Part of all room that must be free before a late job begins.", 0, 1),
 				duration("patience", "25ms", "Time that a job which seems late gets to find room after all.", 0, time.Minute),
-				number("lateness", "1", "Part of a job's slack that its expected wait may take before it counts as late.", 0, 100),
+				number("lateness", "0.5", "Part of a job's slack that its expected wait may take before it counts as late.", 0, 100),
 				{
 					Name:    "jobs",
 					Default: "5000",
