--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -17,10 +17,12 @@
 	Known   []listing.Host   // that write their rows in the store
 	Servers []listing.Server // of one service
 	PerHome int              // most backend servers that one home should hold
+	PerCore int              // most backend servers for each core that homes have
 }
 
 // Homes returns the homes of a failure domain: its strongest hosts, and the
-// oldest among equals. A domain without hosts has none.
+// oldest among equals, as many as its servers need. A domain without hosts has
+// none.
 func (v View) Homes(domain string) []member.Host {
 	var hosts []member.Host
 	for _, h := range v.Hosts {
@@ -35,8 +37,28 @@
 			servers++
 		}
 	}
-	count := (servers + v.PerHome - 1) / v.PerHome
-	return hosts[:min(len(hosts), max(1, count))]
+	for count := 1; count < len(hosts); count++ {
+		if v.suffice(hosts[:count], servers) {
+			return hosts[:count]
+		}
+	}
+	return hosts
+}
+
+// thousandths of a core make one.
+const thousandths = 1000
+
+// suffice reports whether homes can hold a number of backend servers. Processors
+// that aren't known count as strong enough.
+func (v View) suffice(homes []member.Host, servers int) bool {
+	cores := 0
+	for _, h := range homes {
+		if h.Cores == 0 {
+			return len(homes)*v.PerHome >= servers
+		}
+		cores += h.Cores
+	}
+	return len(homes)*v.PerHome >= servers && cores*v.PerCore >= servers*thousandths
 }
 
 func fitter(a, b member.Host) int {
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -217,22 +217,28 @@
 		Hosts:   hosts,
 		Servers: servers(30),
 		PerHome: 100,
+		PerCore: 20,
 	}
-	assert.Equal(t, view.Homes("domain-0")[0].Address, hosts[2].Address)
+	hosts[0].Cores = 100
+	strong := view.Homes("domain-0")
+	assert.Equal(t, len(strong), 1)
+	assert.Equal(t, strong[0].Address, hosts[2].Address)
 	hosts[2].Stopping = true
-	assert.Equal(t, view.Homes("domain-0")[0].Address, hosts[1].Address)
+	weak := view.Homes("domain-0")
+	assert.Equal(t, len(weak), 2, "no weak host alone is enough")
+	assert.Equal(t, weak[0].Address, hosts[1].Address)
 	hosts[2].Stopping = false
 	view.PerHome = 5
 	assert.Equal(t, len(view.Homes("domain-0")), 2)
 	const jobs = 2000
-	strong := 0
+	byStrong := 0
 	for n := range jobs {
 		home, ok := view.Home(fmt.Sprint("job-", n), "domain-0")
 		assert.Assert(t, ok)
 		if home.Address == hosts[2].Address {
-			strong++
+			byStrong++
 		}
 	}
 	const fair, off = jobs * 800 / 1000, jobs / 20
-	assert.Assert(t, strong > fair-off && strong < fair+off, strong)
+	assert.Assert(t, byStrong > fair-off && byStrong < fair+off, byStrong)
 }
--- a/io/roster/known_test.go
+++ b/io/roster/known_test.go
@@ -46,7 +46,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := New(member.New(member.Host{Address: "self"}, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, nil, logr.Discard())
+			r := New(member.New(member.Host{Address: "self"}, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, 100, nil, logr.Discard())
 			host := listing.Host{
 				Name:    "a",
 				Address: "a:1",
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -87,6 +87,15 @@
 						Max: 100000,
 					},
 				},
+				{
+					Name:    "percore",
+					Default: "150",
+					Help:    "Most backend servers for each core of a failure domain's homes; where they have less, more hosts are homes.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
 			},
 		},
 		Module: fx.Options(
@@ -121,7 +130,7 @@
 		Known:  s.Integer(section, "known"),
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
-	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), counters, log), nil
+	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), counters, log), nil
 }
 
 // served is what the plug-in serves on peer links.
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -36,6 +36,7 @@
 	peers    Peers
 	period   time.Duration
 	perHome  int
+	perCore  int
 	counters *telemetry.Counters
 	log      logr.Logger
 
@@ -50,11 +51,12 @@
 }
 
 // New returns a view that knows only this host.
-func New(model *member.Model, peers Peers, period, stale time.Duration, perHome int, counters *telemetry.Counters, log logr.Logger) *Roster {
+func New(model *member.Model, peers Peers, period, stale time.Duration, perHome, perCore int, counters *telemetry.Counters, log logr.Logger) *Roster {
 	return &Roster{
 		peers:    peers,
 		period:   period,
 		perHome:  perHome,
+		perCore:  perCore,
 		counters: counters,
 		log:      log.WithName("roster"),
 		model:    model,
@@ -94,6 +96,7 @@
 		Known:   r.known.alive(),
 		Servers: servers,
 		PerHome: r.perHome,
+		PerCore: r.perCore,
 	}
 }
 
