A host that stood still gives up the jobs that other hosts took

Cause: nothing told a host that it had been frozen, suspended or starved. For as long as a link that broke meanwhile may be attached to again, 0.3 s after it woke, it could start and lend tasks of jobs that callers had sent to other hosts by then. Now 0.5 s without a decision, or asleep by CLOCK_BOOTTIME, counts as a stall; jobs that other hosts took are answered as broken and their runs stopped; a task whose lending was decided longer ago is not lent. Tests: TestStall, TestStoodStill.

--- a/core/reason.go
+++ b/core/reason.go
@@ -36,6 +36,7 @@
 	ReasonLapsed      Reason = "lapsed"      // a lease ran out, or the backend server is gone
 	ReasonUnsupported Reason = "unsupported" // the job asks for what isn't built
 	ReasonDrainLimit  Reason = "drainlimit"  // a planned stop ran into its time limit
+	ReasonStall       Reason = "stall"       // the job's host stood still for too long
 )
 
 // Reasons lists every reason, so that each counter exists from the start.
@@ -48,6 +49,6 @@
 		ReasonBudget, ReasonLost, ReasonUnreachable, ReasonForgotten,
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonRoom, ReasonSlow,
-		ReasonLapsed, ReasonUnsupported,
+		ReasonLapsed, ReasonUnsupported, ReasonStall,
 	}
 }
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -132,6 +132,21 @@
 	})
 }
 
+// stall gives up the jobs that other hosts took: those hosts may have given them
+// up, and then they run elsewhere.
+func (m *Model) stall(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, j := range m.sorted() {
+		if j.remote {
+			cmds = append(cmds, m.finish(now, j, work.Outcome{
+				State:  work.Broken,
+				Reason: core.ReasonStall,
+			})...)
+		}
+	}
+	return cmds
+}
+
 func (m *Model) cancel(now time.Time, msg CancelMsg) []Cmd {
 	j := m.jobs[msg.ID]
 	outcome := work.Outcome{
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -43,6 +43,7 @@
 	useful  time.Time // end from which its outcome is worth nothing
 	late    bool      // it will miss its objective, and waits behind those that won't
 	began   bool      // a task was ordered
+	remote  bool      // another host took it from its caller
 }
 
 func newJob(now time.Time, w work.Job, expect []time.Duration, useful float64) *job {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -73,6 +73,8 @@
 		return nil
 	case EndMsg:
 		return append(m.end(now, msg), m.dispatch(now)...)
+	case StallMsg:
+		return m.stall(now)
 	case TickMsg:
 		m.forget(now)
 		return append(m.expire(now), m.dispatch(now)...)
@@ -122,11 +124,12 @@
 	}
 	if j := m.jobs[id]; j != nil {
 		j.callers = append(j.callers, msg.Caller)
+		j.remote = j.remote || msg.Remote
 		m.callers[msg.Caller] = id
 		return nil
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.Useful)
-	j.callers = []string{msg.Caller}
+	j.callers, j.remote = []string{msg.Caller}, msg.Remote
 	if reason := m.hopeless(now, j); reason != "" {
 		return m.refuse(now, j, reason)
 	}
--- a/core/schedule/model_test.go
+++ b/core/schedule/model_test.go
@@ -396,3 +396,44 @@
 	second := runs(m.Update(now, room()))
 	assert.Equal(t, second[0].Task.Job, "late")
 }
+
+// TestStall: a host that stood still starts nothing for jobs that may run elsewhere
+// by now, and goes on with those whose callers it serves itself.
+func TestStall(t *testing.T) {
+	tests := []struct {
+		name   string
+		remote bool
+		want   int // answers at the stall
+		runs   int // tasks started afterwards
+	}{
+		{
+			name:   "taken by another host",
+			remote: true,
+			want:   1,
+		},
+		{
+			name: "taken here",
+			runs: 2,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(1)
+			msg := submit(jobOf("j", 4))
+			msg.Remote = test.remote
+			placed := runs(m.Update(epoch, msg))
+			assert.Equal(t, len(placed), 2)
+			cmds := m.Update(epoch, StallMsg{})
+			assert.Equal(t, len(answers(cmds)), test.want)
+			if test.want > 0 {
+				assert.Equal(t, answers(cmds)[0].Outcome.State, work.Broken)
+				assert.Equal(t, len(halts(cmds)), len(placed))
+			}
+			cmds = m.Update(epoch, RoomMsg{
+				Host: self,
+				Room: roomOf(1),
+			})
+			assert.Equal(t, len(runs(cmds)), test.runs)
+		})
+	}
+}
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -15,6 +15,7 @@
 type SubmitMsg struct {
 	Job    work.Job
 	Caller string
+	Remote bool // another host took the job from its caller
 }
 
 // DropMsg says that a caller no longer waits.
@@ -47,6 +48,10 @@
 	Reason core.Reason
 }
 
+// StallMsg says that this host stood still for so long that other hosts may have
+// given it up, and callers may have sent their jobs elsewhere.
+type StallMsg struct{}
+
 // TickMsg lets time pass.
 type TickMsg struct{}
 
@@ -57,6 +62,7 @@
 func (RoomMsg) scheduleMsg()     {}
 func (GoneMsg) scheduleMsg()     {}
 func (EndMsg) scheduleMsg()      {}
+func (StallMsg) scheduleMsg()    {}
 func (TickMsg) scheduleMsg()     {}
 
 // Cmd is something for the caller of Update to do.
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -73,6 +73,7 @@
 			Keys: []settings.Key{
 				duration("settle", "60ms", "Time after the start in which hosts find each other before backend servers are taken over.", 0, time.Minute),
 				duration("reattach", "300ms", "Time that work for a host whose link broke goes on, so that the host can attach to it again.", 0, time.Second),
+				duration("stall", "500ms", "Time without any decision after which jobs that other hosts took are given up, as they may run elsewhere.", 100*time.Millisecond, time.Minute),
 				duration("tick", "10ms", "Time between checks for what is overdue.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Least time between messages to other homes about free room.", time.Millisecond, time.Second),
 				duration("bounce", "5ms", "Pause before a task that found no room is tried again.", 0, time.Second),
@@ -149,6 +150,7 @@
 		Answer:   s.Duration(sectionPool, "answer"),
 		Settle:   s.Duration(section, "settle"),
 		Reattach: s.Duration(section, "reattach"),
+		Stall:    s.Duration(section, "stall"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
--- a/io/scheduler/pulse.go
+++ b/io/scheduler/pulse.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // idlePeriod is how often a host without work looks whether ownership is to be
@@ -15,6 +17,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var told, owned time.Time
+	var clock sleepClock
 	for {
 		idle := s.idle()
 		period, wake := tick, (<-chan struct{})(nil)
@@ -29,6 +32,9 @@
 		case <-wake:
 		}
 		now := time.Now()
+		if slept := clock.suspended(); slept > 0 {
+			s.suspended(slept)
+		}
 		s.tick()
 		if now.Sub(told) >= tell {
 			told = now
@@ -62,8 +68,39 @@
 // tick lets time pass in all shards.
 func (s *Scheduler) tick() {
 	for _, shard := range s.all() {
-		if !shard.idle() {
+		if shard.idle() {
+			shard.apply(nil)
+		} else {
 			shard.passTime()
 		}
 	}
 }
+
+// suspended tells the shards that the host was suspended for long.
+func (s *Scheduler) suspended(slept time.Duration) {
+	if slept < s.parts.Stall {
+		return
+	}
+	for _, shard := range s.all() {
+		shard.wasSuspended(slept)
+	}
+}
+
+// sleepClock finds out that the host was suspended: one clock counts that time and
+// the other doesn't.
+type sleepClock struct{ ahead time.Duration }
+
+// suspended returns the time for which the host was suspended since the last call.
+func (c *sleepClock) suspended() time.Duration {
+	var with, without unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &with) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &without) != nil {
+		return 0
+	}
+	ahead := time.Duration(with.Nano() - without.Nano())
+	slept := ahead - c.ahead
+	if c.ahead == 0 {
+		slept = 0
+	}
+	c.ahead = ahead
+	return slept
+}
--- a/io/scheduler/pulse_test.go
+++ b/io/scheduler/pulse_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/telemetry"
@@ -52,3 +53,33 @@
 		})
 	}
 }
+
+// TestStoodStill: after a pause no decision is made for jobs that other hosts took,
+// and a task whose lending was decided before is not lent.
+func TestStoodStill(t *testing.T) {
+	const stall = 500 * time.Millisecond
+	s := New(Parts{
+		Jobs:     schedule.Limits{Jobs: 10},
+		Stall:    stall,
+		Counters: telemetry.NewCounters(telemetry.NewRegistry()),
+		Log:      logr.Discard(),
+	})
+	shard := s.newShard("service", "domain")
+	answer := make(chan work.Outcome, 1)
+	shard.callers["c"] = func(o work.Outcome) { answer <- o }
+	shard.update(schedule.SubmitMsg{
+		Job: work.Job{
+			ID:       "j",
+			Steps:    []work.Step{{Count: 1}},
+			Deadline: time.Now().Add(time.Hour),
+		},
+		Caller: "c",
+		Remote: true,
+	})
+	assert.Equal(t, len(answer), 0)
+	shard.passed = time.Now().Add(-stall)
+	shard.apply(nil)
+	assert.Equal(t, (<-answer).Reason, core.ReasonStall)
+	// There is no lender here to be asked.
+	shard.lend(schedule.RunCmd{Host: "other"}, time.Now().Add(-stall))
+}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	Jobs     schedule.Limits
 	Answer   time.Duration // longest wait for an order's answer
 	Reattach time.Duration // that work for a host whose link broke goes on
+	Stall    time.Duration // without a decision, after which this host stood still
 	Settle   time.Duration // after the start, before servers are taken over
 	Counters *telemetry.Counters
 	Log      logr.Logger
@@ -80,6 +81,7 @@
 			reattach: s.parts.Reattach,
 		},
 		answer:   s.parts.Answer,
+		stall:    s.parts.Stall,
 		wake:     s.wake,
 		counters: s.parts.Counters,
 		log:      s.parts.Log.WithName("scheduler").WithValues("service", service),
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
@@ -42,11 +44,13 @@
 	lender   Lender
 	answer   time.Duration // longest wait for an order's answer
 	reattach time.Duration // that work for a host whose link broke goes on
+	stall    time.Duration // without a decision, after which this host stood still
 	wake     func()        // called when time has to pass
 	counters *telemetry.Counters
 	log      logr.Logger
 
 	mu      sync.Mutex
+	passed  time.Time // when decisions last saw the time
 	pool    *pool.Model
 	jobs    *schedule.Model
 	callers map[string]func(work.Outcome)
@@ -68,12 +72,35 @@
 	}
 }
 
+// wasSuspended takes that the host was suspended, which the clock that decisions go
+// by doesn't show.
+func (s *Shard) wasSuspended(slept time.Duration) {
+	s.mu.Lock()
+	msg := s.stalled(slept)
+	s.mu.Unlock()
+	s.update(msg)
+}
+
+// stalled logs that this host stood still, and returns what decisions are told.
+func (s *Shard) stalled(gap time.Duration) any {
+	s.log.Info("stood still", "for", gap.String(), "jobs", s.jobs.Jobs(), "runs", s.pool.Pending())
+	return schedule.StallMsg{}
+}
+
 // passTime lets the decisions see that time passed.
 func (s *Shard) passTime() { s.apply([]any{pool.TickMsg{}, schedule.TickMsg{}}) }
 
 func (s *Shard) apply(msgs []any) {
 	s.mu.Lock()
-	effects := s.settle(time.Now(), msgs)
+	now := time.Now()
+	if s.passed.IsZero() {
+		s.passed = now
+	}
+	if gap := now.Sub(s.passed); s.stall > 0 && gap >= s.stall {
+		msgs = slices.Insert(msgs, 0, s.stalled(gap))
+	}
+	s.passed = now
+	effects := s.settle(now, msgs)
 	s.mu.Unlock()
 	for _, run := range effects {
 		run()
@@ -163,7 +190,8 @@
 	switch cmd := cmd.(type) {
 	case schedule.RunCmd:
 		if cmd.Host != s.self {
-			return nil, []effect{func() { go s.lend(cmd) }}
+			decided := time.Now()
+			return nil, []effect{func() { go s.lend(cmd, decided) }}
 		}
 		return []any{pool.RunMsg{
 			Task:  cmd.Task,
@@ -224,15 +252,27 @@
 	s.update(s.servers.Hold(ctx, cmd))
 }
 
-func (s *Shard) lend(cmd schedule.RunCmd) {
+// lend asks another host to run a task, unless this host stood still since it was
+// decided.
+func (s *Shard) lend(cmd schedule.RunCmd, decided time.Time) {
+	if s.stall > 0 && time.Since(decided) >= s.stall {
+		s.update(schedule.EndMsg{
+			Host:   cmd.Host,
+			Task:   cmd.Task,
+			End:    work.EndNever,
+			Reason: core.ReasonStall,
+		})
+		return
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), cmd.Task.Deadline)
 	defer cancel()
 	s.update(s.lender.Lend(ctx, cmd.Host, s.service, cmd.Task))
 }
 
 // Do runs a job and returns its outcome; ok is false when ctx ended before. The
-// job goes on for the given time then, so that its caller can come back.
-func (s *Shard) Do(ctx context.Context, job work.Job, linger time.Duration) (outcome work.Outcome, ok bool) {
+// job goes on for the given time then, so that its caller can come back. A remote
+// job was taken by another host.
+func (s *Shard) Do(ctx context.Context, job work.Job, linger time.Duration, remote bool) (outcome work.Outcome, ok bool) {
 	answer := make(chan work.Outcome, 1)
 	s.mu.Lock()
 	s.next++
@@ -242,6 +282,7 @@
 	s.update(schedule.SubmitMsg{
 		Job:    job,
 		Caller: caller,
+		Remote: remote,
 	})
 	select {
 	case o := <-answer:
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -23,7 +23,7 @@
 		view := s.parts.Roster.View(s.Servers(job.Service))
 		home, found := view.Home(job.ID, s.parts.Roster.Self().Domain)
 		if !found || home.Address == s.parts.Self {
-			outcome, ok = s.Shard(job.Service).Do(ctx, job, 0)
+			outcome, ok = s.Shard(job.Service).Do(ctx, job, 0, false)
 			outcome.Home = s.parts.Self
 			return outcome, ok
 		}
@@ -91,7 +91,7 @@
 // ServeSubmit coordinates a job that another host took.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	job := jobOf(f.Submit, time.Now())
-	outcome, ok := s.Shard(job.Service).Do(ctx, job, s.parts.Reattach)
+	outcome, ok := s.Shard(job.Service).Do(ctx, job, s.parts.Reattach, true)
 	return wire.Frame{Outcome: &wire.Outcome{
 		State:  string(outcome.State),
 		Reason: string(outcome.Reason),
