Hosts that start together look for each other with fewer heartbeats

Now addresses from the list carry their failure domain, and unheard ones are looked for like others; ownership is computed once for all that came within 20 ms; the log line says who joined and left.

--- a/core/member/model.go
+++ b/core/member/model.go
@@ -37,8 +37,9 @@
 	Known []Host
 }
 
-// SeedMsg names peer addresses that may be hosts.
-type SeedMsg struct{ Addresses []string }
+// SeedMsg names hosts that may live, by peer address; where the failure domain is
+// known too, a host is looked for no more often than it would be heard from.
+type SeedMsg struct{ Hosts []Host }
 
 // LostMsg says that nothing listens at a host's address any more.
 type LostMsg struct{ Address string }
@@ -111,7 +112,7 @@
 	case BeatMsg:
 		return m.beat(now, msg)
 	case SeedMsg:
-		m.seed(now, msg.Addresses)
+		m.seed(now, msg.Hosts)
 	case LostMsg:
 		return m.lost(msg.Address)
 	case StopMsg:
@@ -123,11 +124,14 @@
 	return nil
 }
 
-func (m *Model) seed(now time.Time, addresses []string) {
-	for _, a := range addresses {
-		if a != m.self.Address && m.peers[a] == nil {
-			m.peers[a] = &peer{
-				host:  Host{Address: a},
+func (m *Model) seed(now time.Time, hosts []Host) {
+	for _, h := range hosts {
+		if h.Address != m.self.Address && m.peers[h.Address] == nil {
+			m.peers[h.Address] = &peer{
+				host: Host{
+					Address: h.Address,
+					Domain:  h.Domain,
+				},
 				heard: now,
 			}
 		}
@@ -294,7 +298,11 @@
 	if len(c.live) > 0 {
 		targets = append(targets, c.live[turn%len(c.live)])
 	}
-	if len(c.silent) > 0 && (len(c.live) == 0 || turn%probeEvery == 0) {
+	switch {
+	case len(c.silent) == 0:
+	case len(c.live) == 0:
+		targets = append(targets, c.silent[turn%len(c.silent)])
+	case turn%probeEvery == 0:
 		targets = append(targets, c.silent[turn/probeEvery%len(c.silent)])
 	}
 	return targets
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -40,7 +40,7 @@
 			Address:     address,
 			Domain:      fmt.Sprintf("domain-%d", n%domains),
 		}, limits(), rand.New(rand.NewPCG(uint64(n), 1)))
-		w.models[address].Update(begin, SeedMsg{Addresses: []string{addressOf(0)}})
+		w.models[address].Update(begin, SeedMsg{Hosts: []Host{{Address: addressOf(0)}}})
 	}
 	return w
 }
@@ -132,6 +132,35 @@
 	}
 }
 
+// TestListedHostsFindEachOther: hosts that start together and read from a list who
+// there is and where find each other soon, with about as many heartbeats as ever.
+func TestListedHostsFindEachOther(t *testing.T) {
+	const hosts, domains = 33, 4
+	w := newWorld(hosts, domains)
+	var listed []Host
+	for n := range hosts {
+		self := w.models[addressOf(n)].Self()
+		listed = append(listed, Host{
+			Address: self.Address,
+			Domain:  self.Domain,
+		})
+	}
+	for n := range hosts {
+		m := New(w.models[addressOf(n)].Self(), limits(), rand.New(rand.NewPCG(uint64(n), 1)))
+		m.Update(begin, SeedMsg{Hosts: listed})
+		w.models[addressOf(n)] = m
+	}
+	steps := 0
+	for ; !w.agreed(); steps++ {
+		assert.Assert(t, steps < noticed, "the hosts haven't found each other")
+		w.step()
+	}
+	const ownDomain = hosts/domains + 1
+	mean := float64(w.sent) / float64(steps) / hosts
+	t.Logf("found each other after %d periods, %.1f heartbeats a host and period", steps, mean)
+	assert.Assert(t, mean <= ownDomain+domains)
+}
+
 // TestReplacedAtTheSameAddress: only the new process itself can replace a live one.
 func TestReplacedAtTheSameAddress(t *testing.T) {
 	m := New(Host{
--- a/io/member/fleet.go
+++ b/io/member/fleet.go
@@ -159,7 +159,11 @@
 func (f *Fleet) seed(addresses []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.model.Update(f.now(), member.SeedMsg{Addresses: addresses})
+	seeds := make([]member.Host, 0, len(addresses))
+	for _, a := range addresses {
+		seeds = append(seeds, member.Host{Address: a})
+	}
+	f.model.Update(f.now(), member.SeedMsg{Hosts: seeds})
 }
 
 // tick is one heartbeat period.
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -42,6 +42,7 @@
 
 	mu        sync.Mutex
 	model     *member.Model
+	live      []string // addresses, sorted
 	claims    owner.Claims
 	queues    map[string][]wire.Queue // by peer address
 	known     known
@@ -137,14 +138,17 @@
 
 // SetKnown takes the hosts' rows in the store, and looks for hosts there.
 func (r *Roster) SetKnown(hosts []listing.Host) {
-	addresses := make([]string, 0, len(hosts))
+	seeds := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
-		addresses = append(addresses, h.Address)
+		seeds = append(seeds, member.Host{
+			Address: h.Address,
+			Domain:  h.Domain,
+		})
 	}
 	r.mu.Lock()
 	first := len(r.known.rows) == 0
 	r.known.read(time.Now(), hosts)
-	r.model.Update(time.Now(), member.SeedMsg{Addresses: addresses})
+	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
 	if first {
 		r.tick()
@@ -208,8 +212,9 @@
 	for _, h := range live {
 		addresses = append(addresses, h.Address)
 	}
-	r.log.Info("hosts changed", "live", addresses)
 	r.mu.Lock()
+	joined, left := missing(addresses, r.live), missing(r.live, addresses)
+	r.live = addresses
 	for address := range r.claims {
 		if !slices.Contains(addresses, address) {
 			delete(r.claims, address)
@@ -217,11 +222,23 @@
 		}
 	}
 	r.mu.Unlock()
+	r.log.Info("hosts changed", "joined", joined, "left", left, "live", len(addresses))
 	for _, f := range r.onLive {
 		f()
 	}
 }
 
+// missing returns what of some sorted addresses isn't among others.
+func missing(some, others []string) []string {
+	var found []string
+	for _, a := range some {
+		if _, ok := slices.BinarySearch(others, a); !ok {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
 func (r *Roster) send(address string, beat wire.Beat) {
 	r.counters.Messages("heartbeat", 1)
 	err := r.peers.Send(context.Background(), address, wire.Frame{Beat: &beat})
--- a/io/scheduler/pulse.go
+++ b/io/scheduler/pulse.go
@@ -7,6 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// ownPause is the least time between computations of ownership, so that many hosts
+// that come at once cost one.
+const ownPause = 20 * time.Millisecond
+
 // idlePeriod is how often a host without work looks whether ownership is to be
 // computed and whether its room is to be told.
 const idlePeriod = 50 * time.Millisecond
@@ -40,7 +44,7 @@
 			told = now
 			s.tellRoom()
 		}
-		if now.Sub(owned) >= idlePeriod {
+		if now.Sub(owned) >= ownPause {
 			owned = now
 			s.ownAgain()
 		}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -205,7 +205,10 @@
 			}
 		}
 	}
-	s.own()
+	s.mu.Lock()
+	s.dirty = true
+	s.mu.Unlock()
+	s.wake()
 }
 
 // Held returns the backend servers that this host holds.
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -35,6 +35,7 @@
 	referee *standin.Referee
 	servers []*standin.Server
 	hosts   []*siteHost
+	front   func(address string) string // puts something before an address that hosts connect to
 }
 
 // siteHost is one host.
@@ -53,15 +54,22 @@
 )
 
 func newSite(t *testing.T, hosts, servers int, conduct standin.Conduct) *site {
+	t.Helper()
+	return newSiteBehind(t, hosts, servers, conduct, func(address string) string { return address })
+}
+
+// newSiteBehind is newSite with something in front of all that hosts connect to.
+func newSiteBehind(t *testing.T, hosts, servers int, conduct standin.Conduct, front func(address string) string) *site {
 	t.Helper()
 	s := &site{
 		t:       t,
 		store:   standin.NewStore(),
 		referee: standin.NewReferee(),
+		front:   front,
 	}
 	web := httptest.NewServer(s.store.Router())
 	t.Cleanup(web.Close)
-	s.address = strings.TrimPrefix(web.URL, "http://")
+	s.address = front(strings.TrimPrefix(web.URL, "http://"))
 	s.configure(siteConfig, siteRoute)
 	for i := range servers {
 		s.addServer(i, conduct)
@@ -112,7 +120,7 @@
 	s.servers = append(s.servers, server)
 	s.store.Put("servers", name, wire.ServerEntry{
 		Service: service,
-		Address: strings.TrimPrefix(web.URL, "http://"),
+		Address: s.front(strings.TrimPrefix(web.URL, "http://")),
 		Zone:    domains[i%2],
 		State:   "ready",
 		Capacity: wire.Room{
@@ -144,7 +152,7 @@
 	lines := []string{
 		"[self]", fmt.Sprintf("name = host-%d", i), "domain = " + domains[i%2],
 		"[entry]", "listen = " + callers, "ready = " + ready, "metrics = " + addresses[2], "linger = 200ms", "grace = 20s",
-		"[peer]", "listen = " + addresses[3], "silence = 2s",
+		"[peer]", "listen = " + addresses[3], "advertise = " + s.front(addresses[3]), "silence = 2s",
 		"[store]", "address = " + s.address,
 		// A loaded machine must not look like a lost answer.
 		"[pool]", "answer = 900ms", "hedge = 300ms",
@@ -163,10 +171,13 @@
 		callers: "http://" + callers,
 		ready:   "http://" + ready,
 	}
-	h.run(exec.Command(os.Args[0]), editionVariable+"=platform")
+	h.start()
 	s.hosts = append(s.hosts, h)
 }
 
+// start starts the host's process, for the first time or again.
+func (h *siteHost) start() { h.run(exec.Command(os.Args[0]), editionVariable+"=platform") }
+
 // call sends a request to a host's callers' address.
 func (h *siteHost) call(method, path, body string) (status int, answer string, err error) {
 	req, err := http.NewRequest(method, h.callers+path, strings.NewReader(body))
