One look whether a starting host can serve, for all requests that are held

Cause: each request that a starting host holds looked each 5 ms whether the host can serve, and each look builds the view of all hosts and servers. Ruled out: late configuration (all had it 0.1 s after they listened), homes that move (none did there).

--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,9 +39,8 @@
 	counters  *telemetry.Counters
 	log       logr.Logger
 	latency   *telemetry.Latency
-	hold      time.Duration // longest time that a starting host keeps a job
-	opened    atomic.Bool   // this host was able to serve once
-	leaving   atomic.Bool   // a planned stop takes no more requests
+	opening   opening
+	leaving   atomic.Bool // a planned stop takes no more requests
 	waits     waits
 }
 
@@ -79,7 +79,7 @@
 			return
 		}
 		arrived := time.Now()
-		h.untilAble(r.Context())
+		h.opening.wait(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
 			h.refuse(w, http.StatusServiceUnavailable, core.ReasonConfig, "no configuration has arrived yet", configRetry)
@@ -202,6 +202,16 @@
 	h.format.State(w, state)
 }
 
+// able reports whether a job could be served.
+func (h *Handler) able() bool { return h.watcher.Known() && h.scheduler.Able() }
+
+// open serves the requests that were held while the host started.
+func (h *Handler) open(ctx context.Context) {
+	if h.opening.watch(ctx, h.able) {
+		h.log.Info("callers are served")
+	}
+}
+
 // Ready answers the platform's question whether this host takes callers.
 func (h *Handler) Ready(w http.ResponseWriter, r *http.Request) {
 	if !h.able() {
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/scheduler"
@@ -106,7 +107,7 @@
 
 func newHandler(n needs) *Handler {
 	h := &Handler{
-		hold:      n.Settings.Duration(section, "hold"),
+		opening:   newOpening(n.Settings.Duration(section, "hold")),
 		waits:     waits{routes: map[string]float64{}},
 		format:    n.Format,
 		watcher:   n.Watcher,
@@ -132,6 +133,7 @@
 		server.New("readiness", s.Text(section, "ready"), probes, log),
 		server.New("metrics", s.Text(section, "metrics"), metrics, log),
 	}
+	loop.Append(lc, h.open)
 	for _, web := range others {
 		lc.Append(fx.StartStopHook(web.Start, web.Close))
 	}
--- a/io/entry/start.go
+++ b/io/entry/start.go
@@ -6,22 +6,50 @@
 )
 
 // ableEvery is how often a starting host looks whether it can serve.
-const ableEvery = 5 * time.Millisecond
+const ableEvery = 10 * time.Millisecond
 
-// able reports whether a job could be served.
-func (h *Handler) able() bool { return h.watcher.Known() && h.scheduler.Able() }
+// opening is a starting host that holds requests until it can serve.
+type opening struct {
+	hold   time.Duration // longest time that a request is held
+	opened chan struct{} // closed once the host can serve
+}
 
-// untilAble holds a request of a host that has just started. A caller that is
-// refused does not come back, and the host is able within a moment.
-func (h *Handler) untilAble(ctx context.Context) {
-	if h.opened.Load() {
-		return
+func newOpening(hold time.Duration) opening {
+	return opening{
+		hold:   hold,
+		opened: make(chan struct{}),
+	}
+}
+
+// watch looks whether the host can serve until it can, and reports whether it does;
+// one look serves all requests that are held.
+func (o opening) watch(ctx context.Context, able func() bool) bool {
+	ticker := time.NewTicker(ableEvery)
+	defer ticker.Stop()
+	for !able() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
 	}
-	end := time.Now().Add(h.hold)
-	for !h.able() && time.Now().Before(end) && ctx.Err() == nil {
-		time.Sleep(ableEvery)
+	close(o.opened)
+	return true
+}
+
+// wait holds a request of a host that has just started. A caller that is refused
+// does not come back, and the host is able within a moment.
+func (o opening) wait(ctx context.Context) {
+	select {
+	case <-o.opened:
+		return
+	default:
 	}
-	if h.able() && h.opened.CompareAndSwap(false, true) {
-		h.log.Info("callers are served")
+	timer := time.NewTimer(o.hold)
+	defer timer.Stop()
+	select {
+	case <-o.opened:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
