--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -230,6 +230,7 @@
 		if !stalled {
 			continue
 		}
+		predicted := r.task.Expect
 		s.pace = max(s.pace, m.limits.Slow)
 		if r.percent == 0 {
 			s.health = s.health.WithFailure(now)
@@ -240,7 +241,7 @@
 		cmds = append(cmds, NoteCmd{
 			Server: s.entry.ID,
 			Event:  "slow run",
-			Detail: fmt.Sprintf("%s at %d %% after %s, predicted %s", r.task.Name(), r.percent, now.Sub(r.confirmed), r.task.Expect),
+			Detail: fmt.Sprintf("%s at %d %% after %s, predicted %s", r.task.Name(), r.percent, now.Sub(r.confirmed), predicted),
 		})
 		cmds = append(cmds, m.stopRun(now, s, r, core.ReasonSlow)...)
 	}
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -488,6 +489,10 @@
 				}}
 			})
 			assert.Equal(t, len(stops(cmds)), test.stops)
+			for _, note := range pick.Of[NoteCmd](cmds) {
+				want := fmt.Sprintf("j.0.0.0 at %d %% after 200ms, predicted %s", test.percent, taskOf("j").Expect)
+				assert.Equal(t, note.Detail, want)
+			}
 		})
 	}
 }
