--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -36,6 +36,7 @@
 	servers []*standin.Server
 	hosts   []*siteHost
 	front   func(address string) string // puts something before an address that hosts connect to
+	patient bool                        // hosts wait longer for answers than deployed ones
 }
 
 // siteHost is one host.
@@ -55,21 +56,21 @@
 
 func newSite(t *testing.T, hosts, servers int, conduct standin.Conduct) *site {
 	t.Helper()
-	return newSiteBehind(t, hosts, servers, conduct, func(address string) string { return address })
+	s := &site{
+		front:   func(address string) string { return address },
+		patient: true,
+	}
+	s.build(t, hosts, servers, conduct)
+	return s
 }
 
-// newSiteBehind is newSite with something in front of all that hosts connect to.
-func newSiteBehind(t *testing.T, hosts, servers int, conduct standin.Conduct, front func(address string) string) *site {
+// build starts all that a site consists of, and waits until its hosts are ready.
+func (s *site) build(t *testing.T, hosts, servers int, conduct standin.Conduct) {
 	t.Helper()
-	s := &site{
-		t:       t,
-		store:   standin.NewStore(),
-		referee: standin.NewReferee(),
-		front:   front,
-	}
+	s.t, s.store, s.referee = t, standin.NewStore(), standin.NewReferee()
 	web := httptest.NewServer(s.store.Router())
 	t.Cleanup(web.Close)
-	s.address = front(strings.TrimPrefix(web.URL, "http://"))
+	s.address = s.front(strings.TrimPrefix(web.URL, "http://"))
 	s.configure(siteConfig, siteRoute)
 	for i := range servers {
 		s.addServer(i, conduct)
@@ -84,7 +85,6 @@
 		})
 	}
 	t.Cleanup(func() { assert.Equal(t, len(s.referee.Broken()), 0, s.referee.Broken()) })
-	return s
 }
 
 func (s *site) configure(version int, prefixes ...string) {
@@ -152,13 +152,17 @@
 	lines := []string{
 		"[self]", fmt.Sprintf("name = host-%d", i), "domain = " + domains[i%2],
 		"[entry]", "listen = " + callers, "ready = " + ready, "metrics = " + addresses[2], "linger = 200ms", "grace = 20s",
-		"[peer]", "listen = " + addresses[3], "advertise = " + s.front(addresses[3]), "silence = 2s",
-		"[store]", "address = " + s.address,
+		"[peer]", "listen = " + addresses[3], "advertise = " + s.front(addresses[3]),
+	}
+	if s.patient {
 		// A loaded machine must not look like a lost answer.
-		"[pool]", "answer = 900ms", "hedge = 300ms",
-		"[roster]", "dead = 3s",
-		"[log]", "level = debug",
+		lines = append(lines, "silence = 2s",
+			"[pool]", "answer = 900ms", "hedge = 300ms",
+			"[roster]", "dead = 3s")
+	} else {
+		lines = append(lines, "dial = 200ms", "silence = 400ms")
 	}
+	lines = append(lines, "[store]", "address = "+s.address, "[log]", "level = debug")
 	file := filepath.Join(s.t.TempDir(), "host.ini")
 	assert.NilError(s.t, os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
 	h := &siteHost{
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -31,6 +31,12 @@
 	soakPauseMax = 700 * time.Millisecond  // longest time between the starts of two faults
 )
 
+// soakConduct is servers whose tasks outlast what hosts wait for an answer.
+var soakConduct = standin.Conduct{
+	Run:   400 * time.Millisecond,
+	Slots: 6,
+}
+
 // soakRegressions are seeds that failed once, each with its cause.
 var soakRegressions = []struct {
 	seed  uint64
@@ -75,7 +81,8 @@
 			tally:   map[string]int{},
 			told:    map[uint64]bool{},
 		}
-		s.site = newSiteBehind(t, soakHosts, soakServers, sound, s.proxied)
+		s.site = &site{front: s.proxied}
+		s.build(t, soakHosts, soakServers, soakConduct)
 		s.play()
 	})
 }
@@ -251,10 +258,10 @@
 }
 
 func (s *soak) misbehave(server *standin.Server, c standin.Conduct, length time.Duration) {
-	c.Run, c.Slots = sound.Run, sound.Slots
+	c.Run, c.Slots = soakConduct.Run, soakConduct.Slots
 	server.SetConduct(c)
 	time.Sleep(length)
-	server.SetConduct(sound)
+	server.SetConduct(soakConduct)
 }
 
 // change books a new version of the configuration.
