A halt that overtakes the task it is for keeps the task from starting

Cause: frames on a link are served side by side, so a halt may be handled before the call that lends its task; the task then ran on with nobody to stop it, while its job's caller sent the job again. Now a halt of a task that isn't known is kept for 1 s. Test: TestHaltOvertakes.

--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -182,6 +182,9 @@
 	}
 	s.mu.Lock()
 	owner, ok := s.pool.OwnerOf(h.Task)
+	if !ok {
+		s.haltedEarly(h.Task)
+	}
 	s.mu.Unlock()
 	if ok && owner != ownerSelf {
 		s.update(pool.StopMsg{
--- a/io/scheduler/lent.go
+++ b/io/scheduler/lent.go
@@ -20,6 +20,23 @@
 // broke before it heard of it.
 const lentMemory = 2 * time.Second
 
+// haltMemory is how long a halt waits for the task that it has overtaken; callers
+// don't send a job again sooner.
+const haltMemory = time.Second
+
+// haltedEarly notes the halt of a task that isn't known here, under the lock: the
+// halt may have overtaken the call that lends the task.
+func (s *Shard) haltedEarly(task string) {
+	s.halted[task]++
+	time.AfterFunc(haltMemory, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.halted[task]--; s.halted[task] == 0 {
+			delete(s.halted, task)
+		}
+	})
+}
+
 func lentOwner(t work.Task) string { return lentTo + t.Name() + "#" + strconv.Itoa(t.Run) }
 
 // RunLent runs a task for another host and returns how its run ended. When the
@@ -29,6 +46,14 @@
 	listener := make(chan pool.EndCmd, 1)
 	s.mu.Lock()
 	run, known := s.lent[owner]
+	if !known && s.halted[task.Name()] > 0 {
+		s.mu.Unlock()
+		return pool.EndCmd{
+			Task:   task,
+			End:    work.EndNever,
+			Reason: core.ReasonCanceled,
+		}
+	}
 	if !known {
 		run = &lentRun{}
 		s.lent[owner] = run
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -14,6 +14,7 @@
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
 )
 
 // fakeServer runs one task for a set time; it counts starts and stops.
@@ -147,3 +148,32 @@
 		})
 	}
 }
+
+// TestHaltOvertakes: a halt that arrives before the call that lends the task keeps
+// the task from starting, and doesn't concern a job that is sent again later.
+func TestHaltOvertakes(t *testing.T) {
+	f := &fakeServer{
+		runs:   time.Millisecond,
+		starts: make(chan string, 10),
+		stops:  make(chan string, 10),
+	}
+	s := newShard(f)
+	task := work.Task{
+		Job:  "j",
+		Run:  1,
+		Size: work.Size{CPU: 500},
+	}
+	s.halt(&wire.Halt{Task: task.Name()})
+	assert.Equal(t, s.RunLent(t.Context(), task).End, work.EndNever)
+	assert.Equal(t, len(f.starts), 0)
+	for {
+		s.mu.Lock()
+		forgotten := len(s.halted) == 0
+		s.mu.Unlock()
+		if forgotten {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, s.RunLent(t.Context(), task).End, work.EndDone)
+}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -89,6 +89,7 @@
 		jobs:     schedule.New(s.parts.Self, s.parts.Jobs),
 		callers:  map[string]func(work.Outcome){},
 		lent:     map[string]*lentRun{},
+		halted:   map[string]int{},
 		reattach: s.parts.Reattach,
 	}
 }
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -55,6 +55,7 @@
 	jobs    *schedule.Model
 	callers map[string]func(work.Outcome)
 	lent    map[string]*lentRun // by owner
+	halted  map[string]int      // halts of tasks that weren't known, by task name
 	next    int
 	toldAt  time.Time // when the room was last told to other homes
 	changed bool      // the room since then
