What was sent to a host before it stood still is not served afterwards

Now a detector counts stalls; a link from before one is closed before its next frame is served. A job or task that is handed over again joins what runs, or is broken. Tests: TestStoodStill in io/peer, TestDetector, TestHandedInAgain, TestLentAgain.

--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -128,6 +129,18 @@
 		m.callers[msg.Caller] = id
 		return nil
 	}
+	if msg.Again {
+		// An earlier process of this host may have started tasks of it, or they are
+		// being stopped; a start now could meet them.
+		return []Cmd{AnswerCmd{
+			Caller: msg.Caller,
+			ID:     id,
+			Outcome: work.Outcome{
+				State:  work.Broken,
+				Reason: core.ReasonLink,
+			},
+		}}
+	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.Useful)
 	j.callers, j.remote = []string{msg.Caller}, msg.Remote
 	if reason := m.hopeless(now, j); reason != "" {
--- a/core/schedule/model_test.go
+++ b/core/schedule/model_test.go
@@ -437,3 +437,18 @@
 		})
 	}
 }
+
+// TestHandedInAgain: a job that is handed in again after its link broke joins the job
+// that runs, and is never started anew.
+func TestHandedInAgain(t *testing.T) {
+	again := submit(jobOf("j", 1))
+	again.Caller, again.Again = "again", true
+	m := newModel(4)
+	cmds := m.Update(epoch, again)
+	assert.Equal(t, len(runs(cmds)), 0)
+	assert.Equal(t, answers(cmds)[0].Outcome.State, work.Broken)
+	placed := runs(m.Update(epoch, submit(jobOf("j", 1))))
+	assert.Equal(t, len(m.Update(epoch, again)), 0)
+	told := answers(m.Update(epoch, ended(placed[0], work.EndDone)))
+	assert.Equal(t, len(told), 2)
+}
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -16,6 +16,7 @@
 	Job    work.Job
 	Caller string
 	Remote bool // another host took the job from its caller
+	Again  bool // the other host handed it in before, on a link that broke
 }
 
 // DropMsg says that a caller no longer waits.
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -45,7 +46,7 @@
 			heard.Add(1)
 			return wire.Frame{}, false
 		},
-	}}, silence, counters, logr.Discard())
+	}}, silence, stall.New(0), counters, logr.Discard())
 	web := httptest.NewServer(server)
 	defer web.Close()
 	defer server.Close()
@@ -105,3 +106,44 @@
 	err := links.Send(t.Context(), strings.TrimPrefix(web.URL, "http://"), frame)
 	assert.ErrorIs(t, err, ErrBroken)
 }
+
+// TestStoodStill: a frame that arrived before this process stood still is not
+// served, and the link is closed; later frames come over a new one.
+func TestStoodStill(t *testing.T) {
+	const limit = time.Minute
+	var heard atomic.Int64
+	counters := telemetry.NewCounters(telemetry.NewRegistry())
+	stalls := stall.New(limit)
+	server := NewServer([]Handler{{
+		Part: PartBeat,
+		Serve: func(context.Context, wire.Frame) (wire.Frame, bool) {
+			heard.Add(1)
+			return wire.Frame{}, false
+		},
+	}}, time.Second, stalls, counters, logr.Discard())
+	web := httptest.NewServer(server)
+	defer web.Close()
+	defer server.Close()
+	address := strings.TrimPrefix(web.URL, "http://")
+	links := New(&net.Dialer{Timeout: time.Second}, time.Second, counters, logr.Discard())
+	defer links.Close()
+	beat := wire.Frame{Beat: &wire.Beat{}}
+	hear := func(n int64) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if heard.Load() >= n {
+				return poll.Success()
+			}
+			return poll.Continue("%d beats heard", heard.Load())
+		})
+	}
+	assert.NilError(t, links.Send(t.Context(), address, beat))
+	hear(1)
+	first, err := links.link(t.Context(), address)
+	assert.NilError(t, err)
+	stalls.Suspended(limit)
+	assert.NilError(t, first.write(beat))
+	<-first.done
+	assert.Equal(t, heard.Load(), int64(1))
+	assert.NilError(t, links.Send(t.Context(), address, beat))
+	hear(2)
+}
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -9,6 +9,7 @@
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/server"
 	"rosemarywalk/io/settings"
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
 )
@@ -83,11 +84,15 @@
 type handlers struct {
 	fx.In
 
-	Handlers []Handler `group:"handlers"`
+	Handlers []Handler       `group:"handlers"`
+	Stalls   *stall.Detector `optional:"true"`
 }
 
 func newServer(h handlers, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Server {
-	return NewServer(h.Handlers, s.Duration(section, "silence"), counters, log)
+	if h.Stalls == nil {
+		h.Stalls = stall.New(0)
+	}
+	return NewServer(h.Handlers, s.Duration(section, "silence"), h.Stalls, counters, log)
 }
 
 func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, log logr.Logger) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -18,6 +19,7 @@
 type Server struct {
 	handlers map[Part]Handler
 	silence  time.Duration
+	stalls   *stall.Detector
 	counters *telemetry.Counters
 	log      logr.Logger
 
@@ -28,11 +30,13 @@
 }
 
 // NewServer returns a server for the given handlers; a link that stays silent
-// while a call is served is closed, and the call's context ends.
-func NewServer(handlers []Handler, silence time.Duration, counters *telemetry.Counters, log logr.Logger) *Server {
+// while a call is served is closed, and the call's context ends. So is a link over
+// which this process stood still: what it carried before is out of date.
+func NewServer(handlers []Handler, silence time.Duration, stalls *stall.Detector, counters *telemetry.Counters, log logr.Logger) *Server {
 	s := &Server{
 		handlers: map[Part]Handler{},
 		silence:  silence,
+		stalls:   stalls,
 		counters: counters,
 		log:      log.WithName("peer"),
 		links:    map[*link]bool{},
@@ -56,7 +60,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.watch()
-	l.read(func(f wire.Frame) { s.serve(ctx, l, f) })
+	stood, _ := s.stalls.Count(time.Now())
+	l.read(func(f wire.Frame) {
+		if count, _ := s.stalls.Count(time.Now()); count != stood {
+			l.close()
+			return
+		}
+		s.serve(ctx, l, f)
+	})
 }
 
 func (s *Server) track(l *link, on bool) {
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -38,8 +38,10 @@
 		Host: host,
 		Task: t,
 	}
-	answer, repeated, err := again(ctx, l.reattach, func() (wire.Frame, error) {
-		return l.peers.Call(ctx, host, wire.Frame{Lend: lendOf(service, t, time.Now())})
+	answer, repeated, err := again(ctx, l.reattach, func(repeated bool) (wire.Frame, error) {
+		lend := lendOf(service, t, time.Now())
+		lend.Again = repeated
+		return l.peers.Call(ctx, host, wire.Frame{Lend: lend})
 	})
 	switch {
 	case errors.Is(err, peer.ErrNoLink):
@@ -67,11 +69,11 @@
 // again repeats a call whose link broke, within the time in which the other
 // host waits for it, and reports whether it did. A link that can't be made again
 // leaves the first error.
-func again(ctx context.Context, within time.Duration, call func() (wire.Frame, error)) (answer wire.Frame, repeated bool, err error) {
-	answer, err = call()
+func again(ctx context.Context, within time.Duration, call func(repeated bool) (wire.Frame, error)) (answer wire.Frame, repeated bool, err error) {
+	answer, err = call(false)
 	end := time.Now().Add(within - reattachMargin)
 	for errors.Is(err, peer.ErrBroken) && ctx.Err() == nil && time.Now().Before(end) {
-		next, again := call()
+		next, again := call(true)
 		if !errors.Is(again, peer.ErrNoLink) {
 			answer, repeated, err = next, true, again
 			continue
@@ -158,7 +160,7 @@
 	task := taskOf(l, time.Now())
 	ctx, cancel := context.WithDeadline(ctx, task.Deadline.Add(sendTimeout))
 	defer cancel()
-	end := s.Shard(l.Service).RunLent(ctx, task)
+	end := s.Shard(l.Service).RunLent(ctx, task, l.Again)
 	return wire.Frame{Lent: &wire.Lent{
 		End:    string(end.End),
 		Run:    end.Task.Run,
--- a/io/scheduler/lent.go
+++ b/io/scheduler/lent.go
@@ -40,19 +40,18 @@
 func lentOwner(t work.Task) string { return lentTo + t.Name() + "#" + strconv.Itoa(t.Run) }
 
 // RunLent runs a task for another host and returns how its run ended. When the
-// link breaks, the run goes on for a moment, and the same call attaches to it.
-func (s *Shard) RunLent(ctx context.Context, task work.Task) pool.EndCmd {
+// link breaks, the run goes on for a moment, and the same call attaches to it when
+// it is made again. A run that isn't known then is not started: an earlier process
+// of this host may have started it, or it may be ending.
+func (s *Shard) RunLent(ctx context.Context, task work.Task, again bool) pool.EndCmd {
 	owner := lentOwner(task)
 	listener := make(chan pool.EndCmd, 1)
 	s.mu.Lock()
 	run, known := s.lent[owner]
-	if !known && s.halted[task.Name()] > 0 {
+	halted := s.halted[task.Name()] > 0
+	if !known && (again || halted) {
 		s.mu.Unlock()
-		return pool.EndCmd{
-			Task:   task,
-			End:    work.EndNever,
-			Reason: core.ReasonCanceled,
-		}
+		return notStarted(task, again)
 	}
 	if !known {
 		run = &lentRun{}
@@ -82,6 +81,19 @@
 	}
 }
 
+// notStarted is the end of a lent task that is not started here.
+func notStarted(task work.Task, again bool) pool.EndCmd {
+	cmd := pool.EndCmd{
+		Task:   task,
+		End:    work.EndNever,
+		Reason: core.ReasonCanceled,
+	}
+	if again {
+		cmd.End, cmd.Reason = work.EndUnknown, core.ReasonLink
+	}
+	return cmd
+}
+
 // abandon stops a lent run that no call attached to.
 func (s *Shard) abandon(owner string, listener chan pool.EndCmd) {
 	s.mu.Lock()
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -134,7 +134,7 @@
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			broken := make(chan pool.EndCmd)
-			go func() { broken <- s.RunLent(ctx, task) }()
+			go func() { broken <- s.RunLent(ctx, task, false) }()
 			<-f.starts
 			cancel()
 			assert.Equal(t, (<-broken).End, work.EndUnknown)
@@ -142,7 +142,7 @@
 				assert.Equal(t, <-f.stops, "j.0.0.0")
 				return
 			}
-			assert.Equal(t, s.RunLent(t.Context(), task).End, test.end)
+			assert.Equal(t, s.RunLent(t.Context(), task, true).End, test.end)
 			assert.Equal(t, len(f.starts), 0)
 			assert.Equal(t, len(f.stops), test.stops)
 		})
@@ -164,7 +164,7 @@
 		Size: work.Size{CPU: 500},
 	}
 	s.halt(&wire.Halt{Task: task.Name()})
-	assert.Equal(t, s.RunLent(t.Context(), task).End, work.EndNever)
+	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndNever)
 	assert.Equal(t, len(f.starts), 0)
 	for {
 		s.mu.Lock()
@@ -175,5 +175,22 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	assert.Equal(t, s.RunLent(t.Context(), task).End, work.EndDone)
+	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndDone)
+}
+
+// TestLentAgain: a task that is lent again after its link broke, to a process that
+// doesn't know it, is not started.
+func TestLentAgain(t *testing.T) {
+	f := &fakeServer{
+		starts: make(chan string, 10),
+		stops:  make(chan string, 10),
+	}
+	s := newShard(f)
+	end := s.RunLent(t.Context(), work.Task{
+		Job:  "j",
+		Run:  1,
+		Size: work.Size{CPU: 500},
+	}, true)
+	assert.Equal(t, end.End, work.EndUnknown)
+	assert.Equal(t, len(f.starts), 0)
 }
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -16,6 +16,7 @@
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/settings"
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/watch"
 	"rosemarywalk/kernel"
@@ -96,7 +97,7 @@
 			},
 		},
 		Module: fx.Options(
-			fx.Provide(newScheduler, newHandlers),
+			fx.Provide(newScheduler, newHandlers, newDetector),
 			fx.Invoke(run),
 		),
 	})
@@ -134,10 +135,15 @@
 	Servers  Servers
 	Links    *peer.Links
 	Roster   *roster.Roster
+	Stalls   *stall.Detector
 	Counters *telemetry.Counters
 	Log      logr.Logger
 }
 
+func newDetector(s settings.Settings) *stall.Detector {
+	return stall.New(s.Duration(section, "stall"))
+}
+
 func newScheduler(n needs) *Scheduler {
 	s := n.Settings
 	return New(Parts{
@@ -151,6 +157,7 @@
 		Settle:   s.Duration(section, "settle"),
 		Reattach: s.Duration(section, "reattach"),
 		Stall:    s.Duration(section, "stall"),
+		Stalls:   n.Stalls,
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
--- a/io/scheduler/pulse.go
+++ b/io/scheduler/pulse.go
@@ -37,7 +37,7 @@
 		}
 		now := time.Now()
 		if slept := clock.suspended(); slept > 0 {
-			s.suspended(slept)
+			s.parts.Stalls.Suspended(slept)
 		}
 		s.tick()
 		if now.Sub(told) >= tell {
@@ -80,16 +80,6 @@
 	}
 }
 
-// suspended tells the shards that the host was suspended for long.
-func (s *Scheduler) suspended(slept time.Duration) {
-	if slept < s.parts.Stall {
-		return
-	}
-	for _, shard := range s.all() {
-		shard.wasSuspended(slept)
-	}
-}
-
 // sleepClock finds out that the host was suspended: one clock counts that time and
 // the other doesn't.
 type sleepClock struct{ ahead time.Duration }
--- a/io/scheduler/pulse_test.go
+++ b/io/scheduler/pulse_test.go
@@ -77,7 +77,7 @@
 		Remote: true,
 	})
 	assert.Equal(t, len(answer), 0)
-	shard.passed = time.Now().Add(-stall)
+	s.parts.Stalls.Suspended(stall)
 	shard.apply(nil)
 	assert.Equal(t, (<-answer).Reason, core.ReasonStall)
 	// There is no lender here to be asked.
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/roster"
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -27,7 +28,8 @@
 	Jobs     schedule.Limits
 	Answer   time.Duration // longest wait for an order's answer
 	Reattach time.Duration // that work for a host whose link broke goes on
-	Stall    time.Duration // without a decision, after which this host stood still
+	Stall    time.Duration // after which a decision is out of date
+	Stalls   *stall.Detector
 	Settle   time.Duration // after the start, before servers are taken over
 	Counters *telemetry.Counters
 	Log      logr.Logger
@@ -49,6 +51,9 @@
 
 // New returns a scheduler without shards.
 func New(p Parts) *Scheduler {
+	if p.Stalls == nil {
+		p.Stalls = stall.New(p.Stall)
+	}
 	return &Scheduler{
 		parts:   p,
 		started: time.Now(),
@@ -82,6 +87,7 @@
 		},
 		answer:   s.parts.Answer,
 		stall:    s.parts.Stall,
+		stalls:   s.parts.Stalls,
 		wake:     s.wake,
 		counters: s.parts.Counters,
 		log:      s.parts.Log.WithName("scheduler").WithValues("service", service),
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 )
 
@@ -44,13 +45,14 @@
 	lender   Lender
 	answer   time.Duration // longest wait for an order's answer
 	reattach time.Duration // that work for a host whose link broke goes on
-	stall    time.Duration // without a decision, after which this host stood still
-	wake     func()        // called when time has to pass
+	stall    time.Duration // after which a decision is out of date
+	stalls   *stall.Detector
+	wake     func() // called when time has to pass
 	counters *telemetry.Counters
 	log      logr.Logger
 
 	mu      sync.Mutex
-	passed  time.Time // when decisions last saw the time
+	stalled int // how often this host stood still so far
 	pool    *pool.Model
 	jobs    *schedule.Model
 	callers map[string]func(work.Outcome)
@@ -73,34 +75,17 @@
 	}
 }
 
-// wasSuspended takes that the host was suspended, which the clock that decisions go
-// by doesn't show.
-func (s *Shard) wasSuspended(slept time.Duration) {
-	s.mu.Lock()
-	msg := s.stalled(slept)
-	s.mu.Unlock()
-	s.update(msg)
-}
-
-// stalled logs that this host stood still, and returns what decisions are told.
-func (s *Shard) stalled(gap time.Duration) any {
-	s.log.Info("stood still", "for", gap.String(), "jobs", s.jobs.Jobs(), "runs", s.pool.Pending())
-	return schedule.StallMsg{}
-}
-
 // passTime lets the decisions see that time passed.
 func (s *Shard) passTime() { s.apply([]any{pool.TickMsg{}, schedule.TickMsg{}}) }
 
 func (s *Shard) apply(msgs []any) {
 	s.mu.Lock()
 	now := time.Now()
-	if s.passed.IsZero() {
-		s.passed = now
+	if count, gap := s.stalls.Count(now); count != s.stalled {
+		s.stalled = count
+		s.log.Info("stood still", "for", gap.String(), "jobs", s.jobs.Jobs(), "runs", s.pool.Pending())
+		msgs = slices.Insert(msgs, 0, any(schedule.StallMsg{}))
 	}
-	if gap := now.Sub(s.passed); s.stall > 0 && gap >= s.stall {
-		msgs = slices.Insert(msgs, 0, s.stalled(gap))
-	}
-	s.passed = now
 	effects := s.settle(now, msgs)
 	s.mu.Unlock()
 	for _, run := range effects {
@@ -270,21 +255,17 @@
 	s.update(s.lender.Lend(ctx, cmd.Host, s.service, cmd.Task))
 }
 
-// Do runs a job and returns its outcome; ok is false when ctx ended before. The
-// job goes on for the given time then, so that its caller can come back. A remote
-// job was taken by another host.
-func (s *Shard) Do(ctx context.Context, job work.Job, linger time.Duration, remote bool) (outcome work.Outcome, ok bool) {
+// Do hands a job in and returns its outcome; ok is false when ctx ended before. The
+// job goes on for the given time then, so that its caller can come back.
+func (s *Shard) Do(ctx context.Context, msg schedule.SubmitMsg, linger time.Duration) (outcome work.Outcome, ok bool) {
 	answer := make(chan work.Outcome, 1)
 	s.mu.Lock()
 	s.next++
 	caller := strconv.Itoa(s.next)
 	s.callers[caller] = func(o work.Outcome) { answer <- o }
 	s.mu.Unlock()
-	s.update(schedule.SubmitMsg{
-		Job:    job,
-		Caller: caller,
-		Remote: remote,
-	})
+	msg.Caller = caller
+	s.update(msg)
 	select {
 	case o := <-answer:
 		return o, true
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -23,7 +23,7 @@
 		view := s.parts.Roster.View(s.Servers(job.Service))
 		home, found := view.Home(job.ID, s.parts.Roster.Self().Domain)
 		if !found || home.Address == s.parts.Self {
-			outcome, ok = s.Shard(job.Service).Do(ctx, job, 0, false)
+			outcome, ok = s.Shard(job.Service).Do(ctx, schedule.SubmitMsg{Job: job}, 0)
 			outcome.Home = s.parts.Self
 			return outcome, ok
 		}
@@ -58,8 +58,10 @@
 const homeRetry = time.Second
 
 func (s *Scheduler) forward(ctx context.Context, home string, job work.Job) (work.Outcome, error) {
-	answer, repeated, err := again(ctx, s.parts.Reattach, func() (wire.Frame, error) {
-		return s.parts.Peers.Call(ctx, home, wire.Frame{Submit: submitOf(job, time.Now())})
+	answer, repeated, err := again(ctx, s.parts.Reattach, func(repeated bool) (wire.Frame, error) {
+		submit := submitOf(job, time.Now())
+		submit.Again = repeated
+		return s.parts.Peers.Call(ctx, home, wire.Frame{Submit: submit})
 	})
 	if err != nil {
 		return work.Outcome{}, err
@@ -91,7 +93,11 @@
 // ServeSubmit coordinates a job that another host took.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	job := jobOf(f.Submit, time.Now())
-	outcome, ok := s.Shard(job.Service).Do(ctx, job, s.parts.Reattach, true)
+	outcome, ok := s.Shard(job.Service).Do(ctx, schedule.SubmitMsg{
+		Job:    job,
+		Remote: true,
+		Again:  f.Submit.Again,
+	}, s.parts.Reattach)
 	return wire.Frame{Outcome: &wire.Outcome{
 		State:  string(outcome.State),
 		Reason: string(outcome.Reason),
--- /dev/null
+++ b/io/stall/detector_test.go
@@ -0,0 +1,55 @@
+package stall
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDetector: gaps from the limit on are counted, once each, and so is the time
+// for which the host was suspended.
+func TestDetector(t *testing.T) {
+	const limit = 500 * time.Millisecond
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name  string
+		pass  time.Duration
+		slept time.Duration
+		want  int
+	}{
+		{
+			name: "first asked",
+		},
+		{
+			name: "a short gap",
+			pass: limit - 1,
+		},
+		{
+			name: "a long gap",
+			pass: limit,
+			want: 1,
+		},
+		{
+			name: "asked again",
+			want: 1,
+		},
+		{
+			name:  "suspended",
+			slept: limit,
+			want:  2,
+		},
+		{
+			name:  "suspended for a moment",
+			slept: limit / 2,
+			want:  2,
+		},
+	}
+	d := New(limit)
+	for _, test := range tests {
+		now = now.Add(test.pass)
+		d.Suspended(test.slept)
+		count, _ := d.Count(now)
+		assert.Equal(t, count, test.want, test.name)
+	}
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -289,6 +289,10 @@
 	// Rack where the data lies.
 	Affinity string `cbor:"affinity" json:"affinity"`
 
+	// Whether the call was made before, on a link that broke; what isn't known then
+	// must not be started.
+	Again bool `cbor:"again" json:"again"`
+
 	// Most tasks of the step on one backend server; 0 is any number.
 	Apart int `cbor:"apart" json:"apart"`
 
@@ -499,6 +503,10 @@
 
 // Submit hands a whole job to the host that coordinates it.
 type Submit struct {
+	// Whether the call was made before, on a link that broke; what isn't known then
+	// must not be started.
+	Again bool `cbor:"again" json:"again"`
+
 	// Time since its arrival, in microseconds.
 	Age int `cbor:"age" json:"age"`
 
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -158,6 +158,7 @@
 		// A loaded machine must not look like a lost answer.
 		lines = append(lines, "silence = 2s",
 			"[pool]", "answer = 900ms", "hedge = 300ms",
+			"[schedule]", "stall = 3s",
 			"[roster]", "dead = 3s")
 	} else {
 		lines = append(lines, "dial = 200ms", "silence = 400ms")
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -19,6 +22,7 @@
 var (
 	soakSeeds  = flag.Int("soakseeds", 1, "seeds that TestSoak plays")
 	soakFirst  = flag.Uint64("soakfirst", 1, "first seed that TestSoak plays")
+	soakLogs   = flag.String("soaklogs", "", "folder for the hosts' logs of seeds that fail")
 	soakLength = flag.Duration("soaklength", 6*time.Second, "time in which TestSoak brings about faults, for each seed")
 )
 
@@ -41,7 +45,16 @@
 var soakRegressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{
+		seed:  224,
+		cause: "a job was handed in again to the next process of a killed home",
+	},
+	{
+		seed:  225,
+		cause: "a paused home read jobs that were sent to it before the pause",
+	},
+}
 
 // soak is hosts, backend servers and a store with a proxy before each, under
 // faults that are drawn from a seed.
@@ -102,6 +115,7 @@
 		for _, p := range s.proxies {
 			p.Close()
 		}
+		s.keepLogs()
 	})
 	over := make(chan struct{})
 	var callers, faults sync.WaitGroup
@@ -110,8 +124,7 @@
 	}
 	callers.Go(func() { s.watchVersions(over) })
 	for end := time.Now().Add(*soakLength); time.Now().Before(end); {
-		fault := s.draw()
-		faults.Go(fault)
+		faults.Go(s.draw().do)
 		time.Sleep(time.Duration(s.rng.Int64N(int64(soakPauseMax))))
 	}
 	faults.Wait()
@@ -124,6 +137,17 @@
 	s.t.Log("jobs by outcome:", s.tally)
 }
 
+// keepLogs writes what the hosts logged to files, when the seed failed.
+func (s *soak) keepLogs() {
+	if *soakLogs == "" || (!s.t.Failed() && len(s.referee.Broken()) == 0) {
+		return
+	}
+	for _, h := range s.hosts {
+		file := filepath.Join(*soakLogs, strings.ReplaceAll(s.t.Name(), "/", "-")+"-"+h.name+".log")
+		assert.Check(s.t, os.WriteFile(file, []byte(h.log.String()), 0o600))
+	}
+}
+
 // recovered waits until every host serves a job again.
 func (s *soak) recovered() {
 	const first = 1 << 40
@@ -214,35 +238,74 @@
 	}
 }
 
+// fault is something that goes wrong for a while.
+type fault struct {
+	what string
+	do   func()
+}
+
 // draw returns a fault that ends by itself.
-func (s *soak) draw() func() {
+func (s *soak) draw() fault {
 	length := time.Duration(s.rng.Int64N(int64(soakFaultMax)))
 	source := proxy.Any
 	if s.rng.IntN(2) == 0 {
 		source = hostIP(s.rng.IntN(soakHosts))
 	}
 	target := s.proxies[s.rng.IntN(len(s.proxies))]
-	host, server := s.rng.IntN(soakHosts), s.servers[s.rng.IntN(soakServers)]
-	kinds := []func(){
-		func() { s.disturb(target, source, proxy.Cut(), length) },
-		func() { s.disturb(target, source, proxy.Fault{HoldOut: true}, length) },
-		func() { s.disturb(target, source, proxy.Fault{HoldBack: true}, length) },
-		func() { s.disturb(target, source, proxy.Fault{Refuse: true}, length) },
-		func() { s.disturb(target, source, proxy.Fault{Delay: length / 10}, length) },
-		func() { s.disturb(target, source, proxy.Fault{ResetPast: 2000}, length) },
-		func() { target.Heal(source) },
-		func() { s.withProcess(host, func(h *siteHost) { s.pause(h, length) }) },
-		func() { s.withProcess(host, func(h *siteHost) { s.kill(h, length) }) },
-		func() { s.withProcess(host, func(h *siteHost) { s.stop(h) }) },
-		func() { s.breakStore(standin.Busy, length) },
-		func() { s.breakStore(standin.Silent, length) },
-		func() { s.breakStore(standin.Amnesy, length) },
-		func() { s.misbehave(server, standin.Conduct{Fail: true}, length) },
-		func() { s.misbehave(server, standin.Conduct{Hang: true}, length) },
-		func() { s.misbehave(server, standin.Conduct{Lose: 0.3}, length) },
-		s.change,
+	host, server := s.rng.IntN(soakHosts), s.rng.IntN(soakServers)
+	name := func(f proxy.Fault) string { return fmt.Sprintf("%s from %q: %+v", target.Address(), source, f) }
+	disturb := func(f proxy.Fault) fault {
+		return fault{
+			what: name(f),
+			do:   func() { s.disturb(target, source, f, length) },
+		}
+	}
+	process := func(what string, do func(h *siteHost)) fault {
+		return fault{
+			what: s.hosts[host].name + " " + what,
+			do:   func() { s.withProcess(host, do) },
+		}
+	}
+	store := func(f standin.Fault) fault {
+		return fault{
+			what: "store " + string(f),
+			do:   func() { s.breakStore(f, length) },
+		}
+	}
+	conduct := func(c standin.Conduct) fault {
+		return fault{
+			what: fmt.Sprintf("server i-%d: %+v", server, c),
+			do:   func() { s.misbehave(s.servers[server], c, length) },
+		}
+	}
+	faults := []fault{
+		disturb(proxy.Cut()),
+		disturb(proxy.Fault{HoldOut: true}),
+		disturb(proxy.Fault{HoldBack: true}),
+		disturb(proxy.Fault{Refuse: true}),
+		disturb(proxy.Fault{Delay: length / 10}),
+		disturb(proxy.Fault{ResetPast: 2000}),
+		{
+			what: "connections of " + target.Address() + " reset",
+			do:   func() { target.Heal(source) },
+		},
+		process("paused", func(h *siteHost) { s.pause(h, length) }),
+		process("killed", func(h *siteHost) { s.kill(h, length) }),
+		process("stopped", s.stop),
+		store(standin.Busy),
+		store(standin.Silent),
+		store(standin.Amnesy),
+		conduct(standin.Conduct{Fail: true}),
+		conduct(standin.Conduct{Hang: true}),
+		conduct(standin.Conduct{Lose: 0.3}),
+		{
+			what: "new configuration",
+			do:   s.change,
+		},
 	}
-	return kinds[s.rng.IntN(len(kinds))]
+	f := faults[s.rng.IntN(len(faults))]
+	s.t.Logf("%s for %s: %s", time.Now().Format(time.StampMilli), length, f.what)
+	return f
 }
 
 func (s *soak) disturb(p *proxy.Proxy, source string, f proxy.Fault, length time.Duration) {
