A first suspension is noticed where the clocks agreed before

Cause: that the two clocks agreed stood for "not read yet", so on a host that had never been suspended the first suspension was passed over. Found by reading the change. A shard that is made after a stall no longer takes it for one of its own. Test: TestSleepClock.

--- a/io/scheduler/pulse.go
+++ b/io/scheduler/pulse.go
@@ -82,7 +82,10 @@
 
 // sleepClock finds out that the host was suspended: one clock counts that time and
 // the other doesn't.
-type sleepClock struct{ ahead time.Duration }
+type sleepClock struct {
+	known bool
+	ahead time.Duration // of the clock that counts it
+}
 
 // suspended returns the time for which the host was suspended since the last call.
 func (c *sleepClock) suspended() time.Duration {
@@ -90,11 +93,14 @@
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &with) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &without) != nil {
 		return 0
 	}
-	ahead := time.Duration(with.Nano() - without.Nano())
+	return c.read(time.Duration(with.Nano() - without.Nano()))
+}
+
+func (c *sleepClock) read(ahead time.Duration) time.Duration {
 	slept := ahead - c.ahead
-	if c.ahead == 0 {
+	if !c.known {
 		slept = 0
 	}
-	c.ahead = ahead
+	c.known, c.ahead = true, ahead
 	return slept
 }
--- a/io/scheduler/pulse_test.go
+++ b/io/scheduler/pulse_test.go
@@ -83,3 +83,28 @@
 	// There is no lender here to be asked.
 	shard.lend(schedule.RunCmd{Host: "other"}, time.Now().Add(-stall))
 }
+
+// TestSleepClock: clocks that agree at first tell a suspension as well as clocks that
+// differ.
+func TestSleepClock(t *testing.T) {
+	tests := []struct {
+		name  string
+		first time.Duration
+	}{
+		{
+			name: "never suspended before",
+		},
+		{
+			name:  "suspended before the start",
+			first: time.Hour,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var c sleepClock
+			assert.Equal(t, c.read(test.first), time.Duration(0))
+			assert.Equal(t, c.read(test.first), time.Duration(0))
+			assert.Equal(t, c.read(test.first+2*time.Second), 2*time.Second)
+		})
+	}
+}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -77,7 +77,9 @@
 
 // newShard returns a shard for a host of a failure domain.
 func (s *Scheduler) newShard(service, domain string) *Shard {
+	stalled, _ := s.parts.Stalls.Count(time.Now())
 	return &Shard{
+		stalled: stalled,
 		service: service,
 		self:    s.parts.Self,
 		servers: s.parts.Servers,
