--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -165,17 +166,12 @@
 // wherever it is.
 func (s *Scheduler) Find(ctx context.Context, service, id string, cancel bool) (state string) {
 	state = s.Shard(service).find(id, cancel)
-	hosts := s.parts.Roster.View(nil).Hosts
-	answers := make(chan string, len(hosts))
-	asked := 0
-	for _, h := range hosts {
-		if h.Address == s.parts.Self {
-			continue
-		}
-		asked++
-		go func() { answers <- s.ask(ctx, h.Address, service, id, cancel) }()
+	others := s.others()
+	answers := make(chan string, len(others))
+	for _, address := range others {
+		go func() { answers <- s.ask(ctx, address, service, id, cancel) }()
 	}
-	for range asked {
+	for range others {
 		if answer := <-answers; state == "" {
 			state = answer
 		}
@@ -183,6 +179,21 @@
 	return state
 }
 
+// others returns the addresses of the other hosts that are heard or that the store
+// shows alive; a host that has just started hasn't heard all of them yet.
+func (s *Scheduler) others() []string {
+	view := s.parts.Roster.View(nil)
+	var addresses []string
+	for _, h := range view.Hosts {
+		addresses = append(addresses, h.Address)
+	}
+	for _, h := range view.Known {
+		addresses = append(addresses, h.Address)
+	}
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == s.parts.Self })
+}
+
 func (s *Scheduler) ask(ctx context.Context, host, service, id string, cancel bool) string {
 	ctx, done := context.WithTimeout(ctx, sendTimeout)
 	defer done()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -94,12 +94,15 @@
 	if err := app.Err(); err != nil {
 		return errors.Annotate(err, "build host")
 	}
+	// Signals are caught from here on, so that none that comes during the start ends a
+	// process that has taken requests already.
+	stopped := app.Wait()
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		return errors.Annotate(err, "start host")
 	}
-	<-app.Wait()
+	<-stopped
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return errors.Annotate(app.Stop(stop), "stop host")
