--- a/core/pool/cmd.go
+++ b/core/pool/cmd.go
@@ -15,6 +15,8 @@
 	Server   string
 	Address  string
 	Task     work.Task
+	Owner    string // owner of the run
+	Repeated bool   // the same order was sent before
 	Token    int64
 	Deadline int64 // end of the lease on the server's clock, in milliseconds
 }
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -99,6 +99,8 @@
 		Server:   s.entry.ID,
 		Address:  s.entry.Address,
 		Task:     r.task,
+		Owner:    r.owner,
+		Repeated: r.sends > 1,
 		Token:    s.token,
 		Deadline: r.deadline,
 	}
--- a/core/reason.go
+++ b/core/reason.go
@@ -36,6 +36,7 @@
 	ReasonLeaseExpired Reason = "lapsed"      // a lease expired, or the backend server is gone
 	ReasonUnsupported  Reason = "unsupported" // the job requests an unsupported feature
 	ReasonDrainLimit   Reason = "drainlimit"  // a graceful shutdown reached its time limit
+	ReasonShared       Reason = "shared"      // another caller still waits for the job
 	ReasonStall        Reason = "stall"       // the process of the job's host was stalled for too long
 )
 
@@ -49,6 +50,6 @@
 		ReasonBudget, ReasonLost, ReasonUnreachable, ReasonForgotten,
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonCapacity, ReasonSlow,
-		ReasonLeaseExpired, ReasonUnsupported, ReasonStall,
+		ReasonLeaseExpired, ReasonUnsupported, ReasonShared, ReasonStall,
 	}
 }
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -123,8 +123,15 @@
 // withdraw gives up a job unless it has more than one caller.
 func (m *Model) withdraw(now time.Time, msg WithdrawMsg) []Cmd {
 	j := m.jobs[msg.ID]
-	if j == nil || len(j.callers) > 1 {
-		return nil
+	if j == nil {
+		return []Cmd{LogCmd{
+			ID:     msg.ID,
+			Event:  "withdrawal ignored",
+			Reason: core.ReasonUnknown,
+		}}
+	}
+	if len(j.callers) > 1 {
+		return []Cmd{m.logCmd(now, j, "withdrawal ignored", core.ReasonShared)}
 	}
 	return m.finish(now, j, work.Outcome{
 		State:  work.Broken,
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
 	"rosemarywalk/io/telemetry"
@@ -26,6 +27,8 @@
 // link is one WebSocket connection with its pending calls.
 type link struct {
 	conn           *websocket.Conn
+	peer           string // address of the other host
+	log            logr.Logger
 	pingTimeout    time.Duration
 	counters       *telemetry.Counters
 	inFlight       atomic.Int64  // calls from the peer that have no answer yet
@@ -39,10 +42,12 @@
 	done    chan struct{}
 }
 
-func newLink(conn *websocket.Conn, pingTimeout time.Duration, counters *telemetry.Counters) *link {
+func newLink(conn *websocket.Conn, peer string, pingTimeout time.Duration, counters *telemetry.Counters, log logr.Logger) *link {
 	conn.SetReadLimit(maxFrameBytes)
 	return &link{
 		conn:        conn,
+		peer:        peer,
+		log:         log,
 		pingTimeout: pingTimeout,
 		counters:    counters,
 		pending:     map[int]chan wire.Frame{},
@@ -98,16 +103,29 @@
 	return len(l.pending) > 0 || l.inFlight.Load() > 0
 }
 
-func (l *link) close() {
+func (l *link) close(reason string) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.closed {
+	closed, open := l.closed, len(l.pending)+int(l.inFlight.Load())
+	if !closed {
 		l.closed = true
 		close(l.done)
 		_ = l.conn.CloseNow()
 	}
+	l.mu.Unlock()
+	if !closed && open > 0 {
+		l.log.Info("link closed", "address", l.peer, "reason", reason, "open", open)
+	}
 }
 
+// Reasons for which a link is closed, as logged.
+const (
+	closedByWrite    = "write failed"
+	closedByRead     = "read failed"
+	closedBySilence  = "no answer to a ping"
+	closedByStall    = "this process stalled"
+	closedByShutdown = "shutdown"
+)
+
 func (l *link) write(f wire.Frame) error {
 	raw, err := cbor.Marshal(f)
 	if err != nil {
@@ -120,7 +138,7 @@
 	// The write needs no timeout: keepAlive closes a link whose peer reads nothing,
 	// which ends the write.
 	if err := l.conn.Write(context.Background(), websocket.MessageBinary, raw); err != nil {
-		l.close()
+		l.close(closedByWrite)
 		return errors.WithType(err, ErrLinkClosed)
 	}
 	return nil
@@ -128,7 +146,7 @@
 
 // read passes incoming frames to serve until the link closes.
 func (l *link) read(serve func(wire.Frame)) {
-	defer l.close()
+	defer l.close(closedByRead)
 	for {
 		_, raw, err := l.conn.Read(context.Background())
 		if err != nil {
@@ -168,7 +186,7 @@
 		case <-timer.C:
 			due := l.hasOpenCalls() || (tick%oneWayPingTicks == 0 && l.wroteSincePing.Swap(false))
 			if due && !l.ping() {
-				l.close()
+				l.close(closedBySilence)
 				return
 			}
 		}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -94,7 +94,7 @@
 		s.failedAt, s.dialErr = time.Now(), errors.WithType(err, ErrNoLink)
 		return nil, s.dialErr
 	}
-	s.link = newLink(conn, l.pingTimeout, l.counters)
+	s.link = newLink(conn, address, l.pingTimeout, l.counters, l.log)
 	go s.link.read(s.link.deliver)
 	go s.link.keepAlive()
 	return s.link, nil
@@ -165,7 +165,7 @@
 	for _, s := range l.slots {
 		s.mu.Lock()
 		if s.link != nil {
-			s.link.close()
+			s.link.close(closedByShutdown)
 		}
 		s.mu.Unlock()
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -55,7 +55,7 @@
 		s.log.V(1).Info("WebSocket handshake failed", "error", err.Error())
 		return
 	}
-	l := newLink(conn, s.pingTimeout, s.counters)
+	l := newLink(conn, r.RemoteAddr, s.pingTimeout, s.counters, s.log)
 	s.track(l, true)
 	defer s.track(l, false)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -64,7 +64,7 @@
 	stallCount, _ := s.stalls.Observe(time.Now())
 	l.read(func(f wire.Frame) {
 		if count, _ := s.stalls.Observe(time.Now()); count != stallCount {
-			l.close()
+			l.close(closedByStall)
 			return
 		}
 		s.serve(ctx, l, f)
@@ -132,6 +132,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for l := range s.links {
-		l.close()
+		l.close(closedByShutdown)
 	}
 }
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -135,7 +135,7 @@
 	switch cmd := cmd.(type) {
 	case pool.StartCmd:
 		s.counters.Started()
-		return nil, []effect{func() { go s.start(cmd) }}, false
+		return nil, append(s.logOrder(cmd), func() { go s.start(cmd) }), false
 	case pool.StopCmd:
 		return nil, []effect{func() { go s.stop(cmd) }}, false
 	case pool.PollCmd:
@@ -163,12 +163,20 @@
 	return nil, nil, false
 }
 
-// logRunEnd counts and logs a run that did not complete.
-func (s *Shard) logRunEnd(cmd pool.EndCmd) []effect {
-	if cmd.End == work.EndDone {
+// logOrder logs the first order to start a run.
+func (s *Shard) logOrder(cmd pool.StartCmd) []effect {
+	if cmd.Repeated {
 		return nil
 	}
-	if cmd.Reason != "" {
+	return []effect{func() {
+		s.log.Info("run ordered", "job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run,
+			"for", cmd.Owner, "server", cmd.Server, "token", cmd.Token, "deadline", cmd.Deadline)
+	}}
+}
+
+// logRunEnd logs the end of a run, and counts it if the run did not complete.
+func (s *Shard) logRunEnd(cmd pool.EndCmd) []effect {
+	if cmd.End != work.EndDone && cmd.Reason != "" {
 		s.counters.Retried(cmd.Reason)
 	}
 	return []effect{func() {
