core/pool, core/work: when a job's caller was last known to wait

The task carries the time of the last confirmation, the pool gets two limits that count from it, a message for later confirmations and a reason. Nothing uses them yet.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -16,6 +16,7 @@
 // judged.
 type Limits struct {
 	Lease          time.Duration // length of the requested leases
+	MaxLease       time.Duration // longest lease that servers grant; at least Lease is assumed
 	AnswerTimeout  time.Duration // time after which an order counts as unanswered
 	HedgeDelay     time.Duration // time after which an unanswered start is sent a second time in parallel
 	PollWait       time.Duration // longest time a poll waits for an end
@@ -29,6 +30,15 @@
 	Health         health.Limits
 	SlowdownWeight float64 // weight of a new run in a server's average slowdown
 	MaxSlowdown    float64 // average slowdown above which a server is used last
+
+	// MaxUnconfirmed is the time after a task's ConfirmedAt by which its run must have
+	// ended, even if no further order reaches the server; 0 for no limit.
+	MaxUnconfirmed time.Duration
+
+	// StopUnconfirmed is the time after a task's ConfirmedAt at which its run is
+	// stopped, which frees the leases of the other runs on its server from its limit;
+	// 0 to stop none.
+	StopUnconfirmed time.Duration
 }
 
 // Model is the state of the backend servers of one service that this host owns.
--- a/core/pool/msg.go
+++ b/core/pool/msg.go
@@ -30,6 +30,13 @@
 	Owner string
 }
 
+// ConfirmMsg reports that the callers of an owner's jobs were waiting at a given time.
+type ConfirmMsg struct {
+	Owner string
+	Job   string // the only job confirmed; every job of the owner if empty
+	At    time.Time
+}
+
 // Result is the outcome of an order to a backend server.
 type Result uint8
 
@@ -99,6 +106,7 @@
 func (AssignMsg) poolMsg()     {}
 func (RunMsg) poolMsg()        {}
 func (StopMsg) poolMsg()       {}
+func (ConfirmMsg) poolMsg()    {}
 func (StartedMsg) poolMsg()    {}
 func (StoppedMsg) poolMsg()    {}
 func (PollResultMsg) poolMsg() {}
--- a/core/reason.go
+++ b/core/reason.go
@@ -37,6 +37,7 @@
 	ReasonUnsupported  Reason = "unsupported" // the job requests an unsupported feature
 	ReasonDrainLimit   Reason = "drainlimit"  // a graceful shutdown reached its time limit
 	ReasonStall        Reason = "stall"       // the process of the job's host was stalled for too long
+	ReasonUnconfirmed  Reason = "unconfirmed" // the job's caller was not confirmed to be waiting recently enough
 )
 
 // Reasons returns all reasons, so that each counter is exported from startup on.
@@ -49,6 +50,6 @@
 		ReasonBudget, ReasonLost, ReasonUnreachable, ReasonForgotten,
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonCapacity, ReasonSlow,
-		ReasonLeaseExpired, ReasonUnsupported, ReasonStall,
+		ReasonLeaseExpired, ReasonUnsupported, ReasonStall, ReasonUnconfirmed,
 	}
 }
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -120,6 +120,7 @@
 	MaxPerServer  int
 	PredictedTime time.Duration // predicted run time
 	Deadline      time.Time     // time after which its result is of no use
+	ConfirmedAt   time.Time     // when the job's caller was last known to wait for it, on this host's clock
 	AvoidServer   string        // backend server on which an earlier run failed or was stopped; ranked last
 }
 
