--- a/core/reason.go
+++ b/core/reason.go
@@ -38,6 +38,7 @@
 	ReasonDrainLimit   Reason = "drainlimit"  // a graceful shutdown reached its time limit
 	ReasonShared       Reason = "shared"      // another caller still waits for the job
 	ReasonStall        Reason = "stall"       // the process of the job's host was stalled for too long
+	ReasonUnconfirmed  Reason = "unconfirmed" // the job's caller was not confirmed to be waiting recently enough
 )
 
 // Reasons returns all reasons, so that each counter is exported from startup on.
@@ -50,6 +51,6 @@
 		ReasonBudget, ReasonLost, ReasonUnreachable, ReasonForgotten,
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonCapacity, ReasonSlow,
-		ReasonLeaseExpired, ReasonUnsupported, ReasonShared, ReasonStall,
+		ReasonLeaseExpired, ReasonUnsupported, ReasonShared, ReasonStall, ReasonUnconfirmed,
 	}
 }
