cmd: reading lines of logs in a file of its own

The reader of lines, with its bound on their length, moves from the report to lines.go and passes lines to a function; the report's results are the same.

Measured: go test ./cmd/rosemarywalk passes.

--- a/cmd/rosemarywalk/report.go
+++ b/cmd/rosemarywalk/report.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/csv"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -71,9 +69,6 @@
 
 func newLogReader() *logReader { return &logReader{tally: tally.New()} }
 
-// maxLineBytes is the length beyond which a line counts as broken.
-const maxLineBytes = 64 << 10
-
 func (l *logReader) readFile(name string) error {
 	if name == "-" {
 		return errors.Annotate(l.read(os.Stdin), "read standard input")
@@ -87,38 +82,14 @@
 }
 
 func (l *logReader) read(from io.Reader) error {
-	lines := bufio.NewReaderSize(from, maxLineBytes)
-	for {
-		line, tooLong, err := lines.ReadLine()
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return err
-		}
+	return readLines(from, func(line []byte, err error) {
 		l.lines++
-		if tooLong {
+		if err != nil {
 			l.broken++
-			if err := skipLine(lines); err != nil {
-				return err
-			}
-			continue
+			return
 		}
 		l.add(line)
-	}
-}
-
-// skipLine reads the rest of a line.
-func skipLine(lines *bufio.Reader) error {
-	for {
-		_, more, err := lines.ReadLine()
-		if errors.Is(err, io.EOF) || (err == nil && !more) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	})
 }
 
 // answerLine is the log line of an answer; durations have the format of time.Duration.
@@ -133,14 +104,13 @@
 	Objective string    `json:"objective"`
 }
 
-// add tallies one line. Log collectors put time and host before the JSON object.
+// add tallies one line.
 func (l *logReader) add(line []byte) {
 	if len(bytes.TrimSpace(line)) == 0 {
 		return
 	}
 	var a answerLine
-	begin := bytes.IndexByte(line, '{')
-	if begin < 0 || json.Unmarshal(line[begin:], &a) != nil {
+	if !decodeLine(line, &a) {
 		l.broken++
 		return
 	}
