cmd: rosemarywalk runs finds tasks that ran twice at once

The on-call engineers have only logs. The exit code of a command's error is a function of its own, for the test.

--- a/cmd/rosemarywalk/main.go
+++ b/cmd/rosemarywalk/main.go
@@ -30,6 +30,7 @@
 	Explain  explainCmd  `cmd:"" help:"Print what became of a ticket's job, task by task."`
 	Hosts    hostsCmd    `cmd:"" help:"List the hosts that are alive, with their load."`
 	Report   reportCmd   `cmd:"" help:"Print what callers got, by cause, kind of job, failure domain and time, from the logs of hosts."`
+	Runs     runsCmd     `cmd:"" help:"Find tasks that may have run twice at once in the logs of hosts, and print the timelines of their jobs. Exits with 1 if there are any."`
 	Config   configCmd   `cmd:"" help:"Check, book and read back the configuration document."`
 	Settings settingsCmd `cmd:"" help:"Print a settings file with every key, its meaning and its default."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
@@ -55,12 +56,20 @@
 		fmt.Fprintln(os.Stderr, "Run rosemarywalk --help for the commands.")
 		return exitUsage
 	}
-	if err := ctx.Run(); err != nil {
+	err = ctx.Run()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		if errors.Is(err, errInput) {
-			return exitUsage
-		}
-		return exitFailure
 	}
-	return exitSuccess
+	return exitCode(err)
+}
+
+// exitCode returns the exit code of a command that returned an error, or nil.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitSuccess
+	case errors.Is(err, errInput):
+		return exitUsage
+	}
+	return exitFailure
 }
