--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -112,7 +112,7 @@
 		reset(conn)
 		return
 	}
-	target, err := net.Dial("tcp", p.target)
+	target, err := dialFrom(source, p.target)
 	if err != nil {
 		reset(conn)
 		return
@@ -132,6 +132,16 @@
 	<-done
 }
 
+// dialFrom connects to a target from the source's own IP address if it is a loopback
+// address, so that the target can tell sources apart, too.
+func dialFrom(source, target string) (net.Conn, error) {
+	var dialer net.Dialer
+	if ip := net.ParseIP(source); ip != nil && ip.IsLoopback() {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return dialer.Dial("tcp", target)
+}
+
 func (p *Proxy) track(conn net.Conn, source string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
