--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -36,6 +36,8 @@
 	servers         []*standin.Server
 	serverAddresses []string // addresses as listed in the store
 	hosts           []*platformHost
+	hostDomains     []string                    // assigned to hosts in turn; usedDomains if empty
+	serverDomains   []string                    // assigned to backend servers in turn; usedDomains if empty
 	wrapAddress     func(address string) string // returns the address that hosts use instead, such as a proxy's
 	longTimeouts    bool                        // hosts use longer timeouts than in production
 }
@@ -124,7 +126,7 @@
 	s.store.Put("servers", name, wire.ServerEntry{
 		Service: service,
 		Address: s.serverAddresses[i],
-		Zone:    failureDomains[i%2],
+		Zone:    domainInTurn(s.serverDomains, i),
 		State:   "ready",
 		Capacity: wire.Room{
 			Cpu:   1000 * behavior.Slots,
@@ -134,6 +136,14 @@
 	})
 }
 
+// domainInTurn returns the failure domain of the host or backend server with an index.
+func domainInTurn(domains []string, i int) string {
+	if len(domains) == 0 {
+		domains = usedDomains
+	}
+	return domains[i%len(domains)]
+}
+
 // freeAddresses returns four unused addresses. The listeners stay open until all four
 // are known, because the system could assign the same port twice otherwise.
 func freeAddresses(t *testing.T, ip string) [4]string {
@@ -153,7 +163,7 @@
 	addresses := freeAddresses(s.t, ip)
 	entryAddress, readinessAddress := addresses[0], addresses[1]
 	lines := []string{
-		"[self]", fmt.Sprintf("name = host-%d", i), "domain = " + failureDomains[i%2],
+		"[self]", fmt.Sprintf("name = host-%d", i), "domain = " + domainInTurn(s.hostDomains, i),
 		"[entry]", "listen = " + entryAddress, "ready = " + readinessAddress, "metrics = " + addresses[2], "linger = 200ms", "grace = 20s",
 		"[peer]", "listen = " + addresses[3], "advertise = " + s.wrapAddress(addresses[3]),
 	}
