io/peer: closing the links doesn't wait for a dial in progress

Close now cancels the dials in progress and takes the locks of the slots without the other. TestCloseWhileDialing fails without the change, and passes 20 of 20 times with it.

--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -192,3 +192,30 @@
 	}
 	<-received
 }
+
+// TestCloseWhileDialing: Close hangs while a dial is in progress, because each waits for the
+// other's lock.
+func TestCloseWhileDialing(t *testing.T) {
+	const address = "host:1"
+	dialing := make(chan struct{}, 1)
+	links := New(&net.Dialer{Timeout: time.Minute}, time.Minute, telemetry.NewCounters(telemetry.NewRegistry()), logr.Discard())
+	links.dialContext(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	sent := make(chan error, 1)
+	go func() { sent <- links.Send(t.Context(), address, wire.Frame{Beat: &wire.Beat{}}) }()
+	<-dialing
+	closed := make(chan struct{})
+	go func() {
+		links.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		assert.ErrorIs(t, <-sent, ErrNoLink)
+	case <-time.After(5 * time.Second):
+		t.Fatal("Close waits for the dial in progress")
+	}
+}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -158,15 +158,33 @@
 	return link.write(f)
 }
 
-// Close closes all links.
+// Close closes all links and ends the dials in progress.
 func (l *Links) Close() {
+	// A dial holds the lock of its slot and needs the lock of Links, so the locks of the
+	// slots are taken without the latter.
+	for _, s := range l.endDials() {
+		s.close()
+	}
+}
+
+// endDials cancels the dials in progress and returns all slots.
+func (l *Links) endDials() []*peerSlot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var slots []*peerSlot
 	for _, s := range l.slots {
-		s.mu.Lock()
-		if s.link != nil {
-			s.link.close()
+		slots = append(slots, s)
+		if s.restartDial != nil {
+			s.restartDial(nil)
 		}
-		s.mu.Unlock()
+	}
+	return slots
+}
+
+func (s *peerSlot) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		s.link.close()
 	}
 }
