io/peer, io/scheduler: a home asks which callers still wait

The first home was told once that the caller had left, and a message that is sent once can miss: it overtook the submission and found no job (12 to 42 of 100 jobs), it met a job with two calls of one entry, whose link had broken just before, and was ignored, or it was lost with its link, as was the halt of a lent task.

Cause: a home knew of a caller only from such messages and from the link's end. Now the host that serves a call asks the other one each 0.1 s which of its calls are still waited for, and ends those that aren't, at once and without the time to reattach. Each answer is dated by the time at which the question was sent, so that a confirmation is never newer than it is, however slow processes and links are; calls carry the time since the last question. A lent task is confirmed by its job, a job by its caller's connection, which is looked up in the kernel. Hosts of earlier versions are not asked.

--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -44,6 +44,7 @@
 	demoted     bool      // queued behind the jobs that can still start in time
 	started     bool      // a task was sent to a pool
 	remote      bool      // received from the caller by another host
+	confirmedAt time.Time // when a caller was last known to wait
 
 	provisional bool // admitted only if capacity for all of its tasks becomes free
 }
@@ -166,6 +167,7 @@
 		MaxPerServer:  s.MaxPerServer,
 		PredictedTime: cmp.Or(t.predicted, j.predicted[t.step]),
 		Deadline:      j.Deadline,
+		ConfirmedAt:   j.confirmedAt,
 		AvoidServer:   t.avoidServer,
 	}
 }
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -21,6 +21,7 @@
 	PlacementRetryDelay time.Duration // delay before a task that a pool had no capacity for is tried again
 	OutcomeRetention    time.Duration // how long outcomes of finished jobs are retained for resubmissions
 	CapacityTTL         time.Duration // age at which another host's capacity report is dropped; 0 for never
+	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
 }
 
@@ -63,6 +64,8 @@
 	switch msg := msg.(type) {
 	case SubmitMsg:
 		return m.submit(now, msg)
+	case ConfirmMsg:
+		return m.confirm(now, msg)
 	case CallerGoneMsg:
 		return m.callerGone(msg)
 	case WithdrawMsg:
@@ -142,6 +145,9 @@
 		j.callers = append(j.callers, msg.Caller)
 		j.remote = j.remote || msg.Remote
 		m.callers[msg.Caller] = id
+		if msg.ConfirmedAt.After(j.confirmedAt) {
+			j.confirmedAt = msg.ConfirmedAt
+		}
 		return nil
 	}
 	if msg.Resubmitted {
@@ -157,7 +163,7 @@
 		}}
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.UsefulLatencyFactor)
-	j.callers, j.remote = []string{msg.Caller}, msg.Remote
+	j.callers, j.remote, j.confirmedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
 	}
@@ -204,6 +210,9 @@
 		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
 			break
 		}
+		if !m.isConfirmed(now, j) {
+			continue
+		}
 		if j.provisional {
 			if !m.fits(now, j) {
 				continue
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -17,6 +17,17 @@
 	Caller      string
 	Remote      bool // another host received the job from the caller
 	Resubmitted bool // the other host submitted it before, on a connection that broke
+
+	ConfirmedAt time.Time // when the caller was last known to wait; zero if unknown
+}
+
+// ConfirmMsg reports when callers were last known to wait.
+type ConfirmMsg struct{ Callers []Confirmation }
+
+// Confirmation is the time at which a caller was last known to wait.
+type Confirmation struct {
+	Caller string
+	At     time.Time
 }
 
 // CallerGoneMsg reports that a caller no longer waits for its job.
@@ -59,6 +70,7 @@
 
 func (SubmitMsg) scheduleMsg()     {}
 func (CallerGoneMsg) scheduleMsg() {}
+func (ConfirmMsg) scheduleMsg()    {}
 func (CancelMsg) scheduleMsg()     {}
 func (WithdrawMsg) scheduleMsg()   {}
 func (CapacityMsg) scheduleMsg()   {}
@@ -82,6 +94,12 @@
 	Name string
 }
 
+// ConfirmCmd passes on to the own pool when the callers of a job were last known to wait.
+type ConfirmCmd struct {
+	Job string
+	At  time.Time
+}
+
 // AnswerCmd sends a job's outcome to a caller.
 type AnswerCmd struct {
 	Caller  string
@@ -100,7 +118,8 @@
 	Age     time.Duration // time since the job arrived
 }
 
-func (RunCmd) scheduleCmd()    {}
-func (HaltCmd) scheduleCmd()   {}
-func (AnswerCmd) scheduleCmd() {}
-func (LogCmd) scheduleCmd()    {}
+func (RunCmd) scheduleCmd()     {}
+func (HaltCmd) scheduleCmd()    {}
+func (ConfirmCmd) scheduleCmd() {}
+func (AnswerCmd) scheduleCmd()  {}
+func (LogCmd) scheduleCmd()     {}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -15,9 +15,11 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/route"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/peer"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/scheduler"
+	"rosemarywalk/io/server"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/watch"
 )
@@ -146,13 +148,22 @@
 		return
 	}
 	job := h.job(req, submission, h.format.Timeout(r.Header))
-	outcome, ok := h.scheduler.Do(r.Context(), job)
+	outcome, ok := h.scheduler.Do(peer.WithConfirmation(r.Context(), callerOf(r.Context())), job)
 	h.recordResponse(job, outcome, ok)
 	if ok {
 		h.format.WriteOutcome(w, outcome)
 	}
 }
 
+// callerOf returns when the caller of a request was last known to wait: its connection is
+// open.
+func callerOf(ctx context.Context) peer.Confirmation {
+	return func() (time.Time, bool) {
+		now := time.Now()
+		return now, server.PeerOpen(ctx) && ctx.Err() == nil
+	}
+}
+
 func (h *Handler) job(req request, s Submission, wait time.Duration) work.Job {
 	if wait <= 0 {
 		wait = req.route.Timeout
--- /dev/null
+++ b/io/peer/confirmation.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrWithdrawn is the cause with which the context of a served call is canceled when the
+// other host doesn't wait for the answer any more.
+const ErrWithdrawn = errors.ConstError("the caller does not wait any more")
+
+// Confirmation returns when a caller was last known to wait, zero if that is unknown, and
+// false if the caller is known to be gone. It may be called concurrently.
+type Confirmation func() (at time.Time, waiting bool)
+
+type confirmationKey struct{}
+
+// WithConfirmation returns a context for calls on behalf of a caller.
+func WithConfirmation(ctx context.Context, c Confirmation) context.Context {
+	return context.WithValue(ctx, confirmationKey{}, c)
+}
+
+// Confirm returns when the caller on whose behalf ctx exists was last known to wait, zero
+// if that is unknown, and false if the caller is known to be gone. A context without a
+// confirmation stands for a caller that waits until the context ends.
+func Confirm(ctx context.Context) (at time.Time, waiting bool) {
+	if c, ok := ctx.Value(confirmationKey{}).(Confirmation); ok {
+		return c()
+	}
+	now := time.Now()
+	if ctx.Err() != nil {
+		return time.Time{}, false
+	}
+	return now, true
+}
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -69,6 +69,10 @@
 	return ""
 }
 
+// isProbed reports whether a frame is a call that is only served as long as its caller is
+// known to wait.
+func isProbed(f wire.Frame) bool { return f.Submit != nil || f.Lend != nil }
+
 // kindOf returns the kind of a frame as the counters name it.
 func kindOf(f wire.Frame) string {
 	switch part := requestKind(f); {
@@ -76,6 +80,8 @@
 		return string(part)
 	case f.Rows != nil:
 		return "rows"
+	case f.Probe != nil || f.Probed != nil:
+		return "probe"
 	}
 	return "reply"
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -37,9 +37,18 @@
 
 	mu      sync.Mutex
 	next    int
-	pending map[int]chan wire.Frame
+	pending map[int]pendingCall
 	closed  bool
 	done    chan struct{}
+
+	probeStamp int       // stamp of the last probe received
+	probedAt   time.Time // when it was received
+}
+
+// pendingCall is a call of this host that has no answer yet.
+type pendingCall struct {
+	ctx    context.Context // on behalf of the caller
+	answer chan wire.Frame
 }
 
 func newLink(conn *websocket.Conn, peer string, pingTimeout time.Duration, counters *telemetry.Counters, log logr.Logger) *link {
@@ -50,7 +59,7 @@
 		log:         log,
 		pingTimeout: pingTimeout,
 		counters:    counters,
-		pending:     map[int]chan wire.Frame{},
+		pending:     map[int]pendingCall{},
 		done:        make(chan struct{}),
 		wake:        make(chan struct{}, 1),
 	}
@@ -70,7 +79,7 @@
 
 // register allocates the number of a call and the channel for its answer. It reports
 // false if the link is closed.
-func (l *link) register() (int, chan wire.Frame, bool) {
+func (l *link) register(ctx context.Context) (int, chan wire.Frame, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -78,7 +87,10 @@
 	}
 	l.next++
 	answer := make(chan wire.Frame, 1)
-	l.pending[l.next] = answer
+	l.pending[l.next] = pendingCall{
+		ctx:    ctx,
+		answer: answer,
+	}
 	return l.next, answer, true
 }
 
@@ -91,8 +103,8 @@
 func (l *link) deliver(f wire.Frame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answer := l.pending[f.Id]; answer != nil {
-		answer <- f
+	if call, ok := l.pending[f.Id]; ok {
+		call.answer <- f
 		delete(l.pending, f.Id)
 	}
 }
@@ -156,6 +168,11 @@
 		if err := cbor.Unmarshal(raw, &f); err != nil {
 			return
 		}
+		if f.Probe != nil {
+			l.recordProbe(f.Probe)
+			go l.answerProbe(f.Probe)
+			continue
+		}
 		serve(f)
 	}
 }
@@ -201,12 +218,15 @@
 
 // call sends a frame and waits for its answer.
 func (l *link) call(ctx context.Context, f wire.Frame) (wire.Frame, error) {
-	id, answer, ok := l.register()
+	id, answer, ok := l.register(ctx)
 	if !ok {
 		return wire.Frame{}, errors.Trace(ErrNoLink)
 	}
 	defer l.unregister(id)
 	f.Id = id
+	if isProbed(f) {
+		f.Fresh = l.fresh(ctx)
+	}
 	if err := l.write(f); err != nil {
 		return wire.Frame{}, err
 	}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -17,6 +17,9 @@
 
 const peerPath = "/peer"
 
+// probesHeader is set by hosts that answer probes.
+const probesHeader = "Rosemarywalk-Probes"
+
 // Links holds this host's outgoing links, by peer address.
 type Links struct {
 	dialTimeout time.Duration
@@ -109,7 +112,10 @@
 	defer restart(nil)
 	l.setRestart(s, restart)
 	defer l.setRestart(s, nil)
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+peerPath, &websocket.DialOptions{HTTPClient: l.httpClient})
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+peerPath, &websocket.DialOptions{
+		HTTPClient: l.httpClient,
+		HTTPHeader: http.Header{probesHeader: {"1"}},
+	})
 	if err != nil && errors.Is(context.Cause(ctx), errReachable) {
 		return nil, errReachable
 	}
--- /dev/null
+++ b/io/peer/prober.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemarywalk/core/confirm"
+	"rosemarywalk/io/wire"
+)
+
+// probeInterval is how often a host asks which of the calls that it serves are still open.
+const probeInterval = 100 * time.Millisecond
+
+// maxAge stands for a caller that was never confirmed.
+const maxAge = time.Hour
+
+// withdrawnAge is the age of a call that the other host doesn't wait for any more.
+const withdrawnAge = -1
+
+// prober tracks the callers of the calls that are served on one link.
+type prober struct {
+	link   *link
+	opened time.Time
+	wake   chan struct{} // probes at once
+
+	mu      sync.Mutex
+	calls   *confirm.Table
+	cancels map[int]context.CancelCauseFunc
+}
+
+func newProber(l *link) *prober {
+	return &prober{
+		link:    l,
+		opened:  time.Now(),
+		wake:    make(chan struct{}, 1),
+		calls:   confirm.New(),
+		cancels: map[int]context.CancelCauseFunc{},
+	}
+}
+
+// begin adds a call and returns the context to serve it with, and a function that ends it.
+func (p *prober) begin(ctx context.Context, f wire.Frame) (served context.Context, end func()) {
+	served, cancel := context.WithCancelCause(ctx)
+	var at time.Time
+	if f.Fresh != nil {
+		at = confirm.Since(p.opened.Add(microseconds(f.Fresh.Stamp)), microseconds(f.Fresh.Since))
+	}
+	p.mu.Lock()
+	p.calls.Add(f.Id, at)
+	p.cancels[f.Id] = cancel
+	first := p.calls.Len() == 1
+	p.mu.Unlock()
+	if first || time.Since(at) >= probeInterval {
+		p.wakeUp()
+	}
+	waiting := served
+	served = WithConfirmation(served, func() (time.Time, bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.calls.At(f.Id), waiting.Err() == nil
+	})
+	return served, func() {
+		p.mu.Lock()
+		p.calls.Remove(f.Id)
+		delete(p.cancels, f.Id)
+		p.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+func (p *prober) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends probes while calls are open, until the link closes.
+func (p *prober) run() {
+	timer := time.NewTimer(probeInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.link.done:
+			return
+		case <-p.wake:
+		case <-timer.C:
+		}
+		now := time.Now()
+		p.mu.Lock()
+		open, due := p.calls.Len(), p.calls.Due(now.Add(-probeInterval/2))
+		p.mu.Unlock()
+		if len(due) > 0 {
+			_ = p.link.write(wire.Frame{Probe: &wire.Probe{
+				Stamp: int(now.Sub(p.opened).Microseconds()),
+				Calls: due,
+			}})
+		}
+		if open > 0 {
+			timer.Reset(probeInterval)
+		}
+	}
+}
+
+// apply records the answer to a probe, and cancels the calls that were withdrawn.
+func (p *prober) apply(answer *wire.Probed) {
+	sent := p.opened.Add(microseconds(answer.Stamp))
+	var withdrawn []context.CancelCauseFunc
+	p.mu.Lock()
+	for i, call := range answer.Calls {
+		switch {
+		case i >= len(answer.Ages):
+		case answer.Ages[i] != withdrawnAge:
+			p.calls.Confirm(call, sent, microseconds(answer.Ages[i]))
+		case p.cancels[call] != nil:
+			withdrawn = append(withdrawn, p.cancels[call])
+		}
+	}
+	p.mu.Unlock()
+	for _, cancel := range withdrawn {
+		cancel(ErrWithdrawn)
+	}
+}
+
+// answerProbe reports which of its served calls are still waited for.
+func (l *link) answerProbe(probe *wire.Probe) {
+	answer := &wire.Probed{
+		Stamp: probe.Stamp,
+		Calls: probe.Calls,
+		Ages:  make([]int, 0, len(probe.Calls)),
+	}
+	for _, call := range probe.Calls {
+		answer.Ages = append(answer.Ages, l.callerAge(call))
+	}
+	_ = l.write(wire.Frame{Probed: answer})
+}
+
+// callerAge returns the time in microseconds since the caller of an open call was last
+// known to wait, or withdrawnAge.
+func (l *link) callerAge(call int) int {
+	l.mu.Lock()
+	pending, open := l.pending[call]
+	l.mu.Unlock()
+	if !open {
+		return withdrawnAge
+	}
+	at, waiting := Confirm(pending.ctx)
+	if !waiting {
+		return withdrawnAge
+	}
+	return int(min(max(0, time.Since(at)), maxAge).Microseconds()) + 1
+}
+
+// recordProbe notes the receipt of a probe, by which later calls are dated.
+func (l *link) recordProbe(probe *wire.Probe) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probeStamp, l.probedAt = probe.Stamp, time.Now()
+}
+
+// fresh dates a call by the last probe that was received. It returns nil without one, or if
+// it is unknown when the caller waited.
+func (l *link) fresh(ctx context.Context) *wire.Fresh {
+	at, _ := Confirm(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.probedAt.IsZero() || at.IsZero() {
+		return nil
+	}
+	return &wire.Fresh{
+		Stamp: l.probeStamp,
+		Since: int(at.Sub(l.probedAt).Microseconds()),
+	}
+}
+
+func microseconds(n int) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/io/peer/prober_test.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/io/stall"
+	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/wire"
+)
+
+// serveSubmit starts a server that passes the contexts of submitted jobs on, and returns
+// links to it and its address.
+func serveSubmit(t *testing.T, served chan<- context.Context) (*Links, string) {
+	t.Helper()
+	counters := telemetry.NewCounters(telemetry.NewRegistry())
+	server := NewServer([]Handler{{
+		Kind: KindSubmit,
+		Serve: func(ctx context.Context, _ wire.Frame) (wire.Frame, bool) {
+			served <- ctx
+			<-ctx.Done()
+			return wire.Frame{}, false
+		},
+	}}, time.Minute, stall.New(0), counters, logr.Discard())
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	t.Cleanup(server.Close)
+	links := New(&net.Dialer{Timeout: time.Second}, time.Minute, counters, logr.Discard())
+	t.Cleanup(links.Close)
+	return links, strings.TrimPrefix(web.URL, "http://")
+}
+
+// TestServedCallOutlivesCaller checks that a call ends at the host that serves it when its
+// caller leaves, although the link stays open and no message withdraws the call.
+func TestServedCallOutlivesCaller(t *testing.T) {
+	served := make(chan context.Context, 1)
+	links, address := serveSubmit(t, served)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { _, _ = links.Call(ctx, address, wire.Frame{Submit: &wire.Submit{}}) }()
+	call := <-served
+	leave()
+	select {
+	case <-call.Done():
+		assert.ErrorIs(t, context.Cause(call), ErrWithdrawn)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call is still served")
+	}
+}
+
+// TestCallConfirmedWithoutCaller checks that a call is confirmed as of the time at which the
+// caller was last known to wait, from its arrival on and over two links.
+func TestCallConfirmedWithoutCaller(t *testing.T) {
+	served := make(chan context.Context, 1)
+	links, address := serveSubmit(t, served)
+	last := time.Now()
+	ctx := WithConfirmation(t.Context(), func() (time.Time, bool) { return last, true })
+	go func() { _, _ = links.Call(ctx, address, wire.Frame{Submit: &wire.Submit{}}) }()
+	call := <-served
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		at, waiting := Confirm(call)
+		assert.Assert(t, waiting)
+		assert.Assert(t, !at.After(last), "%s later than the caller was known to wait", at.Sub(last))
+		if !at.IsZero() && time.Since(last) > 5*probeInterval {
+			assert.Assert(t, last.Sub(at) < time.Second, last.Sub(at))
+			return
+		}
+		assert.Assert(t, time.Now().Before(deadline), "the call is not confirmed")
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -61,13 +61,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.keepAlive()
+	var calls *prober
+	if r.Header.Get(probesHeader) != "" {
+		calls = newProber(l)
+		go calls.run()
+	}
 	stallCount, _ := s.stalls.Observe(time.Now())
 	l.read(func(f wire.Frame) {
 		if count, _ := s.stalls.Observe(time.Now()); count != stallCount {
 			l.close(closedByStall)
 			return
 		}
-		s.serve(ctx, l, f)
+		if f.Probed != nil && calls != nil {
+			calls.apply(f.Probed)
+			return
+		}
+		s.serve(ctx, l, calls, f)
 	})
 }
 
@@ -81,7 +90,7 @@
 	}
 }
 
-func (s *Server) serve(ctx context.Context, l *link, f wire.Frame) {
+func (s *Server) serve(ctx context.Context, l *link, calls *prober, f wire.Frame) {
 	h, ok := s.handlers[requestKind(f)]
 	if !ok {
 		return
@@ -93,7 +102,12 @@
 	s.activeCalls.Add(1)
 	l.inFlight.Add(1)
 	l.wakeKeepAlive()
+	end := func() {}
+	if isProbed(f) && calls != nil {
+		ctx, end = calls.begin(ctx, f)
+	}
 	go func() {
+		defer end()
 		defer s.activeCalls.Add(-1)
 		defer l.inFlight.Add(-1)
 		s.answer(ctx, l, h, f)
--- a/io/scheduler/lent.go
+++ b/io/scheduler/lent.go
@@ -8,11 +8,13 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/peer"
 )
 
 // lentRun is the run of a task on behalf of another host.
 type lentRun struct {
-	listener chan pool.EndCmd // receives the end; belongs to the latest call for the run
+	ctx      context.Context  // of the latest call for the run
+	listener chan pool.EndCmd // receives the end; belongs to that call
 	result   *pool.EndCmd     // set when the run has ended
 }
 
@@ -57,12 +59,13 @@
 		run = &lentRun{}
 		s.lent[owner] = run
 	}
-	run.listener = listener
+	run.ctx, run.listener = ctx, listener
 	if run.result != nil {
 		listener <- *run.result
 	}
 	s.mu.Unlock()
 	if !known {
+		task.ConfirmedAt, _ = peer.Confirm(ctx)
 		s.update(pool.RunMsg{
 			Task:  task,
 			Owner: owner,
@@ -73,7 +76,7 @@
 		return cmd
 	case <-ctx.Done():
 	}
-	time.AfterFunc(s.reattach, func() { s.stopIfDetached(owner, listener) })
+	time.AfterFunc(reattachTime(ctx, s.reattach), func() { s.stopIfDetached(owner, listener) })
 	return pool.EndCmd{
 		Task:   task,
 		End:    work.EndUnknown,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -12,7 +12,6 @@
 	"rosemarywalk/core/owner"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
-	"rosemarywalk/core/work"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
@@ -115,7 +114,7 @@
 		log:          s.config.Log.WithName("scheduler").WithValues("service", service),
 		pool:         pool.New(domain, s.config.Pool),
 		jobs:         schedule.New(s.config.Self, s.config.Jobs),
-		callers:      map[string]func(work.Outcome){},
+		callers:      map[string]caller{},
 		lent:         map[string]*lentRun{},
 		earlyHalts:   map[string]int{},
 		reattach:     s.config.Reattach,
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/peer"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -57,7 +58,7 @@
 	stallCount        int // stalls of this host that were handled
 	pool              *pool.Model
 	jobs              *schedule.Model
-	callers           map[string]func(work.Outcome)
+	callers           map[string]caller
 	lent              map[string]*lentRun // by owner
 	earlyHalts        map[string]int      // halts of unknown tasks, by task name
 	lastCaller        int
@@ -68,6 +69,12 @@
 	capacityDirty     bool      // free capacity may have changed since then
 }
 
+// caller is a caller that waits for the outcome of a job.
+type caller struct {
+	ctx   context.Context
+	reply func(work.Outcome)
+}
+
 // effect is a command that is carried out without holding the lock.
 type effect func()
 
@@ -206,12 +213,18 @@
 			Owner: ownerSelf,
 		}}, nil
 	case schedule.AnswerCmd:
-		reply := s.callers[cmd.Caller]
+		caller, ok := s.callers[cmd.Caller]
 		delete(s.callers, cmd.Caller)
-		if reply == nil {
+		if !ok {
 			return nil, nil
 		}
-		return nil, []effect{func() { reply(cmd.Outcome) }}
+		return nil, []effect{func() { caller.reply(cmd.Outcome) }}
+	case schedule.ConfirmCmd:
+		return []any{pool.ConfirmMsg{
+			Owner: ownerSelf,
+			Job:   cmd.Job,
+			At:    cmd.At,
+		}}, nil
 	case schedule.LogCmd:
 		s.countJob(cmd)
 		return nil, []effect{func() { s.logJob(cmd) }}
@@ -265,25 +278,35 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), cmd.Task.Deadline)
 	defer cancel()
+	ctx = peer.WithConfirmation(ctx, func() (time.Time, bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.jobs.ConfirmedAt(cmd.Host, cmd.Task)
+	})
 	s.update(s.lender.Lend(ctx, cmd.Host, s.service, cmd.Task))
 }
 
 // Do submits a job and returns its outcome; ok is false if ctx ended first. The job then
-// continues for dropAfter, so that its caller can reattach.
+// continues for dropAfter, so that its caller can reattach, unless the caller is known to be
+// gone.
 func (s *Shard) Do(ctx context.Context, msg schedule.SubmitMsg, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
 	answer := make(chan work.Outcome, 1)
 	s.mu.Lock()
 	s.lastCaller++
-	caller := strconv.Itoa(s.lastCaller)
-	s.callers[caller] = func(o work.Outcome) { answer <- o }
+	id := strconv.Itoa(s.lastCaller)
+	s.callers[id] = caller{
+		ctx:   ctx,
+		reply: func(o work.Outcome) { answer <- o },
+	}
 	s.mu.Unlock()
-	msg.Caller = caller
+	msg.Caller = id
+	msg.ConfirmedAt, _ = peer.Confirm(ctx)
 	s.update(msg)
 	select {
 	case o := <-answer:
 		return o, true
 	case <-ctx.Done():
-		time.AfterFunc(dropAfter, func() { s.update(schedule.CallerGoneMsg{Caller: caller}) })
+		time.AfterFunc(reattachTime(ctx, dropAfter), func() { s.removeCaller(id) })
 		return work.Outcome{}, false
 	}
 }
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -20,7 +20,7 @@
 func (s *Scheduler) runTicks(ctx context.Context, tick, reportInterval time.Duration) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var lastReport, lastOwnership time.Time
+	var lastReport, lastOwnership, lastConfirm time.Time
 	var clock suspendClock
 	for {
 		idle := s.idle()
@@ -39,6 +39,12 @@
 		if pause := clock.suspended(); pause > 0 {
 			s.config.Stalls.RecordSuspension(pause)
 		}
+		if now.Sub(lastConfirm) >= confirmInterval {
+			lastConfirm = now
+			for _, shard := range s.all() {
+				shard.confirm()
+			}
+		}
 		s.tick()
 		if now.Sub(lastReport) >= reportInterval {
 			lastReport = now
--- a/io/scheduler/tick_test.go
+++ b/io/scheduler/tick_test.go
@@ -67,7 +67,10 @@
 	})
 	shard := s.newShard("service", "domain")
 	answer := make(chan work.Outcome, 1)
-	shard.callers["c"] = func(o work.Outcome) { answer <- o }
+	shard.callers["c"] = caller{
+		ctx:   t.Context(),
+		reply: func(o work.Outcome) { answer <- o },
+	}
 	shard.update(schedule.SubmitMsg{
 		Job: work.Job{
 			ID:       "j",
--- /dev/null
+++ b/io/server/conn_test.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// TestPeerOpen checks that a connection counts as open until its peer closes or resets it.
+func TestPeerOpen(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(*net.TCPConn) error
+	}{
+		{
+			name:  "closed",
+			leave: (*net.TCPConn).Close,
+		},
+		{
+			name:  "half closed",
+			leave: (*net.TCPConn).CloseWrite,
+		},
+		{
+			name: "reset",
+			leave: func(conn *net.TCPConn) error {
+				if err := conn.SetLinger(0); err != nil {
+					return err
+				}
+				return conn.Close()
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			requests := make(chan *http.Request, 1)
+			done := make(chan struct{})
+			s := New("test", "127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				requests <- r
+				<-done
+			}), logr.Discard())
+			assert.NilError(t, s.Start())
+			defer s.Close()
+			defer close(done)
+			conn, err := net.Dial("tcp", s.listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+			assert.NilError(t, err)
+			ctx := (<-requests).Context()
+			assert.Assert(t, PeerOpen(ctx))
+			assert.NilError(t, test.leave(conn.(*net.TCPConn)))
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if PeerOpen(ctx) {
+					return poll.Continue("still open")
+				}
+				return poll.Success()
+			}, poll.WithDelay(time.Millisecond))
+		})
+	}
+}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -35,6 +35,7 @@
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			ConnState:         a.track,
+			ConnContext:       withConn,
 		},
 	}
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -190,6 +190,9 @@
 	// Found corresponds to the JSON schema field "found".
 	Found *Found `cbor:"found,omitempty" json:"found,omitempty,omitzero"`
 
+	// Fresh corresponds to the JSON schema field "fresh".
+	Fresh *Fresh `cbor:"fresh,omitempty" json:"fresh,omitempty,omitzero"`
+
 	// Halt corresponds to the JSON schema field "halt".
 	Halt *Halt `cbor:"halt,omitempty" json:"halt,omitempty,omitzero"`
 
@@ -214,6 +217,12 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `cbor:"outcome,omitempty" json:"outcome,omitempty,omitzero"`
 
+	// Probe corresponds to the JSON schema field "probe".
+	Probe *Probe `cbor:"probe,omitempty" json:"probe,omitempty,omitzero"`
+
+	// Probed corresponds to the JSON schema field "probed".
+	Probed *Probed `cbor:"probed,omitempty" json:"probed,omitempty,omitzero"`
+
 	// Pull corresponds to the JSON schema field "pull".
 	Pull *Pull `cbor:"pull,omitempty" json:"pull,omitempty,omitzero"`
 
@@ -230,6 +239,17 @@
 	Submit *Submit `cbor:"submit,omitempty" json:"submit,omitempty,omitzero"`
 }
 
+// Fresh bounds the age of a call that is received: its caller was known to wait at
+// a time on the receiver's clock.
+type Fresh struct {
+	// Time from the receipt of that probe until the caller was last known to wait, in
+	// microseconds; negative if that was earlier.
+	Since int `cbor:"since" json:"since"`
+
+	// Stamp of the last probe that the sender has received on this link.
+	Stamp int `cbor:"stamp" json:"stamp"`
+}
+
 // Halt stops a lent task, or drops a submitted job whose caller no longer waits.
 type Halt struct {
 	// ID of the job.
@@ -438,6 +458,29 @@
 	State string `cbor:"state" json:"state"`
 }
 
+// Probe asks which calls the receiver still waits for.
+type Probe struct {
+	// Request numbers of the calls.
+	Calls []int `cbor:"calls" json:"calls"`
+
+	// Time of the probe on the sender's clock, in microseconds since it opened the
+	// link.
+	Stamp int `cbor:"stamp" json:"stamp"`
+}
+
+// Probed answers a Probe.
+type Probed struct {
+	// For each call, the time in microseconds since its caller was last known to
+	// wait; -1 if the sender does not wait for the call any more.
+	Ages []int `cbor:"ages" json:"ages"`
+
+	// Request numbers, as in the probe.
+	Calls []int `cbor:"calls" json:"calls"`
+
+	// Stamp of the probe.
+	Stamp int `cbor:"stamp" json:"stamp"`
+}
+
 // Pull requests whatever the sender lacks or has in an older version.
 type Pull struct {
 	// Versions of the rows that the sender has.
