core/schedule: homes announce older jobs, and don't start announced ones

Cause: a job's home is one of the failure domain of the host that received the job.

Change: Announceable lists the unfinished jobs from a given age on; AnnouncedMsg records those of other homes for a limited time. A submission of a job that another home announced is answered with Elsewhere and that home. A submission with JoinOnly is joined or answered with Absent, and never started.

--- /dev/null
+++ b/core/schedule/announce_test.go
@@ -0,0 +1,487 @@
+package schedule
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/work"
+)
+
+const (
+	announceAge     = 800 * time.Millisecond
+	announcementTTL = time.Second
+	otherHome       = "other"
+)
+
+// newAnnouncingModel returns a model that announces its jobs, with four own servers.
+func newAnnouncingModel(host string) *Model {
+	l := limits
+	l.AnnounceAge, l.AnnouncementTTL = announceAge, announcementTTL
+	m := New(host, l)
+	m.Update(epoch, CapacityMsg{
+		Host:     host,
+		Capacity: poolWith(4),
+	})
+	return m
+}
+
+// TestAnnounceable checks that exactly the older unfinished jobs are announced, whether
+// they run or wait.
+func TestAnnounceable(t *testing.T) {
+	m := newAnnouncingModel(self)
+	queued := jobOf("queued", 1)
+	queued.Arrived = epoch.Add(-announceAge)
+	queued.Slack = time.Second
+	queued.Steps[0].Requires = "label that no server has"
+	assert.Equal(t, len(runs(m.Update(epoch, submit(queued)))), 0)
+	m.Update(epoch, submit(jobOf("job", 1)))
+	done := runs(m.Update(epoch, submit(jobOf("done", 1))))
+	m.Update(epoch, ended(done[0], work.EndDone))
+	tests := []struct {
+		name string
+		age  time.Duration
+		want []string
+	}{
+		{
+			name: "only the time since the first host received the job counts",
+			want: []string{"queued"},
+		},
+		{
+			name: "younger",
+			age:  announceAge - time.Millisecond,
+			want: []string{"queued"},
+		},
+		{
+			name: "old enough",
+			age:  announceAge,
+			want: []string{"job", "queued"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			assert.DeepEqual(t, m.Announceable(epoch.Add(test.age)), test.want)
+		})
+	}
+}
+
+// TestResentElsewhere guards against a second run of a job that another home coordinates.
+func TestResentElsewhere(t *testing.T) {
+	tests := []struct {
+		name      string
+		announcer string
+		age       time.Duration // of the announcement
+		known     bool
+		finished  bool
+		msg       SubmitMsg
+		runs      int
+		want      work.Outcome // zero for no answer
+	}{
+		{
+			name: "not announced",
+			runs: 1,
+		},
+		{
+			name:      "announced by another home",
+			announcer: otherHome,
+			age:       announcementTTL - time.Millisecond,
+			want: work.Outcome{
+				State: work.Elsewhere,
+				Home:  otherHome,
+			},
+		},
+		{
+			name:      "the announcement has expired",
+			announcer: otherHome,
+			age:       announcementTTL,
+			runs:      1,
+		},
+		{
+			name:      "announced by this home",
+			announcer: self,
+			runs:      1,
+		},
+		{
+			name:      "announced, but absent at the other home",
+			announcer: otherHome,
+			msg:       SubmitMsg{Local: true},
+			runs:      1,
+		},
+		{
+			name:      "announced, absent and submitted before",
+			announcer: otherHome,
+			msg: SubmitMsg{
+				Local:       true,
+				Resubmitted: true,
+			},
+			want: work.Outcome{
+				State:  work.Broken,
+				Reason: core.ReasonLink,
+			},
+		},
+		{
+			name:      "announced and submitted before",
+			announcer: otherHome,
+			msg:       SubmitMsg{Resubmitted: true},
+			want: work.Outcome{
+				State: work.Elsewhere,
+				Home:  otherHome,
+			},
+		},
+		{
+			name:      "announced, and known here too",
+			announcer: otherHome,
+			known:     true,
+		},
+		{
+			name:      "announced, and finished here",
+			announcer: otherHome,
+			finished:  true,
+			want:      work.Outcome{State: work.Completed},
+		},
+		{
+			name:  "joins a known job",
+			known: true,
+			msg:   SubmitMsg{JoinOnly: true},
+		},
+		{
+			name:     "joins a finished job",
+			finished: true,
+			msg:      SubmitMsg{JoinOnly: true},
+			want:     work.Outcome{State: work.Completed},
+		},
+		{
+			name: "joins an unknown job",
+			msg:  SubmitMsg{JoinOnly: true},
+			want: work.Outcome{State: work.Absent},
+		},
+		{
+			name:      "joins a job that a third home announced",
+			announcer: otherHome,
+			msg:       SubmitMsg{JoinOnly: true},
+			want:      work.Outcome{State: work.Absent},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			if test.known || test.finished {
+				placed := runs(m.Update(epoch, submit(jobOf("j", 1))))
+				if test.finished {
+					m.Update(epoch, ended(placed[0], work.EndDone))
+				}
+			}
+			if test.announcer != "" {
+				m.Update(epoch, AnnouncedMsg{
+					Host: test.announcer,
+					Jobs: []string{"i", "j"},
+				})
+			}
+			now := epoch.Add(test.age)
+			test.msg.Job, test.msg.Caller = jobOf("j", 1), "again"
+			test.msg.Job.Arrived, test.msg.Job.Deadline = now, now.Add(time.Minute)
+			cmds := m.Update(now, test.msg)
+			assert.Equal(t, len(runs(cmds)), test.runs)
+			if test.want == (work.Outcome{}) {
+				assert.Equal(t, len(answers(cmds)), 0)
+				return
+			}
+			assert.Equal(t, len(answers(cmds)), 1)
+			assert.Equal(t, answers(cmds)[0].Caller, "again")
+			assert.Equal(t, answers(cmds)[0].Outcome, test.want)
+		})
+	}
+}
+
+// TestAnnouncementsExpire guards against announcements that pile up at an idle home.
+func TestAnnouncementsExpire(t *testing.T) {
+	tests := []struct {
+		name string
+		msg  Msg
+		want int
+	}{
+		{
+			name: "next announcements",
+			msg: AnnouncedMsg{
+				Host: otherHome,
+				Jobs: []string{"new"},
+			},
+			want: 1,
+		},
+		{
+			name: "tick",
+			msg:  TickMsg{},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.Update(epoch, AnnouncedMsg{
+				Host: otherHome,
+				Jobs: []string{"a", "b"},
+			})
+			assert.Assert(t, m.Idle())
+			m.Update(epoch.Add(announcementTTL), test.msg)
+			assert.Equal(t, len(m.announcements), test.want)
+		})
+	}
+}
+
+// homesReplay replays jobs that their callers send again to the homes of other failure
+// domains while earlier attempts are still open. Each home has its own servers.
+type homesReplay struct {
+	replayTimes
+	rng     *rand.Rand
+	queue   events
+	models  []*Model
+	replies map[string]func(now time.Time, o work.Outcome) // by caller
+	active  map[string][]*homeRun                          // by task name
+	joined  int                                            // attempts passed on to another home
+	twice   []string                                       // names of tasks that ran at two homes at once
+}
+
+// replayTimes are the ranges of the random times of a replay.
+type replayTimes struct {
+	run     timeRange // run time of a task
+	lost    timeRange // from an attempt to the loss of its connection
+	noticed timeRange // from the loss of a connection until the home learns of it
+	stop    timeRange // from the order to stop a run to its end
+	message timeRange // delay of a message between homes
+}
+
+type timeRange struct{ least, most time.Duration }
+
+// homeRun is a run of a task on a server of a home.
+type homeRun struct {
+	home int
+	cmd  RunCmd
+}
+
+func newHomesReplay(seed uint64, homes int, times replayTimes) *homesReplay {
+	r := &homesReplay{
+		replayTimes: times,
+		rng:         rand.New(rand.NewPCG(seed, 1)),
+		replies:     map[string]func(time.Time, work.Outcome){},
+		active:      map[string][]*homeRun{},
+	}
+	for home := range homes {
+		r.models = append(r.models, newAnnouncingModel(strconv.Itoa(home)))
+	}
+	return r
+}
+
+func (r *homesReplay) draw(t timeRange) time.Duration {
+	return t.least + time.Duration(r.rng.Int64N(int64(t.most-t.least)+1))
+}
+
+func (r *homesReplay) at(at time.Time, do func(now time.Time)) {
+	heap.Push(&r.queue, event{
+		at: at.Sub(epoch),
+		do: do,
+	})
+}
+
+func (r *homesReplay) update(now time.Time, home int, msg Msg) {
+	for _, cmd := range r.models[home].Update(now, msg) {
+		switch cmd := cmd.(type) {
+		case RunCmd:
+			r.start(now, home, cmd)
+		case HaltCmd:
+			for _, run := range r.active[cmd.Name] {
+				if run.home == home {
+					r.at(now.Add(r.draw(r.stop)), func(now time.Time) { r.end(now, run, work.EndStopped) })
+				}
+			}
+		case AnswerCmd:
+			r.replies[cmd.Caller](now, cmd.Outcome)
+		case LogCmd:
+		}
+	}
+}
+
+func (r *homesReplay) start(now time.Time, home int, cmd RunCmd) {
+	name := cmd.Task.Name()
+	for _, other := range r.active[name] {
+		if other.home != home {
+			r.twice = append(r.twice, name)
+		}
+	}
+	run := &homeRun{
+		home: home,
+		cmd:  cmd,
+	}
+	r.active[name] = append(r.active[name], run)
+	r.at(now.Add(r.draw(r.run)), func(now time.Time) { r.end(now, run, work.EndDone) })
+}
+
+func (r *homesReplay) end(now time.Time, run *homeRun, end work.End) {
+	name := run.cmd.Task.Name()
+	if !slices.Contains(r.active[name], run) {
+		return
+	}
+	r.active[name] = slices.DeleteFunc(r.active[name], func(o *homeRun) bool { return o == run })
+	r.update(now, run.home, ended(run.cmd, end))
+	r.update(now, run.home, CapacityMsg{
+		Host:     strconv.Itoa(run.home),
+		Capacity: poolWith(4),
+	})
+}
+
+// attempt submits a job to a home, and again to the next one after the connection to the
+// first is lost.
+func (r *homesReplay) attempt(now time.Time, job work.Job, home int) {
+	const resendDelay = 1300 * time.Millisecond
+	job.Arrived = now
+	r.submit(now, job, home)
+	lost := now.Add(r.draw(r.lost))
+	if r.noticed.most > 0 {
+		r.at(lost.Add(r.draw(r.noticed)), func(now time.Time) { r.drop(now, job, home) })
+	}
+	if home+1 < len(r.models) {
+		r.at(lost.Add(resendDelay), func(now time.Time) { r.attempt(now, job, home+1) })
+	}
+}
+
+// submit submits a job to a home as the host that received the job does, and passes it on
+// to the home that announced it.
+func (r *homesReplay) submit(now time.Time, job work.Job, home int) {
+	caller := fmt.Sprint(job.ID, " at ", home)
+	msg := SubmitMsg{
+		Job:    job,
+		Caller: caller,
+		Remote: true,
+	}
+	answered := func(time.Time, work.Outcome) {}
+	r.replies[caller] = func(now time.Time, o work.Outcome) {
+		if o.State != work.Elsewhere {
+			return
+		}
+		r.joined++
+		announcer, _ := strconv.Atoi(o.Home)
+		joined := msg
+		joined.Caller, joined.JoinOnly = caller+" for "+o.Home, true
+		r.replies[joined.Caller] = func(now time.Time, o work.Outcome) {
+			if o.State == work.Absent {
+				local := msg
+				local.Local = true
+				r.replies[caller] = answered
+				r.at(now.Add(r.draw(r.message)), func(now time.Time) { r.update(now, home, local) })
+			}
+		}
+		r.at(now.Add(r.draw(r.message)), func(now time.Time) { r.update(now, announcer, joined) })
+	}
+	r.update(now, home, msg)
+}
+
+// drop ends the attempt at a home, and its call to another home.
+func (r *homesReplay) drop(now time.Time, job work.Job, home int) {
+	caller := fmt.Sprint(job.ID, " at ", home)
+	r.update(now, home, CallerGoneMsg{Caller: caller})
+	for other := range r.models {
+		joined := CallerGoneMsg{Caller: fmt.Sprint(caller, " for ", other)}
+		r.at(now.Add(r.draw(r.message)), func(now time.Time) { r.update(now, other, joined) })
+	}
+}
+
+// announce sends the announcements of a home to all others.
+func (r *homesReplay) announce(now time.Time, home int) {
+	ids := r.models[home].Announceable(now)
+	for other := range r.models {
+		if other == home || len(ids) == 0 {
+			continue
+		}
+		r.at(now.Add(r.draw(r.message)), func(now time.Time) {
+			r.update(now, other, AnnouncedMsg{
+				Host: strconv.Itoa(home),
+				Jobs: ids,
+			})
+		})
+	}
+}
+
+// play submits jobs and returns when all attempts have ended.
+func (r *homesReplay) play(jobs int) {
+	const (
+		length           = 20 * time.Second
+		tick             = 50 * time.Millisecond
+		announceInterval = 300 * time.Millisecond
+		jobInterval      = 100 * time.Millisecond
+	)
+	for n := range jobs {
+		job := jobOf(fmt.Sprint("j", n), 1+r.rng.IntN(3))
+		job.Steps[0].Estimate = time.Second
+		job.Deadline = epoch.Add(length)
+		r.at(epoch.Add(time.Duration(n)*jobInterval), func(now time.Time) { r.attempt(now, job, 0) })
+	}
+	for home := range r.models {
+		for at := time.Duration(0); at < length; at += tick {
+			r.at(epoch.Add(at), func(now time.Time) { r.update(now, home, TickMsg{}) })
+		}
+		for at := r.draw(timeRange{most: announceInterval}); at < length; at += announceInterval {
+			r.at(epoch.Add(at), func(now time.Time) { r.announce(now, home) })
+		}
+	}
+	for len(r.queue) > 0 {
+		e := heap.Pop(&r.queue).(event)
+		e.do(epoch.Add(e.at))
+	}
+}
+
+// TestOneHomeAtOnce guards against a job that runs at the homes of two failure domains at
+// once, because its caller sent it again while the first home didn't know that the caller
+// had left.
+func TestOneHomeAtOnce(t *testing.T) {
+	const (
+		seeds = 50
+		jobs  = 40
+	)
+	tests := []struct {
+		name  string
+		homes int
+		times replayTimes
+	}{
+		{
+			name:  "two homes, runs longer than the resend delay",
+			homes: 2,
+			times: replayTimes{
+				run: timeRange{
+					least: 1400 * time.Millisecond,
+					most:  3 * time.Second,
+				},
+				message: timeRange{most: 150 * time.Millisecond},
+			},
+		},
+		{
+			name:  "four homes, runs of any length",
+			homes: 4,
+			times: replayTimes{
+				run: timeRange{
+					least: 100 * time.Millisecond,
+					most:  4 * time.Second,
+				},
+				lost:    timeRange{most: time.Second},
+				message: timeRange{most: 150 * time.Millisecond},
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			joined := 0
+			for seed := range uint64(seeds) {
+				r := newHomesReplay(seed, test.homes, test.times)
+				r.play(jobs)
+				assert.Equal(t, len(r.twice), 0, "seed %d: %v", seed, r.twice)
+				joined += r.joined
+			}
+			t.Logf("%d attempts passed on to another home", joined)
+			assert.Assert(t, joined > 0)
+		})
+	}
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -22,6 +21,8 @@
 	OutcomeRetention    time.Duration // how long outcomes of finished jobs are retained for resubmissions
 	CapacityTTL         time.Duration // age at which another host's capacity report is dropped; 0 for never
 	MaxJobs             int           // maximum number of jobs
+	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
+	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts
 }
 
 // finishedJob is the outcome of a job that has ended.
@@ -42,6 +43,8 @@
 	runTimes map[string]runTimes    // by route
 	finished map[string]finishedJob // by job ID
 	demands  map[string]demand      // by route
+
+	announcements map[string]announcement // of other homes, by job ID
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -55,6 +58,8 @@
 		runTimes: map[string]runTimes{},
 		finished: map[string]finishedJob{},
 		demands:  map[string]demand{},
+
+		announcements: map[string]announcement{},
 	}
 }
 
@@ -63,6 +68,9 @@
 	switch msg := msg.(type) {
 	case SubmitMsg:
 		return m.submit(now, msg)
+	case AnnouncedMsg:
+		m.recordAnnouncements(now, msg)
+		return nil
 	case CallerGoneMsg:
 		return m.callerGone(msg)
 	case WithdrawMsg:
@@ -81,6 +89,7 @@
 		return m.giveUpRemote(now)
 	case TickMsg:
 		m.expireOutcomes(now)
+		m.expireAnnouncements(now)
 		return append(m.expire(now), m.dispatch(now)...)
 	}
 	return nil
@@ -144,16 +153,11 @@
 		m.callers[msg.Caller] = id
 		return nil
 	}
-	if msg.Resubmitted {
-		// A previous process of this host may have started tasks of this job that
-		// still run or are being stopped. Starting them now could run them twice.
+	if outcome, ok := m.withoutStart(now, msg); ok {
 		return []Cmd{AnswerCmd{
-			Caller: msg.Caller,
-			ID:     id,
-			Outcome: work.Outcome{
-				State:  work.Broken,
-				Reason: core.ReasonLink,
-			},
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: outcome,
 		}}
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.UsefulLatencyFactor)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -17,6 +17,14 @@
 	Caller      string
 	Remote      bool // another host received the job from the caller
 	Resubmitted bool // the other host submitted it before, on a connection that broke
+	JoinOnly    bool // another home passed it on because this host announced it; never started
+	Local       bool // started even if another home announced it
+}
+
+// AnnouncedMsg reports the unfinished jobs that another home coordinates.
+type AnnouncedMsg struct {
+	Host string
+	Jobs []string // IDs
 }
 
 // CallerGoneMsg reports that a caller no longer waits for its job.
@@ -58,6 +66,7 @@
 type TickMsg struct{}
 
 func (SubmitMsg) scheduleMsg()     {}
+func (AnnouncedMsg) scheduleMsg()  {}
 func (CallerGoneMsg) scheduleMsg() {}
 func (CancelMsg) scheduleMsg()     {}
 func (WithdrawMsg) scheduleMsg()   {}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -154,10 +154,16 @@
 	Broken    State = "broken"   // given up after a task was started
 )
 
+// States of a submission to a host that doesn't coordinate the job. Callers don't see them.
+const (
+	Elsewhere State = "elsewhere" // another home coordinates the job
+	Absent    State = "absent"    // unknown to the home that it was to be joined at
+)
+
 // Outcome is the final result of a job.
 type Outcome struct {
 	State      State
 	Reason     core.Reason
 	RetryAfter time.Duration // delay after which the caller may resubmit; 0 if resubmitting doesn't help
-	Home       string        // peer address of the host that coordinated the job
+	Home       string        // peer address of the host that coordinated the job, or coordinates it if Elsewhere
 }
