io/wire, io/peer, core/owner: frame for announced jobs, all homes of a plan

Change: frame open (service, host, jobs), field join of submit, and Plan.AllHomes. Nothing sends them yet.

Measured: TestAllHomes and the generated code pass.

--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -353,6 +353,53 @@
 	}
 }
 
+// TestAllHomes checks that each home of each failure domain is listed once, and no host that
+// is shutting down.
+func TestAllHomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		perHome int
+		stops   bool // the first host
+		want    int
+	}{
+		{
+			name:    "one home in each of three domains",
+			perHome: 100,
+			want:    3,
+		},
+		{
+			name:    "two homes in each of three domains",
+			perHome: 5,
+			want:    6,
+		},
+		{
+			name:    "a host is shutting down",
+			perHome: 100,
+			stops:   true,
+			want:    3,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := View{
+				Hosts:             fleet(9),
+				Servers:           servers(30),
+				MaxServersPerHome: test.perHome,
+			}
+			v.Hosts[0].Stopping = test.stops
+			plan := v.Plan()
+			homes := plan.AllHomes()
+			assert.Equal(t, len(homes), test.want)
+			assert.Equal(t, slices.Contains(homes, v.Hosts[0]), !test.stops)
+			for i := range 3 {
+				for _, h := range plan.Homes(fmt.Sprint("domain-", i)) {
+					assert.Assert(t, slices.Contains(homes, h))
+				}
+			}
+		})
+	}
+}
+
 // TestHomesByProcessor checks that the hosts with the most cores are homes whatever
 // the uptime of others, and that jobs are distributed over homes in proportion to
 // their cores.
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -55,6 +55,9 @@
 // domain without hosts has none.
 func (p Plan) Homes(domain string) []member.Host { return p.homes[domain] }
 
+// AllHomes returns the homes of all failure domains, sorted by peer address.
+func (p Plan) AllHomes() []member.Host { return p.all }
+
 // Home returns the home that coordinates a job submitted in a failure domain.
 func (p Plan) Home(job, domain string) (member.Host, bool) {
 	return pickWeighted(job, p.homesOrAll(domain))
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -20,6 +20,7 @@
 	KindLend     RequestKind = "lend"
 	KindHalt     RequestKind = "halt"
 	KindRoom     RequestKind = "room"
+	KindOpen     RequestKind = "open"
 	KindFind     RequestKind = "find"
 	KindFetch    RequestKind = "fetch"
 	KindList     RequestKind = "list"
@@ -57,6 +58,8 @@
 		return KindHalt
 	case f.Room != nil:
 		return KindRoom
+	case f.Open != nil:
+		return KindOpen
 	case f.Find != nil:
 		return KindFind
 	case f.Fetch != nil:
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -211,6 +211,9 @@
 	// Listing corresponds to the JSON schema field "listing".
 	Listing *Listing `cbor:"listing,omitempty" json:"listing,omitempty,omitzero"`
 
+	// Open corresponds to the JSON schema field "open".
+	Open *Open `cbor:"open,omitempty" json:"open,omitempty,omitzero"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `cbor:"outcome,omitempty" json:"outcome,omitempty,omitzero"`
 
@@ -426,6 +429,19 @@
 	Version int `cbor:"version" json:"version"`
 }
 
+// Open announces the older unfinished jobs that the sender coordinates, so that
+// other homes don't start them.
+type Open struct {
+	// Peer address of the sender.
+	Host string `cbor:"host" json:"host"`
+
+	// IDs of the jobs.
+	Jobs []string `cbor:"jobs" json:"jobs"`
+
+	// Service that runs the jobs' tasks.
+	Service string `cbor:"service" json:"service"`
+}
+
 // Outcome is the final result of a job.
 type Outcome struct {
 	// Reason, if the job did not complete.
@@ -434,7 +450,8 @@
 	// Delay before resubmitting, in milliseconds; 0 if resubmitting does not help.
 	Retry int `cbor:"retry" json:"retry"`
 
-	// completed, failed, canceled, refused or broken.
+	// completed, failed, canceled, refused, broken, or absent if the job was to be
+	// joined and is unknown.
 	State string `cbor:"state" json:"state"`
 }
 
@@ -618,6 +635,10 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Whether the sender is a home that passes on a job which the receiver announced;
+	// the receiver neither starts it nor passes it on.
+	Join bool `cbor:"join" json:"join"`
+
 	// Time until the caller stops waiting, in microseconds.
 	Left int `cbor:"left" json:"left"`
 
