io/scheduler: a job sent again to another failure domain joins its first home

Cause: a caller whose connection stays open without traffic sends its job again after 1.3 s to any host.

Change: each host announces its unfinished jobs of 0.8 s and more to all homes every 0.3 s, one frame a service, none if there is nothing to announce. A home that gets an announced job passes it on and returns the outcome; if the announcing home doesn't know the job, it is started here; if it can't be reached or its link breaks, the caller gets broken, link. A job that was passed on is not passed on again. A withdrawal of the job, and the end of its caller's connection, end the call to the announcing home and withdraw the job there. TestForward passes its new argument and has two more rows; none changed.

--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -182,6 +182,7 @@
 func (s *Shard) halt(h *wire.Halt) {
 	if h.Task == "" {
 		s.update(schedule.WithdrawMsg{ID: h.Job})
+		s.withdrawJoin(h.Job)
 		return
 	}
 	s.mu.Lock()
@@ -255,7 +256,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	if err := s.config.Peers.Send(ctx, address, frame); err != nil {
-		s.config.Log.V(1).Info("free capacity not sent", "address", address, "error", err.Error())
+		s.config.Log.V(1).Info("frame not sent", "address", address, "error", err.Error())
 	}
 }
 
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -83,6 +83,9 @@
 				duration("stale", "2s", "Age at which another host's reported free capacity is discarded; 0 keeps it.", 0, time.Hour),
 				duration("bounce", "5ms", "Delay before a task that found no capacity is retried.", 0, time.Second),
 				duration("remember", "5s", "Retention of outcomes for repeated submissions.", 0, time.Hour),
+				duration("announce", "800ms", "Age of an unfinished job from which it is announced to all other homes, so that they join it instead of starting it when its caller sends it again.", 0, time.Minute),
+				duration("announced", "1s", "Time for which a job that another home announced is joined there.", 0, time.Minute),
+				duration("announceevery", "300ms", "Interval between announcements.", time.Millisecond, time.Minute),
 				number("admit", "1.5", "Expected wait of a new job, as a multiple of its slack, up to which it is admitted immediately.", 0, 100),
 				number("hopeless", "8", "Expected wait of a new job, as a multiple of its slack, from which it is refused immediately.", 0, 100),
 				number("overdue", "1", "Expected start of an admitted job that has not begun, as a multiple of its slack, from which it queues behind jobs that can still finish in time.", 0, 100),
@@ -169,6 +172,7 @@
 			Normal:      s.Duration(section, "telllater"),
 			Unchanged:   s.Duration(section, "tellagain"),
 		},
+		Announce: s.Duration(section, "announceevery"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
@@ -210,6 +214,8 @@
 		CapacityTTL:         s.Duration(section, "stale"),
 		OutcomeRetention:    s.Duration(section, "remember"),
 		MaxJobs:             s.Integer(section, "jobs"),
+		AnnounceAge:         s.Duration(section, "announce"),
+		AnnouncementTTL:     s.Duration(section, "announced"),
 	}
 }
 
@@ -221,6 +227,7 @@
 	Lend   peer.Handler `group:"handlers"`
 	Halt   peer.Handler `group:"handlers"`
 	Room   peer.Handler `group:"handlers"`
+	Open   peer.Handler `group:"handlers"`
 	Find   peer.Handler `group:"handlers"`
 }
 
@@ -243,6 +250,11 @@
 			Serve:   s.ServeRoom,
 			InOrder: true,
 		},
+		Open: peer.Handler{
+			Kind:    peer.KindOpen,
+			Serve:   s.ServeOpen,
+			InOrder: true,
+		},
 		Find: peer.Handler{
 			Kind:  peer.KindFind,
 			Serve: s.ServeFind,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -32,6 +32,7 @@
 	Stall    time.Duration // age at which a decision is outdated
 	Stalls   *stall.Detector
 	Tell     schedule.ReportIntervals
+	Announce time.Duration // interval between announcements of older jobs
 	Settle   time.Duration // time after startup before servers are taken over
 	Complete time.Duration // the same while a host of the failure domain sends no heartbeats
 	Counters *telemetry.Counters
@@ -118,6 +119,7 @@
 		callers:      map[string]func(work.Outcome){},
 		lent:         map[string]*lentRun{},
 		earlyHalts:   map[string]int{},
+		joins:        map[string][]*joinCall{},
 		reattach:     s.config.Reattach,
 	}
 }
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -66,6 +66,8 @@
 	capacityRevision  int       // incremented when reportedCapacity changes
 	capacityCheckedAt time.Time // when reportedCapacity was last refreshed
 	capacityDirty     bool      // free capacity may have changed since then
+
+	joins map[string][]*joinCall // calls to homes that announced a job, by job ID
 }
 
 // effect is a command that is carried out without holding the lock.
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -42,11 +43,11 @@
 	for range maxHomeAttempts {
 		home, found := s.plan(job.Service).Home(job.ID, s.config.Roster.Self().Domain)
 		if !found || home.Address == s.config.Self {
-			outcome, ok = s.Shard(job.Service).Do(ctx, schedule.SubmitMsg{Job: job}, 0)
-			outcome.Home = s.config.Self
+			outcome, ok = s.coordinate(ctx, schedule.SubmitMsg{Job: job}, 0)
+			outcome.Home = cmp.Or(outcome.Home, s.config.Self)
 			return outcome, ok
 		}
-		outcome, err := s.forward(ctx, home.Address, job)
+		outcome, err := s.forward(ctx, home.Address, job, false)
 		outcome.Home = home.Address
 		switch {
 		case ctx.Err() != nil:
@@ -76,10 +77,11 @@
 // noHomeRetryAfter is the retry delay returned to callers while no home is reachable.
 const noHomeRetryAfter = time.Second
 
-func (s *Scheduler) forward(ctx context.Context, home string, job work.Job) (work.Outcome, error) {
+// forward submits a job to another host. With joinOnly that host doesn't start the job.
+func (s *Scheduler) forward(ctx context.Context, home string, job work.Job, joinOnly bool) (work.Outcome, error) {
 	answer, repeated, err := callWithRetry(ctx, s.config.Reattach, func(repeated bool) (wire.Frame, error) {
 		submit := jobToWire(job, time.Now())
-		submit.Again = repeated
+		submit.Again, submit.Join = repeated, joinOnly
 		return s.config.Peers.Call(ctx, home, wire.Frame{Submit: submit})
 	})
 	if err != nil {
@@ -93,7 +95,7 @@
 		Reason:     core.Reason(answer.Outcome.Reason),
 		RetryAfter: time.Duration(answer.Outcome.Retry) * time.Millisecond,
 	}
-	if repeated && outcome.State == work.Refused {
+	if repeated && (outcome.State == work.Refused || outcome.State == work.Absent) {
 		// A restarted home doesn't know the first call, but tasks may have run
 		// because of it.
 		outcome.State = work.Broken
@@ -112,10 +114,11 @@
 // ServeSubmit coordinates a job that another host accepted.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	job := jobFromWire(f.Submit, time.Now())
-	outcome, ok := s.Shard(job.Service).Do(ctx, schedule.SubmitMsg{
+	outcome, ok := s.coordinate(ctx, schedule.SubmitMsg{
 		Job:         job,
 		Remote:      true,
 		Resubmitted: f.Submit.Again,
+		JoinOnly:    f.Submit.Join,
 	}, s.config.Reattach)
 	return wire.Frame{Outcome: &wire.Outcome{
 		State:  string(outcome.State),
--- a/io/scheduler/submit_test.go
+++ b/io/scheduler/submit_test.go
@@ -52,6 +52,7 @@
 	tests := []struct {
 		name     string
 		outcomes []string
+		join     bool
 		want     work.State
 		err      bool
 	}{
@@ -80,6 +81,18 @@
 			outcomes: []string{"", "-"},
 			err:      true,
 		},
+		{
+			name:     "absent at the home that announced it",
+			outcomes: []string{"absent"},
+			join:     true,
+			want:     work.Absent,
+		},
+		{
+			name:     "the link breaks, and the home that announced it restarted",
+			outcomes: []string{"", "absent"},
+			join:     true,
+			want:     work.Broken,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -87,7 +100,7 @@
 				Peers:    &scriptedPeers{outcomes: test.outcomes},
 				Reattach: 100 * time.Millisecond,
 			})
-			outcome, err := s.forward(t.Context(), "home", work.Job{})
+			outcome, err := s.forward(t.Context(), "home", work.Job{}, test.join)
 			assert.Equal(t, err != nil, test.err)
 			assert.Equal(t, outcome.State, test.want)
 		})
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -20,7 +20,7 @@
 func (s *Scheduler) runTicks(ctx context.Context, tick, reportInterval time.Duration) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var lastReport, lastOwnership time.Time
+	var lastReport, lastAnnouncement, lastOwnership time.Time
 	var clock suspendClock
 	for {
 		idle := s.idle()
@@ -44,6 +44,10 @@
 			lastReport = now
 			s.sendCapacity()
 		}
+		if now.Sub(lastAnnouncement) >= s.config.Announce {
+			lastAnnouncement = now
+			s.announce()
+		}
 		if now.Sub(lastOwnership) >= minOwnershipInterval {
 			lastOwnership = now
 			s.refreshOwnership()
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	bytes    *prometheus.CounterVec
 	starts   prometheus.Counter
 	jobs     *prometheus.CounterVec
+	joins    *prometheus.CounterVec
 }
 
 // NewCounters registers the counters. Each reason has its series from the start.
@@ -39,6 +40,7 @@
 		messages: newCounterVec("messages_total", "Messages without a task or an answer.", "kind"),
 		bytes:    newCounterVec("link_bytes_total", "Bytes written to peer links.", "kind"),
 		jobs:     newCounterVec("jobs_total", "Finished jobs.", "state"),
+		joins:    newCounterVec("joins_total", "Jobs passed on to another home that announced them.", "state"),
 		starts: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "starts_total",
@@ -50,7 +52,7 @@
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.starts)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts)
 	return c
 }
 
@@ -87,6 +89,9 @@
 // Finished counts a finished job by its state.
 func (c *Counters) Finished(state string) { c.jobs.WithLabelValues(state).Inc() }
 
+// Joined counts a job that was passed on to another home, by the state returned.
+func (c *Counters) Joined(state string) { c.joins.WithLabelValues(state).Inc() }
+
 // Latency measures the time from a job's arrival to its answer.
 type Latency struct{ seconds *prometheus.HistogramVec }
 
