core/schedule: a job that was given up starts again when its runs have ended

Cause: a home that gives up a job forgets it at once, while the stop of its runs takes up to 0.92 s. Jobs given up before the age for announcements were never announced.

Change: a job whose runs are being stopped is announced, whatever its age, and a submission of it waits until the end of each run is reported. A repeated call is still answered with broken at once.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,7 +18,8 @@
 // Announceable returns the sorted IDs of the unfinished jobs that the other homes must
 // know of. A home depends on the failure domain of the host that received the job, so a
 // job that its caller sends again to another failure domain has another home, which would
-// start it a second time.
+// start it a second time. The same holds for jobs that were given up, whatever their age,
+// until their runs have ended.
 func (m *Model) Announceable(now time.Time) []string {
 	var ids []string
 	for id, j := range m.jobs {
@@ -25,6 +27,7 @@
 			ids = append(ids, id)
 		}
 	}
+	ids = slices.AppendSeq(ids, maps.Keys(m.ending))
 	slices.Sort(ids)
 	return ids
 }
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -470,6 +470,23 @@
 				message: timeRange{most: 150 * time.Millisecond},
 			},
 		},
+		{
+			name:  "the home learns late that the caller has left, and the stop takes long",
+			homes: 4,
+			times: replayTimes{
+				run: timeRange{
+					least: 1400 * time.Millisecond,
+					most:  4 * time.Second,
+				},
+				lost:    timeRange{most: 300 * time.Millisecond},
+				noticed: timeRange{most: 1200 * time.Millisecond},
+				stop: timeRange{
+					least: 50 * time.Millisecond,
+					most:  920 * time.Millisecond,
+				},
+				message: timeRange{most: 150 * time.Millisecond},
+			},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/core/schedule/ending.go
@@ -0,0 +1,106 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rosemarywalk/core"
+	"rosemarywalk/core/work"
+)
+
+// endingJob is a job that was given up while its runs have yet to end.
+type endingJob struct {
+	runs     map[string]time.Time // by task name; zero until the end is reported as unknown, then when it counts as ended
+	deferred []SubmitMsg          // submissions that wait for the end of the runs
+}
+
+// recordHalt adds a run that was ordered to stop.
+func (m *Model) recordHalt(id, name string) {
+	e := m.ending[id]
+	if e == nil {
+		e = &endingJob{runs: map[string]time.Time{}}
+		m.ending[id] = e
+	}
+	e.runs[name] = time.Time{}
+}
+
+// recordHaltedEnd handles the end of a run that was ordered to stop. A run whose end is
+// unknown counts as ended when its lease must have expired.
+func (m *Model) recordHaltedEnd(now time.Time, msg EndMsg) []Cmd {
+	e, name := m.ending[msg.Task.Job], msg.Task.Name()
+	if e == nil {
+		return nil
+	}
+	if _, ok := e.runs[name]; !ok {
+		return nil
+	}
+	if msg.End == work.EndUnknown {
+		e.runs[name] = now.Add(m.limits.AnnouncementTTL)
+		return nil
+	}
+	delete(e.runs, name)
+	return m.submitDeferred(now, msg.Task.Job)
+}
+
+// submitDeferred submits a job again to this home once all of its runs have ended.
+func (m *Model) submitDeferred(now time.Time, id string) []Cmd {
+	e := m.ending[id]
+	if len(e.runs) > 0 {
+		return nil
+	}
+	delete(m.ending, id)
+	var cmds []Cmd
+	for _, msg := range e.deferred {
+		cmds = append(cmds, m.submit(now, msg)...)
+	}
+	return cmds
+}
+
+// expireEnding removes the runs whose unknown ends now count as ended.
+func (m *Model) expireEnding(now time.Time) []Cmd {
+	var cmds []Cmd
+	for _, id := range slices.Sorted(maps.Keys(m.ending)) {
+		maps.DeleteFunc(m.ending[id].runs, func(_ string, endsAt time.Time) bool {
+			return !endsAt.IsZero() && !now.Before(endsAt)
+		})
+		cmds = append(cmds, m.submitDeferred(now, id)...)
+	}
+	return cmds
+}
+
+// deferSubmission holds back a submission until the runs of the job's previous submission
+// have ended. It reports false if there are none. A repeated call is answered at once.
+func (m *Model) deferSubmission(msg SubmitMsg) bool {
+	e := m.ending[msg.Job.ID]
+	if e == nil || (msg.Resubmitted && !msg.JoinOnly) {
+		return false
+	}
+	e.deferred = append(e.deferred, msg)
+	return true
+}
+
+// dropDeferred removes the held back submission of a caller that no longer waits.
+func (m *Model) dropDeferred(caller string) {
+	for _, e := range m.ending {
+		e.deferred = slices.DeleteFunc(e.deferred, func(msg SubmitMsg) bool { return msg.Caller == caller })
+	}
+}
+
+// withdrawDeferred answers the held back submission of a job, unless it has more than one.
+func (m *Model) withdrawDeferred(id string) []Cmd {
+	e := m.ending[id]
+	if e == nil || len(e.deferred) != 1 {
+		return nil
+	}
+	caller := e.deferred[0].Caller
+	e.deferred = nil
+	return []Cmd{AnswerCmd{
+		Caller: caller,
+		ID:     id,
+		Outcome: work.Outcome{
+			State:  work.Broken,
+			Reason: core.ReasonCanceled,
+		},
+	}}
+}
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -14,7 +14,7 @@
 func (m *Model) handleEnd(now time.Time, msg EndMsg) []Cmd {
 	j := m.jobs[msg.Task.Job]
 	if j == nil {
-		return nil
+		return m.recordHaltedEnd(now, msg)
 	}
 	t := j.find(msg.Task.Step, msg.Task.Index)
 	if t == nil || t.state != placed || t.host != msg.Host || msg.Task.Run < t.run {
@@ -41,10 +41,11 @@
 	case work.EndNotStarted:
 		t.notBefore = now.Add(m.limits.PlacementRetryDelay)
 	case work.EndUnknown:
-		return m.finish(now, j, work.Outcome{
+		cmds := m.finish(now, j, work.Outcome{
 			State:  work.Broken,
 			Reason: core.ReasonUnknown,
 		})
+		return append(cmds, m.recordHaltedEnd(now, msg)...)
 	}
 	j.set(t, waiting)
 	t.host = ""
@@ -92,9 +93,11 @@
 	var cmds []Cmd
 	for _, t := range j.tasks {
 		if t.state == placed {
+			name := j.order(t).Name()
+			m.recordHalt(j.ID, name)
 			cmds = append(cmds, HaltCmd{
 				Host: t.host,
-				Name: j.order(t).Name(),
+				Name: name,
 			})
 		}
 	}
@@ -106,6 +109,7 @@
 	j := m.jobs[m.callers[msg.Caller]]
 	delete(m.callers, msg.Caller)
 	if j == nil {
+		m.dropDeferred(msg.Caller)
 		return nil
 	}
 	j.callers = slices.DeleteFunc(j.callers, func(c string) bool { return c == msg.Caller })
@@ -123,7 +127,10 @@
 // withdraw gives up a job unless it has more than one caller.
 func (m *Model) withdraw(now time.Time, msg WithdrawMsg) []Cmd {
 	j := m.jobs[msg.ID]
-	if j == nil || len(j.callers) > 1 {
+	if j == nil {
+		return m.withdrawDeferred(msg.ID)
+	}
+	if len(j.callers) > 1 {
 		return nil
 	}
 	return m.finish(now, j, work.Outcome{
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -45,6 +45,7 @@
 	demands  map[string]demand      // by route
 
 	announcements map[string]announcement // of other homes, by job ID
+	ending        map[string]*endingJob   // by job ID
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -60,6 +61,7 @@
 		demands:  map[string]demand{},
 
 		announcements: map[string]announcement{},
+		ending:        map[string]*endingJob{},
 	}
 }
 
@@ -90,7 +92,8 @@
 	case TickMsg:
 		m.expireOutcomes(now)
 		m.expireAnnouncements(now)
-		return append(m.expire(now), m.dispatch(now)...)
+		cmds := m.expireEnding(now)
+		return append(append(cmds, m.expire(now)...), m.dispatch(now)...)
 	}
 	return nil
 }
@@ -102,7 +105,9 @@
 func (m *Model) Queued() int { return len(m.queue) }
 
 // Idle reports whether there is no state that a TickMsg could change.
-func (m *Model) Idle() bool { return len(m.jobs) == 0 && len(m.finished) == 0 }
+func (m *Model) Idle() bool {
+	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0
+}
 
 // Backlog returns the millicores of all waiting tasks.
 func (m *Model) Backlog() int {
@@ -153,6 +158,9 @@
 		m.callers[msg.Caller] = id
 		return nil
 	}
+	if m.deferSubmission(msg) {
+		return nil
+	}
 	if outcome, ok := m.withoutStart(now, msg); ok {
 		return []Cmd{AnswerCmd{
 			Caller:  msg.Caller,
