core/schedule: a restarted home doesn't call an announced job absent

Change: in this time it answers a job that was passed on to it with broken, link. The models of the tests for joined jobs start earlier, as those tests are about homes that have run for a while.

Measured: both rows of TestJoinAfterRestart pass; the first fails without the change.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -67,6 +67,13 @@
 func (m *Model) withoutStart(now time.Time, msg SubmitMsg) (outcome work.Outcome, ok bool) {
 	host, announced := m.announcer(now, msg.Job.ID)
 	switch {
+	case msg.JoinOnly && now.Sub(m.startedAt) < m.limits.AnnouncementTTL:
+		// A previous process of this host may have announced the job, and its runs may
+		// not have ended.
+		return work.Outcome{
+			State:  work.Broken,
+			Reason: core.ReasonLink,
+		}, true
 	case msg.JoinOnly:
 		return work.Outcome{State: work.Absent}, true
 	case announced && !msg.Local:
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -21,11 +21,13 @@
 	otherHome       = "other"
 )
 
-// newAnnouncingModel returns a model that announces its jobs, with four own servers.
+// newAnnouncingModel returns a model that announces its jobs, with four own servers. Its
+// process has run for a minute.
 func newAnnouncingModel(host string) *Model {
 	l := limits
 	l.AnnounceAge, l.AnnouncementTTL = announceAge, announcementTTL
 	m := New(host, l)
+	m.Update(epoch.Add(-time.Minute), TickMsg{})
 	m.Update(epoch, CapacityMsg{
 		Host:     host,
 		Capacity: poolWith(4),
@@ -200,6 +202,39 @@
 	}
 }
 
+// TestJoinAfterRestart guards against a second run of a job that a previous process of the
+// announcing home started just before it died.
+func TestJoinAfterRestart(t *testing.T) {
+	tests := []struct {
+		name string
+		age  time.Duration // of the process
+		want work.State
+	}{
+		{
+			name: "announcements of a previous process may still count",
+			age:  announcementTTL - time.Millisecond,
+			want: work.Broken,
+		},
+		{
+			name: "only this process can have announced the job",
+			age:  announcementTTL,
+			want: work.Absent,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := limits
+			l.AnnouncementTTL = announcementTTL
+			m := New(self, l)
+			m.Update(epoch, TickMsg{})
+			msg := submit(jobOf("j", 1))
+			msg.JoinOnly = true
+			got := answers(m.Update(epoch.Add(test.age), msg))
+			assert.Equal(t, got[0].Outcome.State, test.want)
+		})
+	}
+}
+
 // TestAnnouncementsExpire guards against announcements that pile up at an idle home.
 func TestAnnouncementsExpire(t *testing.T) {
 	tests := []struct {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -44,6 +44,7 @@
 	finished map[string]finishedJob // by job ID
 	demands  map[string]demand      // by route
 
+	startedAt     time.Time               // of the first message
 	announcements map[string]announcement // of other homes, by job ID
 	ending        map[string]*endingJob   // by job ID
 }
@@ -67,6 +68,9 @@
 
 // Update handles a message and returns the commands to execute.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	switch msg := msg.(type) {
 	case SubmitMsg:
 		return m.submit(now, msg)
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -158,6 +158,8 @@
 		network.mu.Lock()
 		network.schedulers[address] = s
 		network.mu.Unlock()
+		// The process has run for longer than an announcement counts.
+		s.Shard("s").jobs.Update(time.Now().Add(-time.Hour), schedule.TickMsg{})
 		s.Shard("s").update(pool.AssignMsg{
 			Servers: []listing.Server{{
 				ID:       "server-" + address,
