Merge jobs that are joined at another home

A withdrawal of a job that isn't coordinated here is logged as ignored, unless it answers a submission that is held back.

--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -23,6 +22,8 @@
 	CapacityTTL         time.Duration // age at which another host's capacity report is dropped; 0 for never
 	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
+	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
+	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts
 }
 
 // finishedJob is the outcome of a job that has ended.
@@ -43,6 +44,10 @@
 	runTimes map[string]runTimes    // by route
 	finished map[string]finishedJob // by job ID
 	demands  map[string]demand      // by route
+
+	startedAt     time.Time               // of the first message
+	announcements map[string]announcement // of other homes, by job ID
+	ending        map[string]*endingJob   // by job ID
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -56,16 +61,25 @@
 		runTimes: map[string]runTimes{},
 		finished: map[string]finishedJob{},
 		demands:  map[string]demand{},
+
+		announcements: map[string]announcement{},
+		ending:        map[string]*endingJob{},
 	}
 }
 
 // Update handles a message and returns the commands to execute.
 func (m *Model) Update(now time.Time, msg Msg) []Cmd {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	switch msg := msg.(type) {
 	case SubmitMsg:
 		return m.submit(now, msg)
 	case ConfirmMsg:
 		return m.confirm(now, msg)
+	case AnnouncedMsg:
+		m.recordAnnouncements(now, msg)
+		return nil
 	case CallerGoneMsg:
 		return m.callerGone(msg)
 	case WithdrawMsg:
@@ -84,7 +98,9 @@
 		return m.giveUpRemote(now)
 	case TickMsg:
 		m.expireOutcomes(now)
-		return append(m.expire(now), m.dispatch(now)...)
+		m.expireAnnouncements(now)
+		cmds := m.expireEnding(now)
+		return append(append(cmds, m.expire(now)...), m.dispatch(now)...)
 	}
 	return nil
 }
@@ -96,7 +112,9 @@
 func (m *Model) Queued() int { return len(m.queue) }
 
 // Idle reports whether there is no state that a TickMsg could change.
-func (m *Model) Idle() bool { return len(m.jobs) == 0 && len(m.finished) == 0 }
+func (m *Model) Idle() bool {
+	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0
+}
 
 // Backlog returns the millicores of all waiting tasks.
 func (m *Model) Backlog() int {
@@ -150,16 +168,14 @@
 		}
 		return nil
 	}
-	if msg.Resubmitted {
-		// A previous process of this host may have started tasks of this job that
-		// still run or are being stopped. Starting them now could run them twice.
+	if m.deferSubmission(msg) {
+		return nil
+	}
+	if outcome, ok := m.withoutStart(now, msg); ok {
 		return []Cmd{AnswerCmd{
-			Caller: msg.Caller,
-			ID:     id,
-			Outcome: work.Outcome{
-				State:  work.Broken,
-				Reason: core.ReasonLink,
-			},
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: outcome,
 		}}
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.UsefulLatencyFactor)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -17,6 +17,8 @@
 	Caller      string
 	Remote      bool // another host received the job from the caller
 	Resubmitted bool // the other host submitted it before, on a connection that broke
+	JoinOnly    bool // another home passed it on because this host announced it; never started
+	Local       bool // started even if another home announced it
 
 	ConfirmedAt time.Time // when the caller was last known to wait; zero if unknown
 }
@@ -30,6 +32,12 @@
 	At     time.Time
 }
 
+// AnnouncedMsg reports the unfinished jobs that another home coordinates.
+type AnnouncedMsg struct {
+	Host string
+	Jobs []string // IDs
+}
+
 // CallerGoneMsg reports that a caller no longer waits for its job.
 type CallerGoneMsg struct{ Caller string }
 
@@ -69,6 +77,7 @@
 type TickMsg struct{}
 
 func (SubmitMsg) scheduleMsg()     {}
+func (AnnouncedMsg) scheduleMsg()  {}
 func (CallerGoneMsg) scheduleMsg() {}
 func (ConfirmMsg) scheduleMsg()    {}
 func (CancelMsg) scheduleMsg()     {}
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -67,6 +67,8 @@
 	capacityRevision  int       // incremented when reportedCapacity changes
 	capacityCheckedAt time.Time // when reportedCapacity was last refreshed
 	capacityDirty     bool      // free capacity may have changed since then
+
+	joins map[string][]*joinCall // calls to homes that announced a job, by job ID
 }
 
 // caller is a caller that waits for the outcome of a job.
