proof: soaks of any size, with short pauses and callers that send again elsewhere

The soak had four hosts in two failure domains, so relays, readers and several homes were never played; its callers waited for each attempt's end, and no process was short of time.

-soakhosts, -soakservers and -soakcallers set the size.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,14 +24,40 @@
 	soakSeeds     = flag.Int("soakseeds", 1, "number of seeds that TestSoak runs")
 	soakFirstSeed = flag.Uint64("soakfirst", 1, "first seed that TestSoak runs")
 	soakLogDir    = flag.String("soaklogs", "", "directory for the hosts' logs of failed seeds")
+	soakHosts     = flag.Int("soakhosts", regressionSize.hosts, "number of hosts")
+	soakServers   = flag.Int("soakservers", regressionSize.servers, "number of backend servers")
+	soakCallers   = flag.Int("soakcallers", regressionSize.callers, "number of concurrent callers")
 	soakDuration  = flag.Duration("soaklength", 6*time.Second, "time during which TestSoak injects faults, per seed")
 )
 
-// Numbers of processes and callers, and limits for the injected faults.
+// soakOptions are the size of a soak and the parts that not all soaks have.
+type soakOptions struct {
+	hosts       int
+	servers     int
+	callers     int
+	abandonment abandonment
+	shortPauses bool // processes are paused for short times, again and again
+}
+
+// abandonment is how callers abandon some of their attempts.
+type abandonment string
+
+const (
+	noAbandonment     abandonment = "callers wait"
+	closedConnections abandonment = "callers leave"
+	silentConnections abandonment = "connections fall silent and stay open"
+)
+
+// regressionSize is the size at which the seeds of soakRegressions failed.
+var regressionSize = soakOptions{
+	hosts:       4,
+	servers:     8,
+	callers:     12,
+	abandonment: noAbandonment,
+}
+
+// Limits for the injected faults.
 const (
-	soakHosts    = 4
-	soakServers  = 8
-	soakCallers  = 12
 	soakMaxFault = 2500 * time.Millisecond // longest fault
 	soakMaxPause = 700 * time.Millisecond  // longest time between the starts of two faults
 )
@@ -69,7 +96,10 @@
 type soak struct {
 	*platformFleet
 
-	rng *rand.Rand
+	options  soakOptions
+	seed     uint64
+	rng      *rand.Rand
+	pauseRNG *rand.Rand // of its own, so that the short pauses don't change the other faults
 
 	mu           sync.Mutex
 	proxies      []*proxy.Proxy
@@ -85,25 +115,68 @@
 // configuration. After the faults, every host serves jobs.
 func TestSoak(t *testing.T) {
 	for n := range *soakSeeds {
-		runSoak(t, *soakFirstSeed+uint64(n), "drawn")
+		runSoak(t, *soakFirstSeed+uint64(n), "drawn", soakOptions{
+			hosts:       *soakHosts,
+			servers:     *soakServers,
+			callers:     *soakCallers,
+			abandonment: noAbandonment,
+		})
 	}
 	for _, r := range soakRegressions {
-		runSoak(t, r.seed, r.cause)
+		runSoak(t, r.seed, r.cause, regressionSize)
 	}
 }
 
-func runSoak(t *testing.T, seed uint64, label string) {
+// TestSoakManyHosts: the same with more than four hosts in a failure domain, where relays,
+// readers and several homes begin, if callers also leave and send their jobs again.
+func TestSoakManyHosts(t *testing.T) {
+	runSoak(t, *soakFirstSeed, "many hosts", soakOptions{
+		hosts:       12,
+		servers:     16,
+		callers:     24,
+		abandonment: closedConnections,
+		shortPauses: true,
+	})
+}
+
+// TestSoakShortPauses: the same if processes are paused for short times again and again, and
+// if callers also leave and send their jobs again.
+func TestSoakShortPauses(t *testing.T) {
+	soakAbandonment(t, noAbandonment)
+	soakAbandonment(t, closedConnections)
+}
+
+// TestSoakSilentConnections: the same if callers' connections fall silent, and they send
+// their jobs again.
+func TestSoakSilentConnections(t *testing.T) { soakAbandonment(t, silentConnections) }
+
+func soakAbandonment(t *testing.T, a abandonment) {
+	for n := range *soakSeeds {
+		runSoak(t, *soakFirstSeed+uint64(n), string(a), soakOptions{
+			hosts:       *soakHosts,
+			servers:     *soakServers,
+			callers:     *soakCallers,
+			abandonment: a,
+			shortPauses: true,
+		})
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, label string, o soakOptions) {
 	t.Run(fmt.Sprintf("seed %d, %s", seed, label), func(t *testing.T) {
 		s := &soak{
+			options:      o,
+			seed:         seed,
 			rng:          rand.New(rand.NewPCG(seed, 0)),
+			pauseRNG:     rand.New(rand.NewPCG(seed, 1)),
 			version:      initialVersion,
-			busyHosts:    make([]bool, soakHosts),
+			busyHosts:    make([]bool, o.hosts),
 			seenVersions: map[string]int{},
 			outcomes:     map[string]int{},
 			refusedJobs:  map[uint64]bool{},
 		}
 		s.platformFleet = &platformFleet{wrapAddress: s.addProxy}
-		s.start(t, soakHosts, soakServers, soakServerBehavior)
+		s.start(t, o.hosts, o.servers, soakServerBehavior)
 		s.run()
 	})
 }
@@ -127,11 +200,15 @@
 	})
 	done := make(chan struct{})
 	var callers, faults sync.WaitGroup
-	for c := range uint64(soakCallers) {
+	for c := range uint64(s.options.callers) {
 		callers.Go(func() { s.runCaller(c, done) })
 	}
 	callers.Go(func() { s.watchVersions(done) })
-	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
+	end := time.Now().Add(*soakDuration)
+	if s.options.shortPauses {
+		faults.Go(func() { s.pauseRepeatedly(end) })
+	}
+	for time.Now().Before(end) {
 		faults.Go(s.drawFault().run)
 		time.Sleep(time.Duration(s.rng.Int64N(int64(soakMaxPause))))
 	}
@@ -170,26 +247,55 @@
 	}
 }
 
-// runCaller submits one job after another until done is closed.
+// runCaller submits one job after another until done is closed. Some attempts are abandoned.
 func (s *soak) runCaller(caller uint64, done <-chan struct{}) {
-	const callerBits = 8
+	const (
+		callerBits  = 8
+		callerSeeds = 1 << 32 // seeds of the callers' random numbers
+		abandonOdds = 3       // one job in this many
+	)
+	rng := rand.New(rand.NewPCG(s.seed, callerSeeds+caller))
 	for n := uint64(1); ; n++ {
 		select {
 		case <-done:
 			return
 		default:
 		}
-		s.submitUntilAnswered(n<<callerBits + caller)
+		if s.options.abandonment != noAbandonment && rng.IntN(abandonOdds) == 0 {
+			s.submitAbandoned(n<<callerBits+caller, rng)
+		} else {
+			s.submitUntilAnswered(n<<callerBits+caller, jobBody(3), 0, true)
+		}
 	}
 }
 
-// submitUntilAnswered submits a job to one host after another until it gets a final answer.
-func (s *soak) submitUntilAnswered(job uint64) {
+// submitAbandoned submits a job of long tasks, abandons the first attempt and submits the
+// job at other hosts until it gets a final answer.
+func (s *soak) submitAbandoned(job uint64, rng *rand.Rand) {
+	body := longJobBody()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.hosts[job%uint64(len(s.hosts))].entryURL, "http://"))
+	if err == nil {
+		_, _ = fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Rosemarywalk-Deadline: 8000\r\nContent-Length: %d\r\n\r\n%s",
+			routePrefix, job, virtualHost, len(body), body)
+		if s.options.abandonment == silentConnections {
+			s.t.Cleanup(func() { _ = conn.Close() })
+		} else {
+			time.Sleep(time.Duration(rng.Int64N(int64(resendRunTime))))
+			_ = conn.Close()
+		}
+	}
+	time.Sleep(resubmitDelay)
+	s.submitUntilAnswered(job, body, 1, false)
+}
+
+// submitUntilAnswered submits a job to one host after another until it gets a final answer,
+// starting with the given try; allRefused says that all tries before were refused.
+func (s *soak) submitUntilAnswered(job uint64, body string, firstTry uint64, allRefused bool) {
 	const tries = 6
-	outcome, allRefused := "none", true
-	for try := range uint64(tries) {
-		h := s.hosts[(job+try)%soakHosts]
-		status, _, err := h.call(http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), jobBody(3))
+	outcome := "none"
+	for try := firstTry; try < tries; try++ {
+		h := s.hosts[(job+try)%uint64(len(s.hosts))]
+		status, _, err := h.call(http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), body)
 		if err == nil && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 			outcome = fmt.Sprint(status)
 			allRefused = allRefused && status == http.StatusServiceUnavailable
@@ -257,10 +363,10 @@
 	duration := time.Duration(s.rng.Int64N(int64(soakMaxFault)))
 	source := proxy.AnySource
 	if s.rng.IntN(2) == 0 {
-		source = hostIP(s.rng.IntN(soakHosts))
+		source = hostIP(s.rng.IntN(s.options.hosts))
 	}
 	target := s.proxies[s.rng.IntN(len(s.proxies))]
-	host, server := s.rng.IntN(soakHosts), s.rng.IntN(soakServers)
+	host, server := s.rng.IntN(s.options.hosts), s.rng.IntN(s.options.servers)
 	describe := func(f proxy.Fault) string { return fmt.Sprintf("%s from %q: %+v", target.Address(), source, f) }
 	proxyFault := func(f proxy.Fault) fault {
 		return fault{
@@ -364,6 +470,23 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// pauseRepeatedly pauses a random process for short times, and then another one, until a
+// given time.
+func (s *soak) pauseRepeatedly(end time.Time) {
+	const maxPauses, minPause, maxGap = 6, 100 * time.Millisecond, 60 * time.Millisecond
+	for time.Now().Before(end) {
+		host, pauses := s.pauseRNG.IntN(s.options.hosts), 1+s.pauseRNG.IntN(maxPauses)
+		s.t.Logf("%s: %s paused %d times", time.Now().Format(time.StampMilli), s.hosts[host].name, pauses)
+		s.withProcess(host, func(h *platformHost) {
+			for range pauses {
+				s.pause(h, minPause+time.Duration(s.pauseRNG.Int64N(int64(shortPause-minPause))))
+				time.Sleep(time.Duration(s.pauseRNG.Int64N(int64(maxGap))))
+			}
+		})
+		time.Sleep(maxGap)
+	}
+}
+
 func (s *soak) kill(h *platformHost, length time.Duration) {
 	h.kill()
 	time.Sleep(length / 4)
