proof: a resend after two silences runs twice; the runs of each row are logged

A row where the entry's link to the home falls silent as the caller leaves, and 0.8 s later the home's links to the backend servers do: the home waits 0.9 s before it drops the job, and the lease that it extended until then lasts 0.9 s more.

RunChecker.Runs describes the runs of a job, so that a row shows its margin.

--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -262,6 +262,7 @@
 	}
 	callers.Wait()
 	f.faults.Wait()
+	t.Log("runs of the first job:", strings.Join(f.checker.Runs(fmt.Sprintf("%016x", 0)), "; "))
 	for _, status := range statuses {
 		assert.Check(t, status == http.StatusOK, "a resent job got status %d", status)
 	}
@@ -306,6 +307,19 @@
 				return ended
 			},
 		},
+		{
+			name: "the entry's link to the home falls silent, and then those to backend servers do",
+			abandon: func(f *resendFleet, a attempt) time.Time {
+				f.peerProxy(f.home).SetFault(hostIP(slices.Index(f.hosts, f.entry)), proxy.Partition())
+				f.background(func() {
+					time.Sleep(800 * time.Millisecond)
+					for i := range f.servers {
+						f.proxies[1+i].SetFault(hostIP(slices.Index(f.hosts, f.home)), proxy.Partition())
+					}
+				})
+				return a.leave()
+			},
+		},
 		{
 			name: "backend servers don't answer orders to stop",
 			abandon: func(f *resendFleet, a attempt) time.Time {
