proof: callers that leave before a paused entry has read their job

The entry was paused while the caller sent and left; it answered "caller left" 0.9 ms after it had read the job, the home never heard of it, and both runs ended done.

--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -233,9 +233,10 @@
 // resendTest is a way in which a caller's first attempt ends without an answer.
 type resendTest struct {
 	name         string
-	jobs         int  // 1 if 0
-	whileSending bool // the attempt ends without waiting for the job to run
-	lent         bool // the home lends the task from another failure domain; see chooseLender
+	jobs         int                  // 1 if 0
+	whileSending bool                 // the attempt ends without waiting for the job to run
+	before       func(f *resendFleet) // precedes the first attempt; optional
+	lent         bool                 // the home lends the task from another failure domain; see chooseLender
 	// abandon ends the attempt and returns its end as the caller knows it. Without a
 	// sign of it, that is the time when the caller sent the job.
 	abandon func(f *resendFleet, a attempt) time.Time
@@ -245,6 +246,9 @@
 // another failure domain, resubmitDelay after the end of the first attempt.
 func (test resendTest) run(t *testing.T) {
 	f := newResendFleet(t, test.lent)
+	if test.before != nil {
+		test.before(f)
+	}
 	var callers sync.WaitGroup
 	statuses := make([]int, max(test.jobs, 1))
 	for job := range statuses {
@@ -280,6 +284,21 @@
 				return a.leave()
 			},
 		},
+		{
+			name:         "callers leave before the paused entry has read their job",
+			jobs:         resendSlots,
+			whileSending: true,
+			before: func(f *resendFleet) {
+				f.entry.signal(syscall.SIGSTOP)
+				f.background(func() {
+					time.Sleep(shortPause)
+					f.entry.signal(syscall.SIGCONT)
+				})
+			},
+			abandon: func(_ *resendFleet, a attempt) time.Time {
+				return a.leave()
+			},
+		},
 		{
 			name: "the caller's connection is half-open",
 			abandon: func(f *resendFleet, a attempt) time.Time {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -128,9 +128,11 @@
 }
 
 // TestSoakManyHosts: the same with more than four hosts in a failure domain, where relays,
-// readers and several homes begin, if callers also leave and send their jobs again.
+// readers and several homes begin, if callers also leave and send their jobs again. A paused
+// entry read a job whose caller had left, and the job ran twice at once.
 func TestSoakManyHosts(t *testing.T) {
-	runSoak(t, *soakFirstSeed, "many hosts", soakOptions{
+	const seed = 105
+	runSoak(t, seed, "many hosts", soakOptions{
 		hosts:       12,
 		servers:     16,
 		callers:     24,
