core/pool: the clock of a server's earlier incarnation is not recorded

Cause: the answer to a start or stop could arrive after a restart of its server was noticed. Its clock is far ahead of the new one, so later orders had deadlines far in the future, which servers only shorten to their longest lease.

Change: the clock of an answer counts only if its run is still known, since a restart ends all runs.

--- a/core/pool/lifetime_test.go
+++ b/core/pool/lifetime_test.go
@@ -446,3 +446,44 @@
 	cmds = b.answerPoll("a", listRuns("j.0.0.0"))
 	assert.Equal(t, polls(cmds)[0].Deadline, b.clock()+limits.Lease.Milliseconds())
 }
+
+// TestClockOfEarlierIncarnation guards against deadlines far in the future of a restarted
+// server, computed from a late answer of its earlier incarnation.
+func TestClockOfEarlierIncarnation(t *testing.T) {
+	const late = 5000
+	tests := []struct {
+		name   string
+		answer Msg
+	}{
+		{
+			name: "start",
+			answer: StartedMsg{
+				Server: "a",
+				Name:   "j.0.0.0",
+				Run:    1,
+				Clock:  late,
+				Born:   1,
+			},
+		},
+		{
+			name: "stop",
+			answer: StoppedMsg{
+				Server: "a",
+				Name:   "j.0.0.0",
+				Run:    1,
+				Clock:  late,
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newHarness(t, "a")
+			b.update(RunMsg{Task: taskOf("j")})
+			b.update(StopMsg{Name: "j.0.0.0"})
+			b.answerPoll("a", func(m *PollResultMsg) { m.Born, m.Clock = 2, 1 })
+			b.update(test.answer)
+			cmds := b.update(RunMsg{Task: taskOf("k")})
+			assert.Equal(t, starts(cmds)[0].Deadline, 1+limits.Lease.Milliseconds())
+		})
+	}
+}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -198,7 +198,7 @@
 	}
 	if answeredByServer(msg.Result) {
 		m.recordCall(s, true)
-		s.updateClock(now, msg.Clock, m.maxLease())
+		m.answered(now, s, r, msg.Clock)
 	}
 	if r == nil {
 		return nil
@@ -233,6 +233,15 @@
 	return nil
 }
 
+// answered records that the server answered an order for a run. Without a run the answer
+// may come from an earlier incarnation, whose clock says nothing about the current one.
+func (m *Model) answered(now time.Time, s *server, r *run, clock int64) {
+	s.misses = 0
+	if r != nil {
+		s.updateClock(now, clock, m.maxLease())
+	}
+}
+
 // startedAfterFencing handles the answer to a start at a server that another host
 // took over. All start orders of a run carry the same token, so the run never
 // started if every order was answered and the server rejected the last one.
@@ -343,7 +352,7 @@
 		return nil
 	}
 	if answeredByServer(msg.Result) {
-		s.updateClock(now, msg.Clock, m.maxLease())
+		m.answered(now, s, r, msg.Clock)
 	}
 	switch msg.Result {
 	case Fenced:
