io/scheduler: leases end before a caller can have its job started elsewhere

Cause: the times that must be over within the 1.3 s after which callers send again (silence of a link, time to reattach, a stop, a lease) were settings of their own whose sum nobody checked, up to 1.82 s, and each held only while processes were prompt; retransmit_ms was not read. A link that fell silent, and 0.8 s later those to the servers, left a run for 1.56 s; a server that answered polls and no stop ran on for as long as it was polled.

Change: [schedule] resubmit has the platform's time. A run must have ended 0.1 s before it, counted from when its caller was last known to wait; the lease is at most 0.6 of that, runs are stopped from 0.7 of it on, and no task starts unless a whole lease fits in.

--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/core/confirm"
 	"rosemarywalk/core/health"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/route"
@@ -37,6 +38,7 @@
 			Help: "Backend servers that this host owns.",
 			Keys: []settings.Key{
 				duration("lease", "900ms", "Requested lease duration; at most what backend servers grant.", 100*time.Millisecond, time.Minute),
+				duration("granted", "1s", "Longest lease that backend servers grant. An earlier owner's lease may last that long.", 0, time.Hour),
 				duration("answer", "80ms", "Timeout of a command to a backend server, after which it is sent again.", time.Millisecond, 10*time.Second),
 				duration("hedge", "25ms", "Wait for the answer to a start command before a hedged second one is sent.", time.Millisecond, 10*time.Second),
 				duration("wait", "150ms", "Long-poll wait at a backend server for the end of a run.", 0, 2*time.Second),
@@ -75,6 +77,7 @@
 				duration("settle", "60ms", "Time after startup for host discovery before backend servers are taken over.", 0, time.Minute),
 				duration("complete", "300ms", "Time after startup before backend servers are taken over although a host of the failure domain that is alive according to the store sends no heartbeats.", 0, time.Minute),
 				duration("reattach", "300ms", "Time for which work continues for a host whose link broke, so that the host can reattach.", 0, time.Second),
+				duration("resubmit", "1300ms", "Shortest time after which a caller whose attempt ended without an answer submits the job again, at any host. No run of the first attempt lasts longer; 0 sets no limit.", 0, time.Minute),
 				duration("stall", "500ms", "Length of a process pause after which jobs accepted by other hosts are abandoned, as they may run elsewhere.", 100*time.Millisecond, time.Minute),
 				duration("tick", "10ms", "Interval between checks of deadlines and timeouts.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Minimum interval between reports of free capacity to a home that is short of it.", time.Millisecond, time.Second),
@@ -178,9 +181,15 @@
 	})
 }
 
+func confirmBounds(s settings.Settings) confirm.Bounds {
+	return confirm.NewBounds(s.Duration(section, "resubmit"), s.Duration(sectionPool, "lease"))
+}
+
 func poolLimits(s settings.Settings) pool.Limits {
+	bounds := confirmBounds(s)
 	return pool.Limits{
-		Lease:         s.Duration(sectionPool, "lease"),
+		Lease:         bounds.Lease,
+		MaxLease:      s.Duration(sectionPool, "granted"),
 		AnswerTimeout: s.Duration(sectionPool, "answer"),
 		HedgeDelay:    s.Duration(sectionPool, "hedge"),
 		PollWait:      s.Duration(sectionPool, "wait"),
@@ -196,8 +205,10 @@
 			InitialBackoff:   s.Duration(sectionPool, "backoff"),
 			MaxBackoff:       s.Duration(sectionPool, "backoffmax"),
 		},
-		SlowdownWeight: s.Number(sectionPool, "learn"),
-		MaxSlowdown:    s.Number(sectionPool, "last"),
+		MaxUnconfirmed:  bounds.MaxUnconfirmed,
+		StopUnconfirmed: bounds.StopUnconfirmed,
+		SlowdownWeight:  s.Number(sectionPool, "learn"),
+		MaxSlowdown:     s.Number(sectionPool, "last"),
 	}
 }
 
@@ -213,6 +224,7 @@
 		PlacementRetryDelay: s.Duration(section, "bounce"),
 		CapacityTTL:         s.Duration(section, "stale"),
 		OutcomeRetention:    s.Duration(section, "remember"),
+		MaxConfirmAge:       confirmBounds(s).MaxAge,
 		MaxJobs:             s.Integer(section, "jobs"),
 		AnnounceAge:         s.Duration(section, "announce"),
 		AnnouncementTTL:     s.Duration(section, "announced"),
