core/schedule: a home reports capacity to a host that is no home any more

What callers saw: 502, reason deadline, 8 s after the job was sent. Seen once, in the setup of TestResentJobRunsTwice: host-0 and host-2 of a failure domain heard each other a second after their start. Both took its servers over, host-0 was fenced off, heard host-2 and was no home any more. The job that it had begun to coordinate stayed in its queue.

Cause: homes report their free capacity only to their partners, that is to homes and hosts that are shutting down. A host with queued jobs that is neither told all homes that it needs capacity, and heard of none. Now a home also reports to hosts that have told it so in the last 1.5 s (three of their reports), at the interval for partners that are low on capacity. Expired entries are removed. Partners are symmetric, so that in a fleet whose hosts agree on the homes no message is added; otherwise each home sends to one more host for each such host.

--- a/core/schedule/report_test.go
+++ b/core/schedule/report_test.go
@@ -93,6 +93,88 @@
 	assert.Equal(t, sent, 5*len(partners))
 }
 
+// TestFormerHomeGetsNoReports checks that a host that isn't a partner receives reports from
+// its own report of low capacity on until that expires, and that a partner receives each once.
+func TestFormerHomeGetsNoReports(t *testing.T) {
+	limits := ReportIntervals{
+		LowCapacity: 25 * time.Millisecond,
+		Normal:      200 * time.Millisecond,
+		Unchanged:   500 * time.Millisecond,
+	}
+	tests := []struct {
+		name  string
+		host  string        // reports low capacity at first
+		ended bool          // and then that it has enough
+		after time.Duration // time since its last report
+		want  []string
+	}{
+		{
+			name: "a former home",
+			host: "former",
+			want: []string{"a", "b", "former"},
+		},
+		{
+			name:  "some time ago",
+			host:  "former",
+			after: 1499 * time.Millisecond,
+			want:  []string{"a", "b", "former"},
+		},
+		{
+			name:  "expired",
+			host:  "former",
+			after: 1500 * time.Millisecond,
+			want:  []string{"a", "b"},
+		},
+		{
+			name:  "low no more",
+			host:  "former",
+			ended: true,
+			want:  []string{"a", "b"},
+		},
+		{
+			name: "a partner",
+			host: "b",
+			want: []string{"a", "b"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reporter := NewReporter(limits)
+			now := time.Unix(1000, 0)
+			reporter.SetLow(now, test.host, true)
+			if test.ended {
+				reporter.SetLow(now, test.host, false)
+			}
+			assert.DeepEqual(t, reporter.Due(now.Add(test.after), []string{"a", "b"}, 0, false), test.want)
+		})
+	}
+}
+
+// TestFormerHomeScale checks that a host that isn't a partner is sent as many reports as a
+// partner that is low on capacity.
+func TestFormerHomeScale(t *testing.T) {
+	limits := ReportIntervals{
+		LowCapacity: 25 * time.Millisecond,
+		Normal:      200 * time.Millisecond,
+		Unchanged:   500 * time.Millisecond,
+	}
+	reporter := NewReporter(limits)
+	now, sent := time.Unix(1000, 0), map[string]int{}
+	for change := range 40 {
+		reporter.SetLow(now, "former", true)
+		reporter.SetLow(now, "low", true)
+		for _, host := range reporter.Due(now, []string{"low", "normal"}, change, false) {
+			sent[host]++
+		}
+		now = now.Add(limits.LowCapacity)
+	}
+	assert.DeepEqual(t, sent, map[string]int{
+		"former": 40,
+		"low":    40,
+		"normal": 5,
+	})
+}
+
 // TestRoomGetsStale checks that no task is sent to a host that stopped reporting its
 // capacity. The own pool needs no reports.
 func TestRoomGetsStale(t *testing.T) {
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -225,7 +225,7 @@
 	return wire.Frame{}, false
 }
 
-// sendCapacity reports the free capacity of this host's backend servers to the homes
+// sendCapacity reports the free capacity of this host's backend servers to the hosts
 // that may run tasks on them, where a report is due.
 func (s *Scheduler) sendCapacity() {
 	for _, shard := range s.all() {
@@ -243,7 +243,7 @@
 	}
 }
 
-// reportsCapacity reports whether other homes need reports from this one: it holds
+// reportsCapacity reports whether other hosts need reports from this one: it holds
 // backend servers, or its queued jobs need capacity elsewhere.
 func (s *Shard) reportsCapacity() bool {
 	s.mu.Lock()
@@ -263,8 +263,8 @@
 // frequent reports from others.
 const lowCapacityRatio = 0.2
 
-// capacityFrame returns the report of free capacity, and those of the given homes that
-// are due to receive it.
+// capacityFrame returns the report of free capacity, and the hosts that are due to receive
+// it: partners, and others that are low on capacity.
 func (s *Shard) capacityFrame(partners []string) (wire.Frame, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -65,8 +65,9 @@
 	return msg
 }
 
-func newShard(servers Servers) *Shard {
-	limits := pool.Limits{
+// testPoolLimits returns the limits of the pools of these tests.
+func testPoolLimits() pool.Limits {
+	return pool.Limits{
 		Lease: time.Second,
 		Health: health.Limits{
 			FailureThreshold: 2,
@@ -78,9 +79,12 @@
 		StartTimeout:  time.Second,
 		AnswerTimeout: time.Second,
 	}
+}
+
+func newShard(servers Servers) *Shard {
 	s := New(Config{
 		Servers:  servers,
-		Pool:     limits,
+		Pool:     testPoolLimits(),
 		Jobs:     schedule.Limits{MaxJobs: 10},
 		Answer:   time.Second,
 		Reattach: 100 * time.Millisecond,
