io/scheduler: a lent task that was refused can be lent to the same host again

Cause: the result of a lent run is kept for 2 s, for a call that is repeated after its link broke. A new call for the same run got it too, so a host that had once refused a task for want of capacity answered so for 2 s, whatever it had free since.

Change: only a repeated call gets the result of a run that wasn't started.

Measured: TestRefusedTaskNeverLentAgain fails without the change, with never instead of done, and passes with it.

--- a/io/scheduler/lent.go
+++ b/io/scheduler/lent.go
@@ -55,6 +55,10 @@
 		s.mu.Unlock()
 		return rejectLent(task, retried)
 	}
+	if known && !retried && run.result != nil && run.result.End == work.EndNotStarted {
+		// The other host knows that result, and lends the task again.
+		known = false
+	}
 	if !known {
 		run = &lentRun{}
 		s.lent[owner] = run
@@ -131,7 +135,9 @@
 		time.AfterFunc(lentResultRetention, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			delete(s.lent, cmd.Owner)
+			if s.lent[cmd.Owner] == run {
+				delete(s.lent, cmd.Owner)
+			}
 		})
 	}}
 }
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -198,3 +198,22 @@
 	assert.Equal(t, end.End, work.EndUnknown)
 	assert.Equal(t, len(f.starts), 0)
 }
+
+// TestRefusedTaskNeverLentAgain checks that a lent task that had not been started can be lent
+// to the same host again at once, and that a repeated call gets the first one's result.
+func TestRefusedTaskNeverLentAgain(t *testing.T) {
+	f := &fakeServer{
+		starts: make(chan string, 10),
+		stops:  make(chan string, 10),
+	}
+	s := newShard(f)
+	task := work.Task{
+		Job:  "j",
+		Run:  1,
+		Size: work.Size{CPU: 5000},
+	}
+	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndNotStarted)
+	assert.Equal(t, s.RunLent(t.Context(), task, true).End, work.EndNotStarted)
+	task.Size.CPU = 500
+	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndDone)
+}
