core/schedule: a failed job doesn't stay among those that are being stopped

Cause: the run whose failure ends a job still counted as placed when the job was removed, so its end was awaited although it had been handled.

Change: the end of a run is also recorded after the job that it ended is removed.

Measured: TestEndedJobIsForgotten failed before and passes.

--- a/core/schedule/ending_test.go
+++ b/core/schedule/ending_test.go
@@ -104,6 +104,37 @@
 	return ""
 }
 
+// TestEndedJobIsForgotten guards against a job that is announced forever because the end of
+// its last run ended it.
+func TestEndedJobIsForgotten(t *testing.T) {
+	tests := []struct {
+		name string
+		end  work.End
+		want work.State
+	}{
+		{
+			name: "completed",
+			end:  work.EndDone,
+			want: work.Completed,
+		},
+		{
+			name: "failed",
+			end:  work.EndFailed,
+			want: work.Failed,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			job := jobOf("j", 1)
+			job.MaxAttempts = 1
+			placed := runs(m.Update(epoch, submit(job)))
+			assert.Equal(t, stateOf(m.Update(epoch, ended(placed[0], test.end))), test.want)
+			assert.Equal(t, len(m.Announceable(epoch.Add(time.Minute))), 0)
+		})
+	}
+}
+
 // TestUnknownEndIsAnnounced guards against a start at another home of a job that was given
 // up because the end of a run is unknown.
 func TestUnknownEndIsAnnounced(t *testing.T) {
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -10,11 +10,18 @@
 
 func sortJobs(jobs []*job) { slices.SortFunc(jobs, compareJobs) }
 
-// handleEnd handles the end of a run. It ignores runs that are no longer current.
+// handleEnd handles the end of a run, also of one of a job that was given up.
 func (m *Model) handleEnd(now time.Time, msg EndMsg) []Cmd {
+	cmds := m.endTask(now, msg)
+	return append(cmds, m.recordHaltedEnd(now, msg)...)
+}
+
+// endTask updates the task of a run that has ended. It ignores runs that are no longer
+// current.
+func (m *Model) endTask(now time.Time, msg EndMsg) []Cmd {
 	j := m.jobs[msg.Task.Job]
 	if j == nil {
-		return m.recordHaltedEnd(now, msg)
+		return nil
 	}
 	t := j.find(msg.Task.Step, msg.Task.Index)
 	if t == nil || t.state != placed || t.host != msg.Host || msg.Task.Run < t.run {
@@ -41,11 +48,10 @@
 	case work.EndNotStarted:
 		t.notBefore = now.Add(m.limits.PlacementRetryDelay)
 	case work.EndUnknown:
-		cmds := m.finish(now, j, work.Outcome{
+		return m.finish(now, j, work.Outcome{
 			State:  work.Broken,
 			Reason: core.ReasonUnknown,
 		})
-		return append(cmds, m.recordHaltedEnd(now, msg)...)
 	}
 	j.set(t, waiting)
 	t.host = ""
