io/peer, io/scheduler: a call that is withdrawn before it is served is answered

Cause: the home gave the job up, its halt was lost, and the link broke. The home repeated the call that lends the task, to hear how its run ends. Since the other host serves such a call once its caller is known to wait; it asked, heard that nobody waits for the job, and dropped the call without an answer. The home's call hung until the task's deadline, the run counted as not ended, and the job that came again was held back. A first call that was withdrawn while its link was new hung alike.

Now a withdrawn call is answered.

TestWithdrawnCallNeverAnswered timed out after 5 s before and passes now. Of the new rows of TestReattach and TestLentAgain "withdrawn" failed before (the task was started); the others guard what a served withdrawn call must do. go test -race ./io/peer ./io/scheduler passes.

--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -30,7 +30,8 @@
 // Handler serves the frames of one Part. Plug-ins provide handlers in the fx group
 // "handlers".
 type Handler struct {
-	Kind  RequestKind
+	Kind RequestKind
+	// Serve answers a frame. It starts no work if the cause of ctx's end is ErrWithdrawn.
 	Serve func(ctx context.Context, f wire.Frame) (answer wire.Frame, ok bool)
 	// InOrder serves the frames of a link sequentially, in order of arrival. Such a
 	// handler runs in the link's read loop and must not block.
--- a/io/peer/prober_test.go
+++ b/io/peer/prober_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"rosemarywalk/io/stall"
@@ -54,6 +55,30 @@
 	}
 }
 
+// TestWithdrawnCallNeverAnswered checks that a call which was withdrawn before it was served is
+// answered: a home that has given up a job waits for the ends of its lent runs.
+func TestWithdrawnCallNeverAnswered(t *testing.T) {
+	counters := telemetry.NewCounters(telemetry.NewRegistry())
+	server := NewServer([]Handler{{
+		Kind: KindLend,
+		Serve: func(ctx context.Context, _ wire.Frame) (wire.Frame, bool) {
+			assert.Check(t, errors.Is(context.Cause(ctx), ErrWithdrawn))
+			return wire.Frame{Lent: &wire.Lent{}}, true
+		},
+	}}, time.Minute, stall.New(0), counters, logr.Discard())
+	web := httptest.NewServer(server)
+	defer web.Close()
+	defer server.Close()
+	links := New(&net.Dialer{Timeout: time.Second}, time.Minute, counters, logr.Discard())
+	defer links.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ctx = WithConfirmation(ctx, func() (time.Time, bool) { return time.Time{}, false })
+	answer, err := links.Call(ctx, strings.TrimPrefix(web.URL, "http://"), wire.Frame{Lend: &wire.Lend{}})
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Lent != nil)
+}
+
 // TestCallConfirmedWithoutCaller checks that a call is confirmed as of the time at which the
 // caller was last known to wait, from its arrival on and over two links.
 func TestCallConfirmedWithoutCaller(t *testing.T) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
@@ -113,9 +114,13 @@
 		defer end()
 		select {
 		case <-confirmed:
-			s.answer(served, l, h, f)
 		case <-served.Done():
+			if !errors.Is(context.Cause(served), ErrWithdrawn) {
+				return
+			}
+			// The other host may still need to know how an earlier call ended.
 		}
+		s.answer(served, l, h, f)
 	}()
 }
 
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -94,8 +94,8 @@
 func (l lender) Halt(host, service, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
-	// A lost frame is not repeated: the run ends at the task's deadline or when the
-	// link closes.
+	// A lost frame is not repeated: the other host stops the run when it learns that the
+	// call which lends the task has been withdrawn.
 	_ = l.peers.Send(ctx, host, wire.Frame{Halt: &wire.Halt{
 		Service: service,
 		Task:    name,
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/peer"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -105,18 +106,25 @@
 }
 
 // TestReattach checks that a lent run survives a broken link and that the repeated call
-// receives its result, and that the run is stopped when no call follows.
+// receives its result, and that the run is stopped when no call follows or the task is no
+// longer wanted.
 func TestReattach(t *testing.T) {
 	tests := []struct {
 		name  string
-		again bool
+		again context.Context // of the repeated call; nil for none
 		end   work.End
 		stops int
 	}{
 		{
 			name:  "the host comes back",
-			again: true,
+			again: t.Context(),
+			end:   work.EndDone,
+		},
+		{
+			name:  "the host comes back after it gave up the job",
+			again: withdrawn(),
 			end:   work.EndDone,
+			stops: 1,
 		},
 		{
 			name:  "nobody comes back",
@@ -142,11 +150,11 @@
 			<-f.starts
 			cancel()
 			assert.Equal(t, (<-broken).End, work.EndUnknown)
-			if !test.again {
+			if test.again == nil {
 				assert.Equal(t, <-f.stops, "j.0.0.0")
 				return
 			}
-			assert.Equal(t, s.RunLent(t.Context(), task, true).End, test.end)
+			assert.Equal(t, s.RunLent(test.again, task, true).End, test.end)
 			assert.Equal(t, len(f.starts), 0)
 			assert.Equal(t, len(f.stops), test.stops)
 		})
@@ -182,21 +190,57 @@
 	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndDone)
 }
 
+// withdrawn returns the context of a call that the other host no longer waits for.
+func withdrawn() context.Context {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(peer.ErrWithdrawn)
+	return ctx
+}
+
 // TestLentAgain checks that a repeated call is not started by a process that doesn't
-// know the run: the first call may have started it before a restart.
+// know the run, as the first call may have started it before a restart, and neither is one
+// that was withdrawn.
 func TestLentAgain(t *testing.T) {
-	f := &fakeServer{
-		starts: make(chan string, 10),
-		stops:  make(chan string, 10),
+	tests := []struct {
+		name  string
+		ctx   context.Context
+		again bool
+		end   work.End
+	}{
+		{
+			name:  "repeated",
+			ctx:   t.Context(),
+			again: true,
+			end:   work.EndUnknown,
+		},
+		{
+			name: "withdrawn",
+			ctx:  withdrawn(),
+			end:  work.EndNotStarted,
+		},
+		{
+			name:  "repeated and withdrawn",
+			ctx:   withdrawn(),
+			again: true,
+			end:   work.EndUnknown,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := &fakeServer{
+				starts: make(chan string, 10),
+				stops:  make(chan string, 10),
+			}
+			s := newShard(f)
+			end := s.RunLent(test.ctx, work.Task{
+				Job:  "j",
+				Run:  1,
+				Size: work.Size{CPU: 500},
+			}, test.again)
+			assert.Equal(t, end.End, test.end)
+			assert.Equal(t, len(f.starts), 0)
+		})
 	}
-	s := newShard(f)
-	end := s.RunLent(t.Context(), work.Task{
-		Job:  "j",
-		Run:  1,
-		Size: work.Size{CPU: 500},
-	}, true)
-	assert.Equal(t, end.End, work.EndUnknown)
-	assert.Equal(t, len(f.starts), 0)
 }
 
 // TestRefusedTaskNeverLentAgain checks that a lent task that had not been started can be lent
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -113,6 +113,9 @@
 
 // ServeSubmit coordinates a job that another host accepted.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
+	if isWithdrawn(ctx) {
+		return wire.Frame{}, false
+	}
 	job := jobFromWire(f.Submit, time.Now())
 	outcome, ok := s.coordinate(ctx, schedule.SubmitMsg{
 		Job:         job,
