core/schedule: the runs of a job that was given up are over by their limit

Cause: a job that was given up counted as running until each of its runs was reported as ended; nothing bounded the wait for a report that is lost. Backend servers end a run by their own clock, at the latest MaxUnconfirmed after its caller was last known to wait, and neither a halt nor a report has any part in that.

Without resubmit there is no limit, and nothing changes. A report may now come after the job was submitted again, under the same run number: it would have ended the new run, which was then started a second time elsewhere. Tasks therefore carry the number of their submission, and reports and confirmations of an earlier one are ignored. It is not part of any message.

Evidence: two rows of TestSubmitWhileEnding ("... has ended by its limit") and TestLateReportStartsThirdRun failed before. TestSubmitWhileEnding now gives for each row whether runs still count as running, instead of deriving it; TestRunConfirmedWithoutCaller names the submission of the task that it builds.

--- a/core/schedule/confirm.go
+++ b/core/schedule/confirm.go
@@ -47,7 +47,7 @@
 // to wait, or false if this host doesn't wait for the end of that run.
 func (m *Model) ConfirmedAt(host string, order work.Task) (at time.Time, waiting bool) {
 	j := m.jobs[order.Job]
-	if j == nil {
+	if j == nil || j.submission != order.Submission {
 		return time.Time{}, false
 	}
 	t := j.find(order.Step, order.Index)
--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -11,32 +11,47 @@
 
 // endingJob is a job that was given up while its runs have yet to end.
 type endingJob struct {
-	runs     map[string]time.Time // by task name; zero until the end is reported as unknown, then when it counts as ended
-	deferred []SubmitMsg          // submissions that wait for the end of the runs
+	submission int                  // number of the job's submission
+	runs       map[string]time.Time // by task name; when the run counts as ended without a report, zero for never
+	deferred   []SubmitMsg          // submissions that wait for the end of the runs
 }
 
-// recordHalt adds a run that was ordered to stop.
-func (m *Model) recordHalt(id, name string) {
-	e := m.ending[id]
+// maxClockDrift bounds how far the steady clock of another host may run slow, as a fraction.
+const maxClockDrift = 0.02
+
+// recordHalt adds a run that was ordered to stop. Its backend server ends it by its own clock
+// even if neither that order nor the report of its end arrives.
+func (m *Model) recordHalt(j *job, name string) {
+	e := m.ending[j.ID]
 	if e == nil {
-		e = &endingJob{runs: map[string]time.Time{}}
-		m.ending[id] = e
+		e = &endingJob{
+			submission: j.submission,
+			runs:       map[string]time.Time{},
+		}
+		m.ending[j.ID] = e
 	}
 	e.runs[name] = time.Time{}
+	if limit := m.limits.MaxUnconfirmed; limit > 0 {
+		e.runs[name] = j.confirmedAt.Add(limit + time.Duration(maxClockDrift*float64(limit)))
+	}
 }
 
 // recordHaltedEnd handles the end of a run that was ordered to stop. A run whose end is
 // unknown counts as ended when its lease must have expired.
 func (m *Model) recordHaltedEnd(now time.Time, msg EndMsg) []Cmd {
 	e, name := m.ending[msg.Task.Job], msg.Task.Name()
-	if e == nil {
+	if e == nil || e.submission != msg.Task.Submission {
 		return nil
 	}
-	if _, ok := e.runs[name]; !ok {
+	endsAt, ok := e.runs[name]
+	if !ok {
 		return nil
 	}
 	if msg.End == work.EndUnknown {
-		e.runs[name] = now.Add(m.limits.AnnouncementTTL)
+		expired := now.Add(m.limits.AnnouncementTTL)
+		if endsAt.IsZero() || expired.Before(endsAt) {
+			e.runs[name] = expired
+		}
 		return nil
 	}
 	delete(e.runs, name)
@@ -57,7 +72,7 @@
 	return cmds
 }
 
-// expireEnding removes the runs whose unknown ends now count as ended.
+// expireEnding removes the runs that now count as ended.
 func (m *Model) expireEnding(now time.Time) []Cmd {
 	var cmds []Cmd
 	for _, id := range slices.Sorted(maps.Keys(m.ending)) {
--- a/core/schedule/ending_test.go
+++ b/core/schedule/ending_test.go
@@ -10,18 +10,25 @@
 	"rosemarywalk/core/work"
 )
 
+const (
+	unconfirmed          = 500 * time.Millisecond
+	unconfirmedElsewhere = 510 * time.Millisecond // by a clock that runs 2 % fast
+)
+
 // TestSubmitWhileEnding guards against a second run of a job that was given up and comes
 // again before the stop of its runs is proven.
 func TestSubmitWhileEnding(t *testing.T) {
 	tests := []struct {
 		name     string
-		end      work.End
+		limit    time.Duration // MaxUnconfirmed
+		end      work.End      // "" if no end is reported
 		took     time.Duration // from the end until the submission is decided
 		msg      SubmitMsg
 		meantime Msg        // handled while the submission waits
 		early    work.State // answer before the end; "" for none
 		runs     int
 		late     work.State // answer after the end; "" for none
+		ending   bool       // the runs still count as running
 	}{
 		{
 			name: "sent again to this home",
@@ -46,6 +53,33 @@
 			end:  work.EndUnknown,
 			took: announcementTTL - time.Millisecond,
 			msg:  SubmitMsg{JoinOnly: true},
+
+			ending: true,
+		},
+		{
+			name:  "the end is unknown, but the run has ended by its limit",
+			limit: unconfirmed,
+			end:   work.EndUnknown,
+			took:  unconfirmedElsewhere,
+			runs:  1,
+		},
+		{
+			name:   "the end is not reported",
+			took:   time.Minute,
+			ending: true,
+		},
+		{
+			name:  "the end is not reported, but the run has ended by its limit",
+			limit: unconfirmed,
+			took:  unconfirmedElsewhere,
+			msg:   SubmitMsg{JoinOnly: true},
+			late:  work.Absent,
+		},
+		{
+			name:   "the end is not reported, and another host's clock may not have reached the limit",
+			limit:  unconfirmed,
+			took:   unconfirmedElsewhere - time.Millisecond,
+			ending: true,
 		},
 		{
 			name:  "a repeated call",
@@ -74,7 +108,10 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			m := newAnnouncingModel(self)
-			placed := runs(m.Update(epoch, submit(jobOf("j", 1))))
+			m.limits.MaxUnconfirmed = test.limit
+			first := submit(jobOf("j", 1))
+			first.ConfirmedAt = epoch
+			placed := runs(m.Update(epoch, first))
 			m.Update(epoch, CallerGoneMsg{Caller: "caller-j"})
 			assert.DeepEqual(t, m.Announceable(epoch), []string{"j"})
 			assert.Assert(t, !m.Idle())
@@ -85,17 +122,41 @@
 			}
 			assert.Equal(t, len(runs(cmds)), 0)
 			assert.Equal(t, stateOf(cmds), test.early)
-			cmds = m.Update(epoch, ended(placed[0], test.end))
+			cmds = nil
+			if test.end != "" {
+				cmds = m.Update(epoch, ended(placed[0], test.end))
+			}
 			if test.took > 0 {
 				cmds = append(cmds, m.Update(epoch.Add(test.took), TickMsg{})...)
 			}
 			assert.Equal(t, len(runs(cmds)), test.runs)
 			assert.Equal(t, stateOf(cmds), test.late)
-			assert.Equal(t, len(m.ending) == 0, test.end != work.EndUnknown || test.took >= announcementTTL)
+			assert.Equal(t, len(m.ending) > 0, test.ending)
 		})
 	}
 }
 
+// TestLateReportStartsThirdRun guards against a run whose end is reported when the job has been
+// submitted again, so that it is taken for the end of the task's next run.
+func TestLateReportStartsThirdRun(t *testing.T) {
+	m := newAnnouncingModel(self)
+	m.limits.MaxUnconfirmed = unconfirmed
+	msg := submit(jobOf("j", 1))
+	msg.ConfirmedAt = epoch
+	first := runs(m.Update(epoch, msg))[0]
+	m.Update(epoch, CallerGoneMsg{Caller: msg.Caller})
+	now := epoch.Add(unconfirmedElsewhere)
+	m.Update(now, TickMsg{})
+	msg.ConfirmedAt = now
+	assert.Equal(t, len(runs(m.Update(now, msg))), 1)
+	_, waiting := m.ConfirmedAt(self, first.Task)
+	assert.Assert(t, !waiting)
+	assert.Equal(t, len(runs(m.Update(now, ended(first, work.EndStopped)))), 0)
+	m.Update(now, CallerGoneMsg{Caller: msg.Caller})
+	m.Update(now, ended(first, work.EndStopped))
+	assert.DeepEqual(t, m.Announceable(now), []string{"j"})
+}
+
 // stateOf returns the state of the only answer, or "" if there is none.
 func stateOf(cmds []Cmd) work.State {
 	for _, answer := range answers(cmds) {
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -20,7 +20,7 @@
 // current.
 func (m *Model) endTask(now time.Time, msg EndMsg) []Cmd {
 	j := m.jobs[msg.Task.Job]
-	if j == nil {
+	if j == nil || j.submission != msg.Task.Submission {
 		return nil
 	}
 	t := j.find(msg.Task.Step, msg.Task.Index)
@@ -100,7 +100,7 @@
 	for _, t := range j.tasks {
 		if t.state == placed {
 			name := j.order(t).Name()
-			m.recordHalt(j.ID, name)
+			m.recordHalt(j, name)
 			cmds = append(cmds, HaltCmd{
 				Host: t.host,
 				Name: name,
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -32,6 +32,7 @@
 // job is a job with the state of its tasks.
 type job struct {
 	work.Job
+	submission  int // number of this submission among all at this host
 	tasks       []*task
 	waiting     int             // number of waiting tasks
 	backlog     int             // millicores of the waiting tasks
@@ -160,6 +161,7 @@
 		Step:          t.step,
 		Index:         t.index,
 		Run:           t.run,
+		Submission:    j.submission,
 		Size:          s.Size,
 		Spec:          j.Spec,
 		Requires:      s.Requires,
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -21,6 +21,7 @@
 	OutcomeRetention    time.Duration // how long outcomes of finished jobs are retained for resubmissions
 	CapacityTTL         time.Duration // age at which another host's capacity report is dropped; 0 for never
 	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
+	MaxUnconfirmed      time.Duration // time since a job's caller was last known to wait by which its runs have ended, also those in other hosts' pools; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
 	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts
@@ -48,6 +49,7 @@
 	startedAt     time.Time               // of the first message
 	announcements map[string]announcement // of other homes, by job ID
 	ending        map[string]*endingJob   // by job ID
+	submissions   int                     // number of jobs submitted so far
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -179,6 +181,8 @@
 		}}
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.UsefulLatencyFactor)
+	m.submissions++
+	j.submission = m.submissions
 	j.callers, j.remote, j.confirmedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -113,6 +113,7 @@
 	Step          int
 	Index         int
 	Run           int // sequence number of the task's run, from 1
+	Submission    int // number of the job's submission at the host that coordinates it
 	Size          Size
 	Spec          string
 	Requires      string
--- a/io/scheduler/confirm_test.go
+++ b/io/scheduler/confirm_test.go
@@ -91,8 +91,9 @@
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		got, waiting := confirmed(work.Task{
-			Job: "j",
-			Run: 1,
+			Job:        "j",
+			Run:        1,
+			Submission: 1,
 		})
 		if !waiting {
 			return poll.Continue("not started")
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -225,6 +225,7 @@
 		CapacityTTL:         s.Duration(section, "stale"),
 		OutcomeRetention:    s.Duration(section, "remember"),
 		MaxConfirmAge:       confirmBounds(s).MaxAge,
+		MaxUnconfirmed:      confirmBounds(s).MaxUnconfirmed,
 		MaxJobs:             s.Integer(section, "jobs"),
 		AnnounceAge:         s.Duration(section, "announce"),
 		AnnouncementTTL:     s.Duration(section, "announced"),
