--- a/io/server/conn_test.go
+++ b/io/server/conn_test.go
@@ -13,10 +13,26 @@
 
 // TestPeerOpen checks that a connection counts as open until its peer closes or resets it.
 func TestPeerOpen(t *testing.T) {
+	sendAndClose := func(unread string) func(*net.TCPConn) error {
+		return func(conn *net.TCPConn) error {
+			if _, err := conn.Write([]byte(unread)); err != nil {
+				return err
+			}
+			return conn.Close()
+		}
+	}
 	tests := []struct {
 		name  string
 		leave func(*net.TCPConn) error
 	}{
+		{
+			name:  "closed behind a line break",
+			leave: sendAndClose("\r\n"),
+		},
+		{
+			name:  "closed behind another request",
+			leave: sendAndClose("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		},
 		{
 			name:  "closed",
 			leave: (*net.TCPConn).Close,
@@ -59,7 +75,7 @@
 					return poll.Continue("still open")
 				}
 				return poll.Success()
-			}, poll.WithDelay(time.Millisecond))
+			}, poll.WithDelay(time.Millisecond), poll.WithTimeout(2*time.Second))
 		})
 	}
 }
