io/peer, io/scheduler: nothing starts for a caller that is known to be gone

Cause: the entry's look-up says that the caller has gone, and when it was asked. The time was used and the rest dropped, where a job is submitted or lent and where a call is dated for the other host, so that the job counted as confirmed just now. The stop came only after the start, and was all that ended the run before its lease did.

Now a caller that is gone has no time. A job is not submitted for it, and a lent task not started.

Evidence: TestGoneCallerConfirmed and the rows of TestWithdrawnRunContinues for a caller that is gone failed before and pass now. go test -race ./io/peer ./io/server ./io/scheduler ./io/entry passes.

--- a/io/peer/confirmation.go
+++ b/io/peer/confirmation.go
@@ -27,7 +27,10 @@
 // confirmation stands for a caller that waits until the context ends.
 func Confirm(ctx context.Context) (at time.Time, waiting bool) {
 	if c, ok := ctx.Value(confirmationKey{}).(Confirmation); ok {
-		return c()
+		if at, waiting = c(); !waiting {
+			return time.Time{}, false
+		}
+		return at, true
 	}
 	now := time.Now()
 	if ctx.Err() != nil {
--- a/io/peer/prober_test.go
+++ b/io/peer/prober_test.go
@@ -79,6 +79,21 @@
 	assert.Assert(t, answer.Lent != nil)
 }
 
+// TestGoneCallerConfirmed checks that no work begins for a call whose caller was known to be
+// gone when the call was sent, although earlier calls on the link were confirmed just before.
+func TestGoneCallerConfirmed(t *testing.T) {
+	served := make(chan context.Context, 2)
+	links, address := serveSubmit(t, served)
+	go func() { _, _ = links.Call(t.Context(), address, wire.Frame{Submit: &wire.Submit{}}) }()
+	<-served
+	gone := WithConfirmation(t.Context(), func() (time.Time, bool) { return time.Now(), false })
+	go func() { _, _ = links.Call(gone, address, wire.Frame{Submit: &wire.Submit{}}) }()
+	call := <-served
+	at, waiting := Confirm(call)
+	assert.Assert(t, at.IsZero() && !waiting, at)
+	assert.ErrorIs(t, context.Cause(call), ErrWithdrawn)
+}
+
 // TestCallConfirmedWithoutCaller checks that a call is confirmed as of the time at which the
 // caller was last known to wait, from its arrival on and over two links.
 func TestCallConfirmedWithoutCaller(t *testing.T) {
--- a/io/scheduler/confirm_test.go
+++ b/io/scheduler/confirm_test.go
@@ -62,6 +62,16 @@
 			withdraw(peer.ErrWithdrawn)
 			assert.Equal(t, <-f.stops, task.Name())
 		})
+		t.Run(test.name+" of a caller that is gone", func(t *testing.T) {
+			f := &fakeServer{
+				runTime: 50 * time.Millisecond,
+				starts:  make(chan string, 10),
+				stops:   make(chan string, 10),
+			}
+			gone := func() (time.Time, bool) { return time.Now(), false }
+			test.call(peer.WithConfirmation(t.Context(), gone), newShard(f))
+			assert.Equal(t, len(f.starts), 0)
+		})
 	}
 }
 
--- a/io/scheduler/lent.go
+++ b/io/scheduler/lent.go
@@ -44,14 +44,16 @@
 // RunLent runs a task for another host and returns how its run ended. When the link
 // breaks, the run continues for the reattach time, so that a repeated call can attach to
 // it. A repeated call for an unknown run does not start it: an earlier process of this
-// host may have started it, or it may be ending. Neither does a call that was withdrawn.
+// host may have started it, or it may be ending. Neither does a call
+// whose caller is known to be gone.
 func (s *Shard) RunLent(ctx context.Context, task work.Task, retried bool) pool.EndCmd {
 	owner := lentOwner(task)
 	listener := make(chan pool.EndCmd, 1)
+	confirmedAt, waiting := peer.Confirm(ctx)
 	s.mu.Lock()
 	run, known := s.lent[owner]
 	halted := s.earlyHalts[task.Name()] > 0
-	if !known && (retried || halted || isWithdrawn(ctx)) {
+	if !known && (retried || halted || !waiting) {
 		s.mu.Unlock()
 		return rejectLent(task, retried)
 	}
@@ -69,7 +71,7 @@
 	}
 	s.mu.Unlock()
 	if !known {
-		task.ConfirmedAt, _ = peer.Confirm(ctx)
+		task.ConfirmedAt = confirmedAt
 		s.update(pool.RunMsg{
 			Task:  task,
 			Owner: owner,
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -292,6 +292,10 @@
 // continues for dropAfter, so that its caller can reattach, unless the caller is known to be
 // gone.
 func (s *Shard) Do(ctx context.Context, msg schedule.SubmitMsg, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
+	confirmedAt, waiting := peer.Confirm(ctx)
+	if !waiting {
+		return work.Outcome{}, false
+	}
 	answer := make(chan work.Outcome, 1)
 	s.mu.Lock()
 	s.lastCaller++
@@ -301,8 +305,7 @@
 		reply: func(o work.Outcome) { answer <- o },
 	}
 	s.mu.Unlock()
-	msg.Caller = id
-	msg.ConfirmedAt, _ = peer.Confirm(ctx)
+	msg.Caller, msg.ConfirmedAt = id, confirmedAt
 	s.update(msg)
 	select {
 	case o := <-answer:
