core/schedule, io/scheduler: a run ends unless all other homes acknowledge its job

Callers whose connection stays open but silent, and who sent their job again to another failure domain, had it run twice at once when an announcement of the first home was lost or late: its process, the other one or their link was slow. The other home then started the job while nothing ended the run at the first, which only knew that it had announced the job.

Announcements are now answered. A job counts as confirmed as of the earlier of two times: when its caller was last known to wait, and when the latest announcement was sent that all other homes of the plan have acknowledged (at first, when this attempt was received). A home acknowledges nothing that runs there or is being stopped. The times are derived from [schedule] resubmit; the settings announced and announceevery are gone, and announce is the interval.

--- a/core/confirm/bounds.go
+++ b/core/confirm/bounds.go
@@ -9,6 +9,9 @@
 	MaxAge          time.Duration // time since the caller was last known to wait after which no run is started
 	StopUnconfirmed time.Duration // the same, after which a run is stopped
 	MaxUnconfirmed  time.Duration // the same, at which the lease has ended
+
+	AnnounceAge     time.Duration // age from which a job is announced to other homes; leaves time for their answers
+	AnnouncementTTL time.Duration // how long another home doesn't start an announced job; longer than MaxUnconfirmed by any clock
 }
 
 const (
@@ -18,6 +21,9 @@
 	// that come late.
 	leaseShare = 0.6
 	stopShare  = 0.7
+	// clocks is the number of clocks that may drift against each other: those of a server
+	// and of two homes.
+	clocks = 3
 )
 
 // NewBounds returns the limits for callers that submit a job again no sooner than resubmit
@@ -29,11 +35,14 @@
 	}
 	limit := max(resubmit-callerMargin, callerMargin)
 	lease, stop := min(lease, fraction(leaseShare, limit)), fraction(stopShare, limit)
+	maxAge := min(limit-lengthen(lease), stop) - callerMargin/2
 	return Bounds{
 		Lease:           lease,
-		MaxAge:          min(limit-lengthen(lease), stop) - callerMargin/2,
+		MaxAge:          maxAge,
 		StopUnconfirmed: stop,
 		MaxUnconfirmed:  limit,
+		AnnounceAge:     maxAge / 2,
+		AnnouncementTTL: limit + clocks*drift(limit),
 	}
 }
 
--- a/core/confirm/bounds_test.go
+++ b/core/confirm/bounds_test.go
@@ -14,6 +14,8 @@
 		b := NewBounds(resubmit, 900*time.Millisecond)
 		assert.Assert(t, b.MaxAge+lengthen(b.Lease) < b.MaxUnconfirmed, "%s: %+v", resubmit, b)
 		assert.Assert(t, b.MaxAge > 0 && b.StopUnconfirmed > b.MaxAge && b.StopUnconfirmed < b.MaxUnconfirmed, "%s: %+v", resubmit, b)
+		assert.Assert(t, b.AnnounceAge > 0 && b.AnnounceAge < b.MaxAge, "%s: %+v", resubmit, b)
+		assert.Assert(t, b.AnnouncementTTL > lengthen(lengthen(b.MaxUnconfirmed)), "%s: %+v", resubmit, b)
 		assert.Assert(t, b.MaxUnconfirmed < resubmit, "%s: %+v", resubmit, b)
 	}
 	assert.Equal(t, NewBounds(0, time.Second), Bounds{Lease: time.Second})
--- a/core/confirm/table.go
+++ b/core/confirm/table.go
@@ -59,6 +59,10 @@
 	return began.Add(period - drift(period))
 }
 
+// Before returns a time that is at least as long before a time on the own clock as a period
+// which another host has measured.
+func Before(at time.Time, period time.Duration) time.Time { return at.Add(-lengthen(period)) }
+
 func lengthen(d time.Duration) time.Duration { return d + drift(d) }
 
 func drift(d time.Duration) time.Duration { return time.Duration(maxClockDrift * float64(d)) }
--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -19,32 +19,87 @@
 // know of. A home depends on the failure domain of the host that received the job, so a
 // job that its caller sends again to another failure domain has another home, which would
 // start it a second time. The same holds for jobs that were given up, whatever their age,
-// until their runs have ended.
+// until their runs have ended, and for jobs that can't start without an acknowledgement.
 func (m *Model) Announceable(now time.Time) []string {
+	if m.limits.AnnouncementTTL == 0 {
+		return nil
+	}
 	var ids []string
 	for id, j := range m.jobs {
-		if now.Sub(j.Arrived) >= m.limits.AnnounceAge {
+		if now.Sub(j.Arrived) >= m.limits.AnnounceAge || !m.isConfirmed(now, j) {
 			ids = append(ids, id)
 		}
 	}
 	ids = slices.AppendSeq(ids, maps.Keys(m.ending))
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
-// recordAnnouncements stores the jobs that another home coordinates.
-func (m *Model) recordAnnouncements(now time.Time, msg AnnouncedMsg) {
+// recordAnnouncements stores the jobs that another home coordinates, and acknowledges them.
+func (m *Model) recordAnnouncements(now time.Time, msg AnnouncedMsg) []Cmd {
 	if msg.Host == m.self {
-		return
+		return nil
 	}
 	// An idle host gets no ticks.
 	m.expireAnnouncements(now)
+	var acknowledged []string
 	for _, id := range msg.Jobs {
+		if m.keeps(now, id, msg.Host) {
+			continue
+		}
+		acknowledged = append(acknowledged, id)
 		m.announcements[id] = announcement{
 			host:      msg.Host,
 			expiresAt: now.Add(m.limits.AnnouncementTTL),
 		}
 	}
+	return []Cmd{AcknowledgeCmd{Jobs: acknowledged}}
+}
+
+// keeps reports whether this home doesn't leave a job to another home that announces it: a
+// run may exist, or a task may start and the own address precedes that of the other home.
+func (m *Model) keeps(now time.Time, id, host string) bool {
+	if m.ending[id] != nil {
+		return true
+	}
+	j := m.jobs[id]
+	return j != nil && (j.running() || (m.mayStart(now, j) && m.self < host))
+}
+
+// acknowledge records that another home doesn't start announced jobs.
+func (m *Model) acknowledge(now time.Time, msg AcknowledgedMsg) []Cmd {
+	var acknowledged []*job
+	for _, id := range msg.Jobs {
+		j := m.jobs[id]
+		if j == nil || !msg.SentAt.After(j.acknowledged[msg.Host]) {
+			continue
+		}
+		if j.acknowledged == nil {
+			j.acknowledged = map[string]time.Time{}
+		}
+		j.acknowledged[msg.Host] = msg.SentAt
+		acknowledged = append(acknowledged, j)
+	}
+	return m.reconfirm(now, acknowledged...)
+}
+
+// setHomes sets the other homes. One that is new asks for what was announced before it
+// starts anything, so announcements that it hasn't seen don't matter yet.
+func (m *Model) setHomes(now time.Time, msg HomesMsg) []Cmd {
+	homes := make(map[string]time.Time, len(msg.Hosts))
+	changed := len(msg.Hosts) != len(m.homes)
+	for _, host := range msg.Hosts {
+		since, known := m.homes[host]
+		if !known {
+			since, changed = now, true
+		}
+		homes[host] = since
+	}
+	m.homes = homes
+	if !changed {
+		return nil
+	}
+	return m.reconfirm(now, m.sortedJobs()...)
 }
 
 // expireAnnouncements deletes the announcements that were not renewed.
@@ -65,6 +120,9 @@
 // withoutStart returns the outcome of submitting an unknown job that must not be started
 // here.
 func (m *Model) withoutStart(now time.Time, msg SubmitMsg) (outcome work.Outcome, ok bool) {
+	if msg.Local {
+		delete(m.announcements, msg.Job.ID)
+	}
 	host, announced := m.announcer(now, msg.Job.ID)
 	switch {
 	case msg.JoinOnly && now.Sub(m.startedAt) < m.limits.AnnouncementTTL:
@@ -76,7 +134,7 @@
 		}, true
 	case msg.JoinOnly:
 		return work.Outcome{State: work.Absent}, true
-	case announced && !msg.Local:
+	case announced:
 		return work.Outcome{
 			State: work.Elsewhere,
 			Home:  host,
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -12,7 +13,9 @@
 	"gotest.tools/v3/assert"
 
 	"rosemarywalk/core"
+	"rosemarywalk/core/confirm"
 	"rosemarywalk/core/work"
+	"rosemarywalk/internal/pick"
 )
 
 const (
@@ -235,6 +238,176 @@
 	}
 }
 
+// TestAcknowledged checks which announced jobs a home leaves to the home that announced
+// them, and that it starts nothing of those.
+func TestAcknowledged(t *testing.T) {
+	tests := []struct {
+		name      string
+		host      string
+		unknown   bool
+		runs      bool
+		ends      bool
+		confirmed bool
+		want      []string
+		starts    int // once the job can start
+	}{
+		{
+			name:    "unknown",
+			host:    otherHome,
+			unknown: true,
+			want:    []string{"j"},
+		},
+		{
+			name:      "runs here",
+			host:      otherHome,
+			runs:      true,
+			confirmed: true,
+		},
+		{
+			name:      "given up while it runs here",
+			host:      otherHome,
+			runs:      true,
+			ends:      true,
+			confirmed: true,
+		},
+		{
+			name:      "may start here, announced by a lower address",
+			host:      otherHome,
+			confirmed: true,
+			want:      []string{"j"},
+		},
+		{
+			name:      "may start here, announced by a higher address",
+			host:      "zzz",
+			confirmed: true,
+			starts:    1,
+		},
+		{
+			name: "may not start here, announced by a higher address",
+			host: "zzz",
+			want: []string{"j"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.limits.MaxConfirmAge = time.Second
+			if !test.runs {
+				m.Update(epoch, CapacityMsg{Host: self})
+			}
+			if !test.unknown {
+				msg := submit(jobOf("j", 1))
+				if test.confirmed {
+					msg.ConfirmedAt = epoch
+				}
+				m.Update(epoch, msg)
+			}
+			if test.ends {
+				m.Update(epoch, CallerGoneMsg{Caller: "caller-j"})
+			}
+			cmds := m.Update(epoch, AnnouncedMsg{
+				Host: test.host,
+				Jobs: []string{"j"},
+			})
+			assert.DeepEqual(t, pick.OfType[AcknowledgeCmd](cmds)[0].Jobs, test.want)
+			cmds = m.Update(epoch, CapacityMsg{
+				Host:     self,
+				Capacity: poolWith(4),
+			})
+			assert.Equal(t, len(runs(cmds)), test.starts)
+		})
+	}
+}
+
+// TestConfirmedByHomes checks the time that bounds the runs of a job whose caller waits.
+func TestConfirmedByHomes(t *testing.T) {
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	tests := []struct {
+		name  string
+		homes []HomesMsg // at 0, 200 and 400 ms
+		acks  []AcknowledgedMsg
+		want  time.Time
+	}{
+		{
+			name:  "no other home",
+			homes: []HomesMsg{{}, {}, {}},
+			want:  at(500),
+		},
+		{
+			name:  "never acknowledged",
+			homes: []HomesMsg{{Hosts: []string{"b"}}, {Hosts: []string{"b"}}, {Hosts: []string{"b"}}},
+			want:  at(100),
+		},
+		{
+			name:  "acknowledged by one of two",
+			homes: []HomesMsg{{Hosts: []string{"b", "c"}}, {Hosts: []string{"b", "c"}}, {Hosts: []string{"b", "c"}}},
+			acks: []AcknowledgedMsg{{
+				Host:   "b",
+				Jobs:   []string{"j"},
+				SentAt: at(300),
+			}},
+			want: at(100),
+		},
+		{
+			name:  "acknowledgements that overtake each other",
+			homes: []HomesMsg{{Hosts: []string{"b"}}, {Hosts: []string{"b"}}, {Hosts: []string{"b"}}},
+			acks: []AcknowledgedMsg{
+				{
+					Host:   "b",
+					Jobs:   []string{"j"},
+					SentAt: at(300),
+				},
+				{
+					Host:   "b",
+					Jobs:   []string{"j"},
+					SentAt: at(200),
+				},
+			},
+			want: at(300),
+		},
+		{
+			name:  "another job was acknowledged",
+			homes: []HomesMsg{{Hosts: []string{"b"}}, {Hosts: []string{"b"}}, {Hosts: []string{"b"}}},
+			acks: []AcknowledgedMsg{{
+				Host:   "b",
+				Jobs:   []string{"other"},
+				SentAt: at(300),
+			}},
+			want: at(100),
+		},
+		{
+			name:  "a home joins",
+			homes: []HomesMsg{{}, {Hosts: []string{"b"}}, {Hosts: []string{"b"}}},
+			want:  at(200),
+		},
+		{
+			name:  "a home leaves",
+			homes: []HomesMsg{{Hosts: []string{"b"}}, {Hosts: []string{"b"}}, {}},
+			want:  at(500),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.Update(at(0), test.homes[0])
+			msg := submit(jobOf("j", 1))
+			msg.Job.Received, msg.ConfirmedAt = at(100), at(100)
+			run := runs(m.Update(at(100), msg))[0]
+			assert.Assert(t, !run.Task.ConfirmedAt.After(at(100)))
+			m.Update(at(200), test.homes[1])
+			for _, ack := range test.acks {
+				m.Update(at(300), ack)
+			}
+			m.Update(at(400), test.homes[2])
+			m.Update(at(500), ConfirmMsg{Callers: []Confirmation{{
+				Caller: msg.Caller,
+				At:     at(500),
+			}}})
+			assert.Assert(t, m.jobs["j"].confirmedAt.Equal(test.want), m.jobs["j"].confirmedAt.Sub(epoch))
+		})
+	}
+}
+
 // TestAnnouncementsExpire guards against announcements that pile up at an idle home.
 func TestAnnouncementsExpire(t *testing.T) {
 	tests := []struct {
@@ -269,6 +442,8 @@
 	}
 }
 
+var bounds = confirm.NewBounds(1300*time.Millisecond, 900*time.Millisecond)
+
 // homesReplay replays jobs that their callers send again to the homes of other failure
 // domains while earlier attempts are still open. Each home has its own servers.
 type homesReplay struct {
@@ -278,6 +453,7 @@
 	models  []*Model
 	replies map[string]func(now time.Time, o work.Outcome) // by caller
 	active  map[string][]*homeRun                          // by task name
+	paused  []time.Time                                    // end of the latest pause, by home
 	joined  int                                            // attempts passed on to another home
 	twice   []string                                       // names of tasks that ran at two homes at once
 }
@@ -285,18 +461,23 @@
 // replayTimes are the ranges of the random times of a replay.
 type replayTimes struct {
 	run     timeRange // run time of a task
-	lost    timeRange // from an attempt to the loss of its connection
+	open    timeRange // from an attempt to the loss of its connection
 	noticed timeRange // from the loss of a connection until the home learns of it
 	stop    timeRange // from the order to stop a run to its end
 	message timeRange // delay of a message between homes
+
+	announcement timeRange // the same, of an announcement and of its answer
+	lost         float64   // share of these that are lost
+	pause        timeRange // of a process; none if zero
 }
 
 type timeRange struct{ least, most time.Duration }
 
 // homeRun is a run of a task on a server of a home.
 type homeRun struct {
-	home int
-	cmd  RunCmd
+	home  int
+	cmd   RunCmd
+	until time.Time // end of its lease
 }
 
 func newHomesReplay(seed uint64, homes int, times replayTimes) *homesReplay {
@@ -306,8 +487,21 @@
 		replies:     map[string]func(time.Time, work.Outcome){},
 		active:      map[string][]*homeRun{},
 	}
+	if r.announcement.most == 0 {
+		r.announcement = r.message
+	}
+	r.paused = make([]time.Time, homes)
 	for home := range homes {
-		r.models = append(r.models, newAnnouncingModel(strconv.Itoa(home)))
+		m := newAnnouncingModel(strconv.Itoa(home))
+		m.limits.MaxConfirmAge, m.limits.AnnounceAge, m.limits.AnnouncementTTL = bounds.MaxAge, bounds.AnnounceAge, bounds.AnnouncementTTL
+		var others []string
+		for other := range homes {
+			if other != home {
+				others = append(others, strconv.Itoa(other))
+			}
+		}
+		m.Update(epoch, HomesMsg{Hosts: others})
+		r.models = append(r.models, m)
 	}
 	return r
 }
@@ -323,7 +517,16 @@
 	})
 }
 
+// update passes a message to a home once its process is not paused.
 func (r *homesReplay) update(now time.Time, home int, msg Msg) {
+	if now.Before(r.paused[home]) {
+		r.at(r.paused[home], func(now time.Time) { r.update(now, home, msg) })
+		return
+	}
+	announced, ok := msg.(announcedAt)
+	if ok {
+		msg = announced.AnnouncedMsg
+	}
 	for _, cmd := range r.models[home].Update(now, msg) {
 		switch cmd := cmd.(type) {
 		case RunCmd:
@@ -334,6 +537,16 @@
 					r.at(now.Add(r.draw(r.stop)), func(now time.Time) { r.end(now, run, work.EndStopped) })
 				}
 			}
+		case ConfirmCmd:
+			for _, runs := range r.active {
+				for _, run := range runs {
+					if run.home == home && run.cmd.Task.Job == cmd.Job {
+						run.until = cmd.At.Add(bounds.MaxUnconfirmed)
+					}
+				}
+			}
+		case AcknowledgeCmd:
+			r.acknowledge(now, home, announced, cmd.Jobs)
 		case AnswerCmd:
 			r.replies[cmd.Caller](now, cmd.Outcome)
 		case LogCmd:
@@ -344,13 +557,14 @@
 func (r *homesReplay) start(now time.Time, home int, cmd RunCmd) {
 	name := cmd.Task.Name()
 	for _, other := range r.active[name] {
-		if other.home != home {
+		if other.home != home && now.Before(other.until) {
 			r.twice = append(r.twice, name)
 		}
 	}
 	run := &homeRun{
-		home: home,
-		cmd:  cmd,
+		home:  home,
+		cmd:   cmd,
+		until: cmd.Task.ConfirmedAt.Add(bounds.MaxUnconfirmed),
 	}
 	r.active[name] = append(r.active[name], run)
 	r.at(now.Add(r.draw(r.run)), func(now time.Time) { r.end(now, run, work.EndDone) })
@@ -373,9 +587,9 @@
 // first is lost.
 func (r *homesReplay) attempt(now time.Time, job work.Job, home int) {
 	const resendDelay = 1300 * time.Millisecond
-	job.Arrived = now
+	job.Arrived, job.Received = now, now
 	r.submit(now, job, home)
-	lost := now.Add(r.draw(r.lost))
+	lost := now.Add(r.draw(r.open))
 	if r.noticed.most > 0 {
 		r.at(lost.Add(r.draw(r.noticed)), func(now time.Time) { r.drop(now, job, home) })
 	}
@@ -392,6 +606,8 @@
 		Job:    job,
 		Caller: caller,
 		Remote: true,
+
+		ConfirmedAt: now,
 	}
 	answered := func(time.Time, work.Outcome) {}
 	r.replies[caller] = func(now time.Time, o work.Outcome) {
@@ -428,25 +644,89 @@
 // announce sends the announcements of a home to all others.
 func (r *homesReplay) announce(now time.Time, home int) {
 	ids := r.models[home].Announceable(now)
+	if now.Before(r.paused[home]) || len(ids) == 0 {
+		return
+	}
 	for other := range r.models {
-		if other == home || len(ids) == 0 {
+		if other == home || r.rng.Float64() < r.lost {
 			continue
 		}
-		r.at(now.Add(r.draw(r.message)), func(now time.Time) {
-			r.update(now, other, AnnouncedMsg{
-				Host: strconv.Itoa(home),
-				Jobs: ids,
+		sent := now
+		r.at(now.Add(r.draw(r.announcement)), func(now time.Time) {
+			r.update(now, other, announcedAt{
+				AnnouncedMsg: AnnouncedMsg{
+					Host: strconv.Itoa(home),
+					Jobs: ids,
+				},
+				at: sent,
 			})
 		})
 	}
 }
 
+// announcedAt is an announcement with the time at which it was sent.
+type announcedAt struct {
+	AnnouncedMsg
+	at time.Time
+}
+
+// acknowledge sends the answer to an announcement.
+func (r *homesReplay) acknowledge(now time.Time, home int, msg announcedAt, jobs []string) {
+	if r.rng.Float64() < r.lost {
+		return
+	}
+	announcer, _ := strconv.Atoi(msg.Host)
+	r.at(now.Add(r.draw(r.announcement)), func(now time.Time) {
+		r.update(now, announcer, AcknowledgedMsg{
+			Host:   strconv.Itoa(home),
+			Jobs:   jobs,
+			SentAt: msg.at,
+		})
+	})
+}
+
+// tick passes the time to a home: the callers of its attempts seem to wait, and the leases
+// of runs end.
+func (r *homesReplay) tick(now time.Time, home int) {
+	if now.Before(r.paused[home]) {
+		return
+	}
+	m := r.models[home]
+	var confirmed ConfirmMsg
+	for _, caller := range slices.Sorted(maps.Keys(m.callers)) {
+		confirmed.Callers = append(confirmed.Callers, Confirmation{
+			Caller: caller,
+			At:     now,
+		})
+	}
+	r.update(now, home, confirmed)
+	for _, name := range slices.Sorted(maps.Keys(r.active)) {
+		for _, run := range slices.Clone(r.active[name]) {
+			if run.home == home && !now.Before(run.until) {
+				r.end(now, run, work.EndLeaseExpired)
+			}
+		}
+	}
+	r.update(now, home, TickMsg{})
+}
+
+// pauseProcess stops the process of a home for a while. It notices long pauses.
+func (r *homesReplay) pauseProcess(now time.Time, home int) {
+	const stall = 500 * time.Millisecond
+	pause := r.draw(r.pause)
+	r.paused[home] = now.Add(pause)
+	if pause >= stall {
+		r.at(now.Add(pause), func(now time.Time) { r.update(now, home, StallMsg{}) })
+	}
+}
+
 // play submits jobs and returns when all attempts have ended.
 func (r *homesReplay) play(jobs int) {
 	const (
 		length           = 20 * time.Second
 		tick             = 50 * time.Millisecond
-		announceInterval = 300 * time.Millisecond
+		announceInterval = 100 * time.Millisecond
+		pauseInterval    = 1500 * time.Millisecond
 		jobInterval      = 100 * time.Millisecond
 	)
 	for n := range jobs {
@@ -457,7 +737,12 @@
 	}
 	for home := range r.models {
 		for at := time.Duration(0); at < length; at += tick {
-			r.at(epoch.Add(at), func(now time.Time) { r.update(now, home, TickMsg{}) })
+			r.at(epoch.Add(at), func(now time.Time) { r.tick(now, home) })
+		}
+		if r.pause.most > 0 {
+			for at := r.draw(timeRange{most: pauseInterval}); at < length; at += r.draw(timeRange{most: 2 * pauseInterval}) + r.pause.most {
+				r.at(epoch.Add(at), func(now time.Time) { r.pauseProcess(now, home) })
+			}
 		}
 		for at := r.draw(timeRange{most: announceInterval}); at < length; at += announceInterval {
 			r.at(epoch.Add(at), func(now time.Time) { r.announce(now, home) })
@@ -477,6 +762,10 @@
 		seeds = 50
 		jobs  = 40
 	)
+	anyRun := timeRange{
+		least: 100 * time.Millisecond,
+		most:  4 * time.Second,
+	}
 	tests := []struct {
 		name  string
 		homes int
@@ -501,7 +790,7 @@
 					least: 100 * time.Millisecond,
 					most:  4 * time.Second,
 				},
-				lost:    timeRange{most: time.Second},
+				open:    timeRange{most: time.Second},
 				message: timeRange{most: 150 * time.Millisecond},
 			},
 		},
@@ -513,7 +802,7 @@
 					least: 1400 * time.Millisecond,
 					most:  4 * time.Second,
 				},
-				lost:    timeRange{most: 300 * time.Millisecond},
+				open:    timeRange{most: 300 * time.Millisecond},
 				noticed: timeRange{most: 1200 * time.Millisecond},
 				stop: timeRange{
 					least: 50 * time.Millisecond,
@@ -522,6 +811,44 @@
 				message: timeRange{most: 150 * time.Millisecond},
 			},
 		},
+		{
+			name:  "announcements are lost",
+			homes: 3,
+			times: replayTimes{
+				run:     anyRun,
+				message: timeRange{most: 20 * time.Millisecond},
+				lost:    0.5,
+			},
+		},
+		{
+			name:  "announcements are late",
+			homes: 3,
+			times: replayTimes{
+				run:          anyRun,
+				message:      timeRange{most: 20 * time.Millisecond},
+				announcement: timeRange{most: 1500 * time.Millisecond},
+			},
+		},
+		{
+			name:  "processes pause",
+			homes: 3,
+			times: replayTimes{
+				run:     anyRun,
+				message: timeRange{most: 20 * time.Millisecond},
+				pause:   timeRange{most: 1500 * time.Millisecond},
+			},
+		},
+		{
+			name:  "processes pause, announcements are lost and late",
+			homes: 3,
+			times: replayTimes{
+				run:          anyRun,
+				message:      timeRange{most: 150 * time.Millisecond},
+				announcement: timeRange{most: 400 * time.Millisecond},
+				lost:         0.3,
+				pause:        timeRange{most: 900 * time.Millisecond},
+			},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/schedule/confirm.go
+++ b/core/schedule/confirm.go
@@ -7,22 +7,59 @@
 	"rosemarywalk/core/work"
 )
 
-// confirm records when callers were last known to wait. It returns commands for the jobs
-// with tasks in the own pool, as their leases depend on it; other hosts ask themselves.
+// confirm records when callers were last known to wait.
 func (m *Model) confirm(now time.Time, msg ConfirmMsg) []Cmd {
-	var cmds []Cmd
-	resumed := false
+	var confirmed []*job
 	for _, c := range msg.Callers {
 		j := m.jobs[m.callers[c.Caller]]
-		if j == nil || !c.At.After(j.confirmedAt) {
+		if j == nil || !c.At.After(j.waitedAt) {
+			continue
+		}
+		j.waitedAt = c.At
+		confirmed = append(confirmed, j)
+	}
+	return m.reconfirm(now, confirmed...)
+}
+
+// confirmation returns the time that bounds the runs of a job: its caller was known to wait
+// then, and no other home starts the job as long as a run may last from then on. The caller
+// submits an attempt to other homes no sooner than that, so the time of this attempt counts
+// even if no other home knows of the job.
+func (m *Model) confirmation(j *job) time.Time {
+	if m.limits.AnnouncementTTL == 0 || len(m.homes) == 0 {
+		return j.waitedAt
+	}
+	at := j.waitedAt
+	for home, since := range m.homes {
+		if acknowledged := j.acknowledged[home]; acknowledged.After(since) {
+			since = acknowledged
+		}
+		if since.Before(j.Received) {
+			since = j.Received
+		}
+		if since.Before(at) {
+			at = since
+		}
+	}
+	return at
+}
+
+// reconfirm updates the confirmations of jobs. It returns commands for those with tasks in
+// the own pool, as their leases depend on it; other hosts ask themselves.
+func (m *Model) reconfirm(now time.Time, jobs ...*job) []Cmd {
+	var cmds []Cmd
+	resumed := false
+	for _, j := range jobs {
+		at := m.confirmation(j)
+		if !at.After(j.confirmedAt) {
 			continue
 		}
 		resumed = resumed || !m.isConfirmed(now, j)
-		j.confirmedAt = c.At
+		j.confirmedAt = at
 		if j.runsOn(m.self) {
 			cmds = append(cmds, ConfirmCmd{
 				Job: j.ID,
-				At:  c.At,
+				At:  at,
 			})
 		}
 	}
@@ -32,19 +69,24 @@
 	return cmds
 }
 
-// isConfirmed reports whether tasks of a job may start: its caller was known to wait
-// recently enough for a whole lease to end before the caller could have the job started
-// elsewhere.
+// isConfirmed reports whether a job was confirmed recently enough for a whole lease to end
+// before its caller could have it started elsewhere.
 func (m *Model) isConfirmed(now time.Time, j *job) bool {
 	return m.limits.MaxConfirmAge == 0 || now.Sub(j.confirmedAt) <= m.limits.MaxConfirmAge
 }
 
+// mayStart reports whether tasks of a job may start.
+func (m *Model) mayStart(now time.Time, j *job) bool {
+	_, announced := m.announcer(now, j.ID)
+	return m.isConfirmed(now, j) && !announced
+}
+
 func (j *job) runsOn(host string) bool {
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == placed && t.host == host })
 }
 
-// ConfirmedAt returns when the caller of a run that another host's pool has was last known
-// to wait, or false if this host doesn't wait for the end of that run.
+// ConfirmedAt returns the time that bounds a run which another host's pool has: when the
+// job was last confirmed. It returns false if this host doesn't wait for the end of that run.
 func (m *Model) ConfirmedAt(host string, order work.Task) (at time.Time, waiting bool) {
 	j := m.jobs[order.Job]
 	if j == nil {
--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	if msg.End == work.EndUnknown {
-		e.runs[name] = now.Add(m.limits.AnnouncementTTL)
+		e.runs[name] = now.Add(max(m.limits.MaxLease, m.limits.AnnouncementTTL))
 		return nil
 	}
 	delete(e.runs, name)
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -44,7 +44,10 @@
 	demoted     bool      // queued behind the jobs that can still start in time
 	started     bool      // a task was sent to a pool
 	remote      bool      // received from the caller by another host
-	confirmedAt time.Time // when a caller was last known to wait
+	waitedAt    time.Time // when a caller was last known to wait
+	confirmedAt time.Time // the same, or earlier: when all other homes were last known not to start it
+
+	acknowledged map[string]time.Time // when the latest announcement was sent that another home acknowledged, by home
 
 	provisional bool // admitted only if capacity for all of its tasks becomes free
 }
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -23,7 +23,8 @@
 	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
 	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
-	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts
+	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
+	MaxLease            time.Duration // after which a run whose end is unknown counts as ended
 }
 
 // finishedJob is the outcome of a job that has ended.
@@ -48,6 +49,7 @@
 	startedAt     time.Time               // of the first message
 	announcements map[string]announcement // of other homes, by job ID
 	ending        map[string]*endingJob   // by job ID
+	homes         map[string]time.Time    // when each other home was first known to be one
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -64,6 +66,7 @@
 
 		announcements: map[string]announcement{},
 		ending:        map[string]*endingJob{},
+		homes:         map[string]time.Time{},
 	}
 }
 
@@ -78,8 +81,11 @@
 	case ConfirmMsg:
 		return m.confirm(now, msg)
 	case AnnouncedMsg:
-		m.recordAnnouncements(now, msg)
-		return nil
+		return m.recordAnnouncements(now, msg)
+	case AcknowledgedMsg:
+		return m.acknowledge(now, msg)
+	case HomesMsg:
+		return m.setHomes(now, msg)
 	case CallerGoneMsg:
 		return m.callerGone(msg)
 	case WithdrawMsg:
@@ -163,10 +169,10 @@
 		j.callers = append(j.callers, msg.Caller)
 		j.remote = j.remote || msg.Remote
 		m.callers[msg.Caller] = id
-		if msg.ConfirmedAt.After(j.confirmedAt) {
-			j.confirmedAt = msg.ConfirmedAt
+		if msg.ConfirmedAt.After(j.waitedAt) {
+			j.waitedAt = msg.ConfirmedAt
 		}
-		return nil
+		return m.reconfirm(now, j)
 	}
 	if m.deferSubmission(msg) {
 		return nil
@@ -179,7 +185,8 @@
 		}}
 	}
 	j := newJob(now, msg.Job, m.predict(msg.Job), m.limits.UsefulLatencyFactor)
-	j.callers, j.remote, j.confirmedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
+	j.callers, j.remote, j.waitedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
+	j.confirmedAt = m.confirmation(j)
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
 	}
@@ -226,7 +233,7 @@
 		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
 			break
 		}
-		if !m.isConfirmed(now, j) {
+		if !m.mayStart(now, j) {
 			continue
 		}
 		if j.provisional {
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -38,6 +38,16 @@
 	Jobs []string // IDs
 }
 
+// AcknowledgedMsg reports that another home doesn't start jobs that were announced to it.
+type AcknowledgedMsg struct {
+	Host   string
+	Jobs   []string  // IDs
+	SentAt time.Time // when the announcement was sent
+}
+
+// HomesMsg sets the other homes of the service.
+type HomesMsg struct{ Hosts []string }
+
 // CallerGoneMsg reports that a caller no longer waits for its job.
 type CallerGoneMsg struct{ Caller string }
 
@@ -76,17 +86,19 @@
 // TickMsg triggers the time-based decisions.
 type TickMsg struct{}
 
-func (SubmitMsg) scheduleMsg()     {}
-func (AnnouncedMsg) scheduleMsg()  {}
-func (CallerGoneMsg) scheduleMsg() {}
-func (ConfirmMsg) scheduleMsg()    {}
-func (CancelMsg) scheduleMsg()     {}
-func (WithdrawMsg) scheduleMsg()   {}
-func (CapacityMsg) scheduleMsg()   {}
-func (PoolGoneMsg) scheduleMsg()   {}
-func (EndMsg) scheduleMsg()        {}
-func (StallMsg) scheduleMsg()      {}
-func (TickMsg) scheduleMsg()       {}
+func (SubmitMsg) scheduleMsg()       {}
+func (AnnouncedMsg) scheduleMsg()    {}
+func (AcknowledgedMsg) scheduleMsg() {}
+func (HomesMsg) scheduleMsg()        {}
+func (CallerGoneMsg) scheduleMsg()   {}
+func (ConfirmMsg) scheduleMsg()      {}
+func (CancelMsg) scheduleMsg()       {}
+func (WithdrawMsg) scheduleMsg()     {}
+func (CapacityMsg) scheduleMsg()     {}
+func (PoolGoneMsg) scheduleMsg()     {}
+func (EndMsg) scheduleMsg()          {}
+func (StallMsg) scheduleMsg()        {}
+func (TickMsg) scheduleMsg()         {}
 
 // Cmd is a command for the caller of Update to execute.
 type Cmd interface{ scheduleCmd() }
@@ -109,6 +121,10 @@
 	At  time.Time
 }
 
+// AcknowledgeCmd answers an AnnouncedMsg: no task of the jobs is started here until the
+// announcement expires.
+type AcknowledgeCmd struct{ Jobs []string }
+
 // AnswerCmd sends a job's outcome to a caller.
 type AnswerCmd struct {
 	Caller  string
@@ -127,8 +143,9 @@
 	Age     time.Duration // time since the job arrived
 }
 
-func (RunCmd) scheduleCmd()     {}
-func (HaltCmd) scheduleCmd()    {}
-func (ConfirmCmd) scheduleCmd() {}
-func (AnswerCmd) scheduleCmd()  {}
-func (LogCmd) scheduleCmd()     {}
+func (RunCmd) scheduleCmd()         {}
+func (HaltCmd) scheduleCmd()        {}
+func (ConfirmCmd) scheduleCmd()     {}
+func (AcknowledgeCmd) scheduleCmd() {}
+func (AnswerCmd) scheduleCmd()      {}
+func (LogCmd) scheduleCmd()         {}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -181,6 +181,7 @@
 		Stretch:     req.route.Stretch,
 		Slack:       req.route.Slack,
 		Arrived:     arrived,
+		Received:    req.arrived,
 		Deadline:    deadline,
 		Version:     req.config.Version,
 	}
--- a/io/peer/prober.go
+++ b/io/peer/prober.go
@@ -73,7 +73,11 @@
 		p.wakeUp()
 	}
 	waiting := served
-	served = WithConfirmation(served, func() (time.Time, bool) {
+	sent := p.opened
+	if !at.IsZero() {
+		sent = at
+	}
+	served = WithConfirmation(withSent(served, sent), func() (time.Time, bool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.calls.At(f.Id), waiting.Err() == nil
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -11,39 +11,76 @@
 	"rosemarywalk/io/wire"
 )
 
-// announce sends the older unfinished jobs of this host to all other homes.
+// announce sends the older unfinished jobs of this host to all other homes, and records
+// which of them these leave to this host.
 func (s *Scheduler) announce() {
 	for _, shard := range s.all() {
+		sent := time.Now()
 		jobs := shard.announceable()
 		if len(jobs) == 0 {
 			continue
 		}
-		frame := wire.Frame{Open: &wire.Open{
-			Service: shard.service,
-			Host:    s.config.Self,
-			Jobs:    jobs,
-		}}
-		for _, home := range s.plan(shard.service).AllHomes() {
-			if home.Address != s.config.Self {
-				go s.send(home.Address, frame)
-			}
+		for _, home := range s.otherHomes(shard.service) {
+			go s.announceTo(home, shard, sent, jobs)
 		}
 	}
 }
 
+func (s *Scheduler) announceTo(home string, shard *Shard, sent time.Time, jobs []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Open: &wire.Open{
+		Service: shard.service,
+		Host:    s.config.Self,
+		Jobs:    jobs,
+	}})
+	if err != nil || answer.Opened == nil {
+		return
+	}
+	acknowledged := slices.DeleteFunc(slices.Clone(jobs), func(id string) bool { return slices.Contains(answer.Opened.Refused, id) })
+	shard.update(schedule.AcknowledgedMsg{
+		Host:   home,
+		Jobs:   acknowledged,
+		SentAt: sent,
+	})
+}
+
+// otherHomes returns the addresses of the other homes of a service.
+func (s *Scheduler) otherHomes(service string) []string {
+	var addresses []string
+	for _, home := range s.plan(service).AllHomes() {
+		if home.Address != s.config.Self {
+			addresses = append(addresses, home.Address)
+		}
+	}
+	return addresses
+}
+
 func (s *Shard) announceable() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.jobs.Announceable(time.Now())
 }
 
-// ServeOpen records the jobs that another home announces.
+// ServeOpen records the jobs that another home announces, and acknowledges them.
 func (s *Scheduler) ServeOpen(_ context.Context, f wire.Frame) (wire.Frame, bool) {
-	s.Shard(f.Open.Service).update(schedule.AnnouncedMsg{
+	acknowledged := s.Shard(f.Open.Service).recordAnnouncements(schedule.AnnouncedMsg{
 		Host: f.Open.Host,
 		Jobs: f.Open.Jobs,
 	})
-	return wire.Frame{}, false
+	refused := slices.DeleteFunc(slices.Clone(f.Open.Jobs), func(id string) bool { return slices.Contains(acknowledged, id) })
+	return wire.Frame{Opened: &wire.Opened{Refused: refused}}, true
+}
+
+func (s *Shard) recordAnnouncements(msg schedule.AnnouncedMsg) (acknowledged []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, cmd := range s.jobs.Update(time.Now(), msg) {
+		if cmd, ok := cmd.(schedule.AcknowledgeCmd); ok {
+			acknowledged = append(acknowledged, cmd.Jobs...)
+		}
+	}
+	return acknowledged
 }
 
 // coordinate submits a job to the shard of its service. A job that another home announced
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -62,6 +62,11 @@
 	if s == nil {
 		return wire.Frame{}, errors.Trace(peer.ErrNoLink)
 	}
+	if f.Open != nil {
+		answer, _ := s.ServeOpen(ctx, f)
+		n.announced <- address
+		return answer, nil
+	}
 	answers := make(chan wire.Frame, 1)
 	go func() {
 		// The context of a call ends at the other host only with the link.
@@ -82,9 +87,6 @@
 	switch {
 	case s == nil:
 		return errors.Trace(peer.ErrNoLink)
-	case f.Open != nil:
-		s.ServeOpen(ctx, f)
-		n.announced <- address
 	case f.Halt != nil:
 		s.ServeHalt(ctx, f)
 	}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -86,9 +86,7 @@
 				duration("stale", "2s", "Age at which another host's reported free capacity is discarded; 0 keeps it.", 0, time.Hour),
 				duration("bounce", "5ms", "Delay before a task that found no capacity is retried.", 0, time.Second),
 				duration("remember", "5s", "Retention of outcomes for repeated submissions.", 0, time.Hour),
-				duration("announce", "800ms", "Age of an unfinished job from which it is announced to all other homes, so that they join it instead of starting it when its caller sends it again.", 0, time.Minute),
-				duration("announced", "1s", "Time for which a job that another home announced is joined there.", 0, time.Minute),
-				duration("announceevery", "300ms", "Interval between announcements.", time.Millisecond, time.Minute),
+				duration("announce", "100ms", "Interval between announcements of older unfinished jobs to all other homes, which join such a job instead of starting it when its caller sends it again.", time.Millisecond, time.Minute),
 				number("admit", "1.5", "Expected wait of a new job, as a multiple of its slack, up to which it is admitted immediately.", 0, 100),
 				number("hopeless", "8", "Expected wait of a new job, as a multiple of its slack, from which it is refused immediately.", 0, 100),
 				number("overdue", "1", "Expected start of an admitted job that has not begun, as a multiple of its slack, from which it queues behind jobs that can still finish in time.", 0, 100),
@@ -175,7 +173,7 @@
 			Normal:      s.Duration(section, "telllater"),
 			Unchanged:   s.Duration(section, "tellagain"),
 		},
-		Announce: s.Duration(section, "announceevery"),
+		Announce: s.Duration(section, "announce"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
@@ -213,6 +211,7 @@
 }
 
 func jobLimits(s settings.Settings) schedule.Limits {
+	bounds := confirmBounds(s)
 	return schedule.Limits{
 		AdmitWaitFactor:     s.Number(section, "admit"),
 		RefuseWaitFactor:    s.Number(section, "hopeless"),
@@ -224,10 +223,11 @@
 		PlacementRetryDelay: s.Duration(section, "bounce"),
 		CapacityTTL:         s.Duration(section, "stale"),
 		OutcomeRetention:    s.Duration(section, "remember"),
-		MaxConfirmAge:       confirmBounds(s).MaxAge,
+		MaxConfirmAge:       bounds.MaxAge,
 		MaxJobs:             s.Integer(section, "jobs"),
-		AnnounceAge:         s.Duration(section, "announce"),
-		AnnouncementTTL:     s.Duration(section, "announced"),
+		AnnounceAge:         bounds.AnnounceAge,
+		AnnouncementTTL:     bounds.AnnouncementTTL,
+		MaxLease:            s.Duration(sectionPool, "granted"),
 	}
 }
 
@@ -263,9 +263,8 @@
 			InOrder: true,
 		},
 		Open: peer.Handler{
-			Kind:    peer.KindOpen,
-			Serve:   s.ServeOpen,
-			InOrder: true,
+			Kind:  peer.KindOpen,
+			Serve: s.ServeOpen,
 		},
 		Find: peer.Handler{
 			Kind:  peer.KindFind,
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"rosemarywalk/core"
+	"rosemarywalk/core/confirm"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/peer"
@@ -114,6 +115,7 @@
 // ServeSubmit coordinates a job that another host accepted.
 func (s *Scheduler) ServeSubmit(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	job := jobFromWire(f.Submit, time.Now())
+	job.Received = received(f.Submit, peer.Sent(ctx))
 	outcome, ok := s.coordinate(ctx, schedule.SubmitMsg{
 		Job:         job,
 		Remote:      true,
@@ -138,6 +140,7 @@
 		Stretch:  j.Stretch,
 		Slack:    int(j.Slack.Microseconds()),
 		Age:      int(now.Sub(j.Arrived).Microseconds()),
+		Held:     held(now, j),
 		Left:     int(j.Deadline.Sub(now).Microseconds()),
 		Version:  j.Version,
 	}
@@ -155,6 +158,27 @@
 	return submit
 }
 
+// held returns the time since an attempt at a job was received, rounded up. The age of the
+// whole job stands for it if it is unknown.
+func held(now time.Time, j work.Job) *int {
+	received := j.Received
+	if received.IsZero() {
+		received = j.Arrived
+	}
+	microseconds := int(now.Sub(received).Microseconds()) + 1
+	return &microseconds
+}
+
+// received returns a time at or before which the host that received an attempt from the
+// caller did so.
+func received(s *wire.Submit, sent time.Time) time.Time {
+	held := s.Age
+	if s.Held != nil {
+		held = *s.Held
+	}
+	return confirm.Before(sent, microseconds(held))
+}
+
 func jobFromWire(s *wire.Submit, now time.Time) work.Job {
 	job := work.Job{
 		ID:          s.Job,
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -217,6 +217,9 @@
 	// Open corresponds to the JSON schema field "open".
 	Open *Open `cbor:"open,omitempty" json:"open,omitempty,omitzero"`
 
+	// Opened corresponds to the JSON schema field "opened".
+	Opened *Opened `cbor:"opened,omitempty" json:"opened,omitempty,omitzero"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `cbor:"outcome,omitempty" json:"outcome,omitempty,omitzero"`
 
@@ -462,6 +465,14 @@
 	Service string `cbor:"service" json:"service"`
 }
 
+// Opened acknowledges an Open frame: until its announcement expires, the sender
+// starts no task of the jobs.
+type Opened struct {
+	// IDs of the announced jobs for which this does not hold, as the sender
+	// coordinates them too.
+	Refused []string `cbor:"refused" json:"refused"`
+}
+
 // Outcome is the final result of a job.
 type Outcome struct {
 	// Reason, if the job did not complete.
@@ -675,6 +686,10 @@
 	// Number of failed runs of a task after which the job fails.
 	Attempts int `cbor:"attempts" json:"attempts"`
 
+	// Time since the host that received this attempt from the caller did so, in
+	// microseconds.
+	Held *int `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
+
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
