--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -48,7 +48,7 @@
 		return nil
 	}
 	if msg.End == work.EndUnknown {
-		expired := now.Add(m.limits.AnnouncementTTL)
+		expired := now.Add(max(m.limits.MaxLease, m.limits.AnnouncementTTL))
 		if endsAt.IsZero() || expired.Before(endsAt) {
 			e.runs[name] = expired
 		}
