io/watch, io/roster, io/scheduler: hosts that start together know each other before they own servers

What callers saw: 502 and aborted runs in the first second, and a setup of TestResentJobOvertakesStop that failed ("each host is the home of its jobs"): two hosts of a failure domain each took themselves for its only home and took its servers over from each other.

Cause: a host reads the list of hosts every second, and every 0.1 s only while it is empty. A host that read the row of any host, such as one of another failure domain, and not yet that of its neighbour next looked a second later. A list without the neighbour counts as complete, so it took the servers over 60 ms after it. Two hosts whose rows were written later than the other's first read did so both, and only the next read made them hear each other.

Now a host counts its time to settle from the first list with its own row, which it looks for every 0.1 s in its first second. The store orders the two writes: the host that wrote later reads the other's row when it sees its own, sends a heartbeat at once, and waits until it hears that host or for 300 ms. The first one either hears it before its own takeover, or the later one hears of its claims. A host whose row can't be written relies on heartbeats after 1.06 s.

Could a task run twice? Not of callers that leave: their run ends by the servers' clocks before they send again, whoever the homes are. A caller whose connection stays open sends a job again 1.3 s later while its first host still confirms it; the home that it then meets must have heard of the other one, which took up to some 1.1 s after the start, and then of the job, 0.3 s more at most. That left a gap of about 0.1 s for jobs of the first milliseconds that take over 1.3 s; this is an argument, no run showed it. The gap is closed where rows can be written.

--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -146,7 +146,8 @@
 }
 
 // SetListedHosts updates the hosts' rows from the store, and uses their addresses as
-// seeds to contact. The first rows cause a heartbeat at once.
+// seeds to contact. The first rows cause a heartbeat at once, and so does the first list
+// with this host's own row.
 func (r *Roster) SetListedHosts(hosts []listing.Host) {
 	seeds := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
@@ -156,7 +157,8 @@
 		})
 	}
 	r.mu.Lock()
-	first := len(r.rows.byName) == 0
+	self := r.model.Self().Address
+	first := len(r.rows.byName) == 0 || !r.rows.contains(self)
 	r.rows.update(time.Now(), hosts)
 	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
@@ -165,11 +167,12 @@
 	}
 }
 
-// HasListedHosts reports whether any host's row was read from the store.
-func (r *Roster) HasListedHosts() bool {
+// IsListed reports whether this host's own row was read from the store. Of two hosts that
+// start together, the one that writes its row later then knows the row of the other.
+func (r *Roster) IsListed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.rows.byName) > 0
+	return r.rows.contains(r.model.Self().Address)
 }
 
 // SetMinHomes sets the number of homes that this host's failure domain needs. At least as
--- a/io/roster/rows.go
+++ b/io/roster/rows.go
@@ -38,6 +38,16 @@
 	hr.byName, hr.readAt = rows, now
 }
 
+// contains reports whether there is a row of the host at an address.
+func (hr *hostRows) contains(address string) bool {
+	for _, r := range hr.byName {
+		if r.host.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // alive returns the hosts whose rows changed within staleAfter before the last read.
 // Age is measured to that read and not to now, so that rows don't age during an outage
 // of the store.
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -49,7 +49,7 @@
 	servers            []listing.Server
 	ownershipDirty     bool                  // ownership must be recomputed
 	ownershipUpdatedAt time.Time             // when ownership was last computed
-	hostsListedAt      time.Time             // when the list of hosts was first seen
+	hostsListedAt      time.Time             // when this host's row was first seen in the list of hosts
 	plans              map[string]owner.Plan // by service, until hosts or servers change
 }
 
@@ -211,7 +211,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.hostsListedAt.IsZero() && s.config.Roster.HasListedHosts() {
+	if s.hostsListedAt.IsZero() && s.config.Roster.IsListed() {
 		s.hostsListedAt = now
 	}
 	if s.hostsListedAt.IsZero() {
@@ -227,8 +227,8 @@
 	return s.config.Roster.View(nil).ReceivesFromAll(s.config.Roster.Self().Domain)
 }
 
-// listWait is how long a host waits for the list of hosts in the store before it relies
-// on heartbeats alone.
+// listWait is how long a host waits for its own row in the list of hosts in the store before
+// it relies on heartbeats alone.
 const listWait = time.Second
 
 // tokenAt returns a fencing token that is higher than any drawn earlier by hosts with
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -146,12 +146,13 @@
 }
 
 func run(lc fx.Lifecycle, s settings.Settings, w *Watcher) {
+	w.address = local.PeerAddress(s)
 	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "config", fixedPause(0), w.readConfig) })
 	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "servers", fixedPause(w.periods.Servers), w.readServers) })
 	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, "hosts", w.hostsPause, w.readHosts) })
 	self := listing.Host{
 		Name:    s.Text(sectionSelf, "name"),
-		Address: local.PeerAddress(s),
+		Address: w.address,
 		Domain:  s.Text(sectionSelf, "domain"),
 	}
 	loop.Append(lc, func(ctx context.Context) { w.announce(ctx, self, s.Duration(section, "announce")) })
--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -208,3 +208,47 @@
 	w.mergeHosts(HostsPage{Hosts: []listing.Host{{Name: "a"}}})
 	assert.Equal(t, w.hostsPause(), time.Second)
 }
+
+// TestHostsReadTooLate guards against hosts that start together and don't know each other for a
+// second, because they read the list of hosts before the others had written their rows.
+func TestHostsReadTooLate(t *testing.T) {
+	tests := []struct {
+		name    string
+		listed  []string
+		elapsed time.Duration // since the start
+		quick   bool
+	}{
+		{
+			name:    "no rows",
+			elapsed: time.Hour,
+			quick:   true,
+		},
+		{
+			name:   "only another host's row",
+			listed: []string{"other"},
+			quick:  true,
+		},
+		{
+			name:   "the own row",
+			listed: []string{"other", "self"},
+		},
+		{
+			name:    "the own row can't be written",
+			listed:  []string{"other"},
+			elapsed: startPeriod,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := New(&scriptedSource{}, Periods{Hosts: time.Minute}, logr.Discard())
+			w.address, w.startedAt = "self", time.Now().Add(-test.elapsed)
+			for _, address := range test.listed {
+				w.hosts[address] = listing.Host{
+					Name:    address,
+					Address: address,
+				}
+			}
+			assert.Equal(t, w.hostsPause() < time.Minute, test.quick)
+		})
+	}
+}
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -22,6 +22,8 @@
 	log     logr.Logger
 
 	mu              sync.Mutex
+	startedAt       time.Time
+	address         string // peer address of this host's row
 	config          route.Config
 	raw             []byte
 	servers         map[string]listing.Server
@@ -51,6 +53,7 @@
 func New(source Source, p Periods, log logr.Logger) *Watcher {
 	return &Watcher{
 		source:       source,
+		startedAt:    time.Now(),
 		periods:      p,
 		log:          log.WithName("watch"),
 		servers:      map[string]listing.Server{},
@@ -164,17 +167,31 @@
 }
 
 // hostsPause returns the pause between reads of the hosts. It is shorter while the list
-// is empty: hosts that start together find no other host at first, and can't take over
-// servers before they know each other.
+// is empty, and at the start while it lacks the row of this host: hosts that start together
+// may not find each other before, and can't take over servers until they know each other.
 func (w *Watcher) hostsPause() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.hosts) == 0 {
+	starting := time.Since(w.startedAt) < startPeriod
+	if len(w.hosts) == 0 || (starting && !w.isListed()) {
 		return min(roleCheckInterval, w.periods.Hosts)
 	}
 	return w.periods.Hosts
 }
 
+// startPeriod is how long after its start a host expects its own row in the list of hosts.
+const startPeriod = time.Second
+
+// isListed reports whether the list of hosts has the row of this host. The caller holds w.mu.
+func (w *Watcher) isListed() bool {
+	for _, h := range w.hosts {
+		if h.Address == w.address {
+			return true
+		}
+	}
+	return false
+}
+
 // roleCheckInterval is how often a host that doesn't read the lists checks whether it
 // must.
 const roleCheckInterval = 100 * time.Millisecond
