--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -29,6 +29,7 @@
 	// Length and interval of pauses that are shorter than the hosts' limit for a stall.
 	shortPause    = 450 * time.Millisecond
 	shortPauseGap = 3 * time.Millisecond
+	longPause     = 1200 * time.Millisecond
 )
 
 // resendFleet is a platformFleet with production timeouts and a proxy in front of each
@@ -449,3 +450,59 @@
 		t.Run(test.name, test.run)
 	}
 }
+
+// TestResentJobUnannounced: a caller sends its job again while its connection is half-open,
+// and no announcement of the job has reached the other failure domain.
+func TestResentJobUnannounced(t *testing.T) {
+	tests := []resendTest{
+		{
+			name: "the home's links to the other failure domain lose what it sends",
+			abandon: func(f *resendFleet, a attempt) time.Time {
+				f.cutOff(a)
+				return a.sent
+			},
+		},
+		{
+			name: "the home is paused",
+			abandon: func(f *resendFleet, a attempt) time.Time {
+				f.callerProxy.SetFault(proxy.AnySource, proxy.Partition())
+				f.background(func() {
+					time.Sleep(time.Until(a.sent.Add(750 * time.Millisecond)))
+					f.home.signal(syscall.SIGSTOP)
+					time.Sleep(longPause)
+					f.home.signal(syscall.SIGCONT)
+				})
+				return a.sent
+			},
+		},
+		{
+			name:         "the paused entry reads the job when it has been sent again",
+			whileSending: true,
+			before:       func(f *resendFleet) { f.entry.signal(syscall.SIGSTOP) },
+			abandon: func(f *resendFleet, a attempt) time.Time {
+				f.background(func() {
+					time.Sleep(time.Until(a.sent.Add(resubmitDelay)))
+					f.entry.signal(syscall.SIGCONT)
+				})
+				return a.sent
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, test.run)
+	}
+}
+
+// cutOff makes the caller's connection half-open, and the home's links to the other failure
+// domain lose what it sends until the caller has sent its job again.
+func (f *resendFleet) cutOff(a attempt) {
+	f.callerProxy.SetFault(proxy.AnySource, proxy.Partition())
+	for i := slices.Index(f.hosts, f.other) % len(usedDomains); i < len(f.hosts); i += len(usedDomains) {
+		link, source := f.peerProxy(f.hosts[i]), hostIP(slices.Index(f.hosts, f.home))
+		link.SetFault(source, proxy.Fault{HoldOut: true})
+		f.background(func() {
+			time.Sleep(time.Until(a.sent.Add(resubmitDelay + shortPause)))
+			link.ClearFault(source)
+		})
+	}
+}
