proof: a soak with longer pauses, silent links and restarts that overlap

Cause: no soak had links fall silent while callers resend, pauses of over 0.45 s, or hosts of one failure domain that are stopped together; callers closed all but two of their connections to a host.

Callers of a soak keep their connections until the process is gone. The seeds of the other soaks draw the same faults as before.

--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -46,9 +46,10 @@
 type platformHost struct {
 	*hostProcess
 
-	entryURL     string // base URL
-	readinessURL string // base URL
-	logOffset    int    // start of the latest process's output in the log
+	entryURL     string            // base URL
+	readinessURL string            // base URL
+	logOffset    int               // start of the latest process's output in the log
+	transport    http.RoundTripper // for call; http.DefaultTransport if nil
 }
 
 const (
@@ -207,7 +208,11 @@
 	}
 	req.Host = virtualHost
 	req.Header.Set("X-Rosemarywalk-Deadline", "8000")
-	resp, err := (&http.Client{Timeout: testTimeout}).Do(req)
+	client := http.Client{
+		Transport: h.transport,
+		Timeout:   testTimeout,
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -36,7 +36,9 @@
 	servers     int
 	callers     int
 	abandonment abandonment
-	shortPauses bool // processes are paused for short times, again and again
+	maxPause    time.Duration // processes are paused for up to this time, again and again; 0 for never
+	linkFaults  bool          // links to hosts fall silent or slow, again and again
+	restarts    bool          // hosts of one failure domain are stopped together, again and again, while the configuration changes
 }
 
 // abandonment is how callers abandon some of their attempts.
@@ -96,10 +98,9 @@
 type soak struct {
 	*platformFleet
 
-	options  soakOptions
-	seed     uint64
-	rng      *rand.Rand
-	pauseRNG *rand.Rand // of its own, so that the short pauses don't change the other faults
+	options soakOptions
+	seed    uint64
+	rng     *rand.Rand
 
 	mu           sync.Mutex
 	proxies      []*proxy.Proxy
@@ -137,7 +138,7 @@
 		servers:     16,
 		callers:     24,
 		abandonment: closedConnections,
-		shortPauses: true,
+		maxPause:    shortPause,
 	})
 }
 
@@ -152,6 +153,22 @@
 // their jobs again.
 func TestSoakSilentConnections(t *testing.T) { soakAbandonment(t, silentConnections) }
 
+// TestSoakResends: the same if links to hosts also fall silent or slow, processes are paused
+// for longer, and the hosts of one failure domain are restarted together.
+func TestSoakResends(t *testing.T) {
+	for n := range *soakSeeds {
+		runSoak(t, *soakFirstSeed+uint64(n), "resends", soakOptions{
+			hosts:       *soakHosts,
+			servers:     *soakServers,
+			callers:     *soakCallers,
+			abandonment: silentConnections,
+			maxPause:    longPause,
+			linkFaults:  true,
+			restarts:    true,
+		})
+	}
+}
+
 func soakAbandonment(t *testing.T, a abandonment) {
 	for n := range *soakSeeds {
 		runSoak(t, *soakFirstSeed+uint64(n), string(a), soakOptions{
@@ -159,7 +176,7 @@
 			servers:     *soakServers,
 			callers:     *soakCallers,
 			abandonment: a,
-			shortPauses: true,
+			maxPause:    shortPause,
 		})
 	}
 }
@@ -170,7 +187,6 @@
 			options:      o,
 			seed:         seed,
 			rng:          rand.New(rand.NewPCG(seed, 0)),
-			pauseRNG:     rand.New(rand.NewPCG(seed, 1)),
 			version:      initialVersion,
 			busyHosts:    make([]bool, o.hosts),
 			seenVersions: map[string]int{},
@@ -179,6 +195,10 @@
 		}
 		s.platformFleet = &platformFleet{wrapAddress: s.addProxy}
 		s.start(t, o.hosts, o.servers, soakServerBehavior)
+		for _, h := range s.hosts {
+			// Callers keep their connections until the process is gone.
+			h.transport = &http.Transport{MaxIdleConnsPerHost: o.callers}
+		}
 		s.run()
 	})
 }
@@ -207,8 +227,14 @@
 	}
 	callers.Go(func() { s.watchVersions(done) })
 	end := time.Now().Add(*soakDuration)
-	if s.options.shortPauses {
-		faults.Go(func() { s.pauseRepeatedly(end) })
+	if s.options.maxPause > 0 {
+		faults.Go(func() { s.pauseRepeatedly(s.newRNG(1), end) })
+	}
+	if s.options.linkFaults {
+		faults.Go(func() { s.disturbLinks(s.newRNG(2), end) })
+	}
+	if s.options.restarts {
+		faults.Go(func() { s.restartDomains(s.newRNG(3), end) })
 	}
 	for time.Now().Before(end) {
 		faults.Go(s.drawFault().run)
@@ -472,23 +498,59 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// newRNG returns random numbers of a fault's own, so that it doesn't change the other faults.
+func (s *soak) newRNG(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, stream)) }
+
 // pauseRepeatedly pauses a random process for short times, and then another one, until a
 // given time.
-func (s *soak) pauseRepeatedly(end time.Time) {
+func (s *soak) pauseRepeatedly(rng *rand.Rand, end time.Time) {
 	const maxPauses, minPause, maxGap = 6, 100 * time.Millisecond, 60 * time.Millisecond
 	for time.Now().Before(end) {
-		host, pauses := s.pauseRNG.IntN(s.options.hosts), 1+s.pauseRNG.IntN(maxPauses)
+		host, pauses := rng.IntN(s.options.hosts), 1+rng.IntN(maxPauses)
 		s.t.Logf("%s: %s paused %d times", time.Now().Format(time.StampMilli), s.hosts[host].name, pauses)
 		s.withProcess(host, func(h *platformHost) {
 			for range pauses {
-				s.pause(h, minPause+time.Duration(s.pauseRNG.Int64N(int64(shortPause-minPause))))
-				time.Sleep(time.Duration(s.pauseRNG.Int64N(int64(maxGap))))
+				s.pause(h, minPause+time.Duration(rng.Int64N(int64(s.options.maxPause-minPause))))
+				time.Sleep(time.Duration(rng.Int64N(int64(maxGap))))
 			}
 		})
 		time.Sleep(maxGap)
 	}
 }
 
+// disturbLinks makes the links to a random host lose or delay what is sent to it, and then
+// those to another one, until a given time.
+func (s *soak) disturbLinks(rng *rand.Rand, end time.Time) {
+	for time.Now().Before(end) {
+		host, length := rng.IntN(s.options.hosts), time.Duration(rng.Int64N(int64(resubmitDelay)))
+		f := proxy.Fault{HoldOut: true}
+		if rng.IntN(2) == 0 {
+			f = proxy.Fault{Delay: length / 4}
+		}
+		s.t.Logf("%s for %s: links to %s: %+v", time.Now().Format(time.StampMilli), length, s.hosts[host].name, f)
+		s.applyProxyFault(s.proxies[1+s.options.servers+host], proxy.AnySource, f, length)
+	}
+}
+
+// restartDomains stops and starts several hosts of a random failure domain, one shortly after
+// the other, under changes of the configuration, until a given time.
+func (s *soak) restartDomains(rng *rand.Rand, end time.Time) {
+	const maxGap = 300 * time.Millisecond
+	var stops sync.WaitGroup
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(rng.Int64N(int64(soakMaxFault))))
+		first, count := rng.IntN(s.options.hosts), 2+rng.IntN(2)
+		s.t.Logf("%s: %d hosts from %s on restarted", time.Now().Format(time.StampMilli), count, s.hosts[first].name)
+		for n := range count {
+			host := (first + n*len(usedDomains)) % s.options.hosts
+			stops.Go(func() { s.withProcess(host, s.stop) })
+			s.publishNextConfig()
+			time.Sleep(time.Duration(rng.Int64N(int64(maxGap))))
+		}
+	}
+	stops.Wait()
+}
+
 func (s *soak) kill(h *platformHost, length time.Duration) {
 	h.kill()
 	time.Sleep(length / 4)
