core/confirm: bounds of short resubmission times

Cause: a margin of 0.1 s was subtracted from any [schedule] resubmit. Up to 0.2 s no task ever started, as the oldest confirmation that would do was negative, and below 0.1 s runs could last longer than resubmit.

Change: the margin is at most a quarter of resubmit. From 0.4 s on nothing changes.

Measured: three more times in TestBounds fail before, first 1 ms, and pass now.

--- a/core/confirm/bounds.go
+++ b/core/confirm/bounds.go
@@ -15,8 +15,9 @@
 }
 
 const (
-	// callerMargin allows for the time until the end of a caller's connection is seen.
-	callerMargin = 100 * time.Millisecond
+	// maxCallerMargin allows for the time until the end of a caller's connection is seen.
+	maxCallerMargin   = 100 * time.Millisecond
+	callerMarginShare = 0.25 // of a resubmission time, at most
 	// Shares of MaxUnconfirmed. A lease that is much shorter leaves time for confirmations
 	// that come late.
 	leaseShare = 0.6
@@ -33,9 +34,10 @@
 	if resubmit <= 0 {
 		return Bounds{Lease: lease}
 	}
-	limit := max(resubmit-callerMargin, callerMargin)
+	margin := min(maxCallerMargin, fraction(callerMarginShare, resubmit))
+	limit := resubmit - margin
 	lease, stop := min(lease, fraction(leaseShare, limit)), fraction(stopShare, limit)
-	maxAge := min(limit-lengthen(lease), stop) - callerMargin/2
+	maxAge := min(limit-lengthen(lease), stop) - margin/2
 	return Bounds{
 		Lease:           lease,
 		MaxAge:          maxAge,
--- a/core/confirm/bounds_test.go
+++ b/core/confirm/bounds_test.go
@@ -10,7 +10,7 @@
 // TestBounds checks, for any time after which callers submit again, that a whole lease fits
 // between the start of a run and the time at which the run must have ended.
 func TestBounds(t *testing.T) {
-	for _, resubmit := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond, 10 * time.Second} {
+	for _, resubmit := range []time.Duration{time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond, 10 * time.Second} {
 		b := NewBounds(resubmit, 900*time.Millisecond)
 		assert.Assert(t, b.MaxAge+lengthen(b.Lease) < b.MaxUnconfirmed, "%s: %+v", resubmit, b)
 		assert.Assert(t, b.MaxAge > 0 && b.StopUnconfirmed > b.MaxAge && b.StopUnconfirmed < b.MaxUnconfirmed, "%s: %+v", resubmit, b)
