core/schedule, io/scheduler: a new home asks what the others coordinate before it starts tasks

A caller whose job ran at one home and came again to another, whose process had just been replaced, had become a home or had stalled, had it run twice at once: that home didn't know the announcements made before, and the first home counts a new home as one that has acknowledged.

Jobs wait in the queue meanwhile, usually for one round trip.

A job that waits here while another home announces it still waits, and isn't passed on yet.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -53,7 +53,35 @@
 			expiresAt: now.Add(m.limits.AnnouncementTTL),
 		}
 	}
-	return []Cmd{AcknowledgeCmd{Jobs: acknowledged}}
+	cmds := []Cmd{AcknowledgeCmd{Jobs: acknowledged}}
+	if msg.Complete && m.unheard[msg.Host] {
+		delete(m.unheard, msg.Host)
+		cmds = append(cmds, m.dispatch(now)...)
+	}
+	return cmds
+}
+
+// ask asks all other homes for the jobs that they coordinate: this home may not know what
+// they announced before.
+func (m *Model) ask(now time.Time) []Cmd {
+	if m.limits.AnnouncementTTL == 0 || !m.member {
+		return nil
+	}
+	m.unheardUntil = now.Add(m.limits.AnnouncementTTL)
+	var cmds []Cmd
+	for _, host := range slices.Sorted(maps.Keys(m.homes)) {
+		m.unheard[host] = true
+		cmds = append(cmds, AskCmd{
+			Host:  host,
+			Until: m.unheardUntil,
+		})
+	}
+	return cmds
+}
+
+// isUninformed reports whether another home may have announced jobs without this one knowing.
+func (m *Model) isUninformed(now time.Time) bool {
+	return len(m.unheard) > 0 && now.Before(m.unheardUntil)
 }
 
 // keeps reports whether this home doesn't leave a job to another home that announces it: a
@@ -96,10 +124,17 @@
 		homes[host] = since
 	}
 	m.homes = homes
-	if !changed {
+	maps.DeleteFunc(m.unheard, func(host string, _ bool) bool { _, ok := homes[host]; return !ok })
+	joined := msg.Member && !m.member
+	m.member = msg.Member
+	if !changed && !joined {
 		return nil
 	}
-	return m.reconfirm(now, m.sortedJobs()...)
+	cmds := m.reconfirm(now, m.sortedJobs()...)
+	if joined {
+		cmds = append(cmds, m.ask(now)...)
+	}
+	return append(cmds, m.dispatch(now)...)
 }
 
 // expireAnnouncements deletes the announcements that were not renewed.
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -408,6 +408,79 @@
 	}
 }
 
+// TestUninformedHome guards against a second run of a job at a home that doesn't know what
+// was announced before it became one.
+func TestUninformedHome(t *testing.T) {
+	tests := []struct {
+		name  string
+		msg   Msg
+		after int // starts
+	}{
+		{
+			name: "all homes have answered",
+			msg: AnnouncedMsg{
+				Host:     otherHome,
+				Jobs:     []string{"i"},
+				Complete: true,
+			},
+			after: 1,
+		},
+		{
+			name: "the job was announced",
+			msg: AnnouncedMsg{
+				Host:     otherHome,
+				Jobs:     []string{"j"},
+				Complete: true,
+			},
+		},
+		{
+			name: "an announcement that may not be complete",
+			msg:  AnnouncedMsg{Host: otherHome},
+		},
+		{
+			name:  "the other home leaves",
+			msg:   HomesMsg{Member: true},
+			after: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			homes := HomesMsg{
+				Hosts:  []string{otherHome},
+				Member: true,
+			}
+			asked := pick.OfType[AskCmd](m.Update(epoch, homes))
+			assert.DeepEqual(t, asked, []AskCmd{{
+				Host:  otherHome,
+				Until: epoch.Add(announcementTTL),
+			}})
+			assert.Equal(t, len(m.Update(epoch, homes)), 0, "asks once")
+			assert.Equal(t, len(runs(m.Update(epoch, submit(jobOf("j", 1))))), 0)
+			assert.Equal(t, len(runs(m.Update(epoch, test.msg))), test.after)
+			cmds := m.Update(epoch.Add(announcementTTL-time.Millisecond), TickMsg{})
+			assert.Equal(t, len(runs(cmds)), 0)
+		})
+	}
+	t.Run("nobody answers", func(t *testing.T) {
+		m := newAnnouncingModel(self)
+		m.Update(epoch, HomesMsg{
+			Hosts:  []string{otherHome},
+			Member: true,
+		})
+		m.Update(epoch, AnnouncedMsg{
+			Host:     otherHome,
+			Complete: true,
+		})
+		asked := pick.OfType[AskCmd](m.Update(epoch, StallMsg{}))
+		assert.Equal(t, len(asked), 1, "a stalled process asks again")
+		patient := jobOf("j", 1)
+		patient.Slack, patient.Deadline = time.Minute, epoch.Add(time.Minute)
+		m.Update(epoch, submit(patient))
+		assert.Equal(t, len(runs(m.Update(epoch.Add(announcementTTL), TickMsg{}))), 1)
+	})
+}
+
 // TestAnnouncementsExpire guards against announcements that pile up at an idle home.
 func TestAnnouncementsExpire(t *testing.T) {
 	tests := []struct {
@@ -469,6 +542,7 @@
 	announcement timeRange // the same, of an announcement and of its answer
 	lost         float64   // share of these that are lost
 	pause        timeRange // of a process; none if zero
+	restart      timeRange // time between replacements of one of the processes; none if zero
 }
 
 type timeRange struct{ least, most time.Duration }
@@ -492,20 +566,27 @@
 	}
 	r.paused = make([]time.Time, homes)
 	for home := range homes {
-		m := newAnnouncingModel(strconv.Itoa(home))
-		m.limits.MaxConfirmAge, m.limits.AnnounceAge, m.limits.AnnouncementTTL = bounds.MaxAge, bounds.AnnounceAge, bounds.AnnouncementTTL
-		var others []string
-		for other := range homes {
-			if other != home {
-				others = append(others, strconv.Itoa(other))
-			}
-		}
-		m.Update(epoch, HomesMsg{Hosts: others})
-		r.models = append(r.models, m)
+		r.models = append(r.models, nil)
+		r.at(epoch.Add(-time.Second), func(now time.Time) { r.startProcess(now, home) })
 	}
 	return r
 }
 
+// startProcess starts the process of a home, or replaces it. Its runs go on for their lease.
+func (r *homesReplay) startProcess(now time.Time, home int) {
+	m := newAnnouncingModel(strconv.Itoa(home))
+	m.limits.MaxConfirmAge, m.limits.AnnounceAge, m.limits.AnnouncementTTL = bounds.MaxAge, bounds.AnnounceAge, bounds.AnnouncementTTL
+	m.startedAt = now
+	r.models[home] = m
+	msg := HomesMsg{Member: true}
+	for other := range r.models {
+		if other != home {
+			msg.Hosts = append(msg.Hosts, strconv.Itoa(other))
+		}
+	}
+	r.update(now, home, msg)
+}
+
 func (r *homesReplay) draw(t timeRange) time.Duration {
 	return t.least + time.Duration(r.rng.Int64N(int64(t.most-t.least)+1))
 }
@@ -545,8 +626,12 @@
 					}
 				}
 			}
+		case AskCmd:
+			r.ask(now, home, cmd)
 		case AcknowledgeCmd:
-			r.acknowledge(now, home, announced, cmd.Jobs)
+			if announced.Host != "" {
+				r.acknowledge(now, home, announced, cmd.Jobs)
+			}
 		case AnswerCmd:
 			r.replies[cmd.Caller](now, cmd.Outcome)
 		case LogCmd:
@@ -685,6 +770,32 @@
 	})
 }
 
+// ask asks another home for its jobs until it answers.
+func (r *homesReplay) ask(now time.Time, home int, cmd AskCmd) {
+	const retryInterval = 250 * time.Millisecond
+	if !now.Before(cmd.Until) {
+		return
+	}
+	if r.rng.Float64() < r.lost {
+		r.at(now.Add(retryInterval), func(now time.Time) { r.ask(now, home, cmd) })
+		return
+	}
+	other, _ := strconv.Atoi(cmd.Host)
+	r.at(now.Add(r.draw(r.announcement)), func(now time.Time) {
+		if now.Before(r.paused[other]) {
+			now = r.paused[other]
+		}
+		r.at(now, func(now time.Time) {
+			msg := AnnouncedMsg{
+				Host:     cmd.Host,
+				Jobs:     r.models[other].Announceable(now),
+				Complete: true,
+			}
+			r.at(now.Add(r.draw(r.announcement)), func(now time.Time) { r.update(now, home, msg) })
+		})
+	})
+}
+
 // tick passes the time to a home: the callers of its attempts seem to wait, and the leases
 // of runs end.
 func (r *homesReplay) tick(now time.Time, home int) {
@@ -735,6 +846,10 @@
 		job.Deadline = epoch.Add(length)
 		r.at(epoch.Add(time.Duration(n)*jobInterval), func(now time.Time) { r.attempt(now, job, 0) })
 	}
+	for at := r.draw(r.restart); at > 0 && at < length; at += r.draw(r.restart) {
+		home := r.rng.IntN(len(r.models))
+		r.at(epoch.Add(at), func(now time.Time) { r.startProcess(now, home) })
+	}
 	for home := range r.models {
 		for at := time.Duration(0); at < length; at += tick {
 			r.at(epoch.Add(at), func(now time.Time) { r.tick(now, home) })
@@ -838,6 +953,18 @@
 				pause:   timeRange{most: 1500 * time.Millisecond},
 			},
 		},
+		{
+			name:  "processes are replaced",
+			homes: 3,
+			times: replayTimes{
+				run:     anyRun,
+				message: timeRange{most: 20 * time.Millisecond},
+				restart: timeRange{
+					least: 1500 * time.Millisecond,
+					most:  4 * time.Second,
+				},
+			},
+		},
 		{
 			name:  "processes pause, announcements are lost and late",
 			homes: 3,
--- a/core/schedule/confirm.go
+++ b/core/schedule/confirm.go
@@ -78,7 +78,7 @@
 // mayStart reports whether tasks of a job may start.
 func (m *Model) mayStart(now time.Time, j *job) bool {
 	_, announced := m.announcer(now, j.ID)
-	return m.isConfirmed(now, j) && !announced
+	return m.isConfirmed(now, j) && !announced && !m.isUninformed(now)
 }
 
 func (j *job) runsOn(host string) bool {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -50,6 +50,9 @@
 	announcements map[string]announcement // of other homes, by job ID
 	ending        map[string]*endingJob   // by job ID
 	homes         map[string]time.Time    // when each other home was first known to be one
+	member        bool                    // this host is a home
+	unheard       map[string]bool         // homes whose announcements this one may not know
+	unheardUntil  time.Time               // after which those made before don't count any more
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -67,6 +70,7 @@
 		announcements: map[string]announcement{},
 		ending:        map[string]*endingJob{},
 		homes:         map[string]time.Time{},
+		unheard:       map[string]bool{},
 	}
 }
 
@@ -101,7 +105,7 @@
 	case EndMsg:
 		return append(m.handleEnd(now, msg), m.dispatch(now)...)
 	case StallMsg:
-		return m.giveUpRemote(now)
+		return append(m.giveUpRemote(now), m.ask(now)...)
 	case TickMsg:
 		m.expireOutcomes(now)
 		m.expireAnnouncements(now)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -34,8 +34,9 @@
 
 // AnnouncedMsg reports the unfinished jobs that another home coordinates.
 type AnnouncedMsg struct {
-	Host string
-	Jobs []string // IDs
+	Host     string
+	Jobs     []string // IDs
+	Complete bool     // this host asked for all of them
 }
 
 // AcknowledgedMsg reports that another home doesn't start jobs that were announced to it.
@@ -45,8 +46,11 @@
 	SentAt time.Time // when the announcement was sent
 }
 
-// HomesMsg sets the other homes of the service.
-type HomesMsg struct{ Hosts []string }
+// HomesMsg sets the homes of the service.
+type HomesMsg struct {
+	Hosts  []string // other homes
+	Member bool     // this host is a home too
+}
 
 // CallerGoneMsg reports that a caller no longer waits for its job.
 type CallerGoneMsg struct{ Caller string }
@@ -121,6 +125,12 @@
 	At  time.Time
 }
 
+// AskCmd asks a home for the unfinished jobs that it coordinates, until it answers or leaves.
+type AskCmd struct {
+	Host  string
+	Until time.Time // after which the answer is not needed any more
+}
+
 // AcknowledgeCmd answers an AnnouncedMsg: no task of the jobs is started here until the
 // announcement expires.
 type AcknowledgeCmd struct{ Jobs []string }
@@ -146,6 +156,7 @@
 func (RunCmd) scheduleCmd()         {}
 func (HaltCmd) scheduleCmd()        {}
 func (ConfirmCmd) scheduleCmd()     {}
+func (AskCmd) scheduleCmd()         {}
 func (AcknowledgeCmd) scheduleCmd() {}
 func (AnswerCmd) scheduleCmd()      {}
 func (LogCmd) scheduleCmd()         {}
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -21,6 +21,7 @@
 	KindHalt     RequestKind = "halt"
 	KindRoom     RequestKind = "room"
 	KindOpen     RequestKind = "open"
+	KindUnknown  RequestKind = "unknown"
 	KindFind     RequestKind = "find"
 	KindFetch    RequestKind = "fetch"
 	KindList     RequestKind = "list"
@@ -60,6 +61,8 @@
 		return KindRoom
 	case f.Open != nil:
 		return KindOpen
+	case f.Unknown != nil:
+		return KindUnknown
 	case f.Find != nil:
 		return KindFind
 	case f.Fetch != nil:
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -45,6 +45,65 @@
 	})
 }
 
+// ask asks a home for the unfinished jobs that it coordinates until it answers, leaves, or
+// the answer is not needed any more.
+func (s *Scheduler) ask(service string, cmd schedule.AskCmd) {
+	ctx, cancel := context.WithDeadline(context.Background(), cmd.Until)
+	defer cancel()
+	for ctx.Err() == nil && slices.Contains(s.otherHomes(service), cmd.Host) {
+		if s.askOnce(ctx, service, cmd.Host) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askInterval):
+		}
+	}
+}
+
+// askInterval is the delay before a home that didn't answer is asked again. An answer that
+// takes longer than askTimeout counts as lost.
+const (
+	askInterval = 50 * time.Millisecond
+	askTimeout  = 200 * time.Millisecond
+)
+
+func (s *Scheduler) askOnce(ctx context.Context, service, home string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{Service: service}})
+	if err != nil || answer.Open == nil {
+		return false
+	}
+	s.Shard(service).update(schedule.AnnouncedMsg{
+		Host:     home,
+		Jobs:     answer.Open.Jobs,
+		Complete: true,
+	})
+	return true
+}
+
+// ServeUnknown returns the jobs that this home announces.
+func (s *Scheduler) ServeUnknown(_ context.Context, f wire.Frame) (wire.Frame, bool) {
+	return wire.Frame{Open: &wire.Open{
+		Service: f.Unknown.Service,
+		Host:    s.config.Self,
+		Jobs:    s.Shard(f.Unknown.Service).announceable(),
+	}}, true
+}
+
+// updateHomes passes the homes of a shard's service to it, once they should be known.
+func (s *Scheduler) updateHomes(shard *Shard) {
+	if !s.membershipSettled() {
+		return
+	}
+	others := s.otherHomes(shard.service)
+	shard.update(schedule.HomesMsg{
+		Hosts:  others,
+		Member: len(others) < len(s.plan(shard.service).AllHomes()),
+	})
+}
+
 // otherHomes returns the addresses of the other homes of a service.
 func (s *Scheduler) otherHomes(service string) []string {
 	var addresses []string
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -235,12 +235,13 @@
 type results struct {
 	fx.Out
 
-	Submit peer.Handler `group:"handlers"`
-	Lend   peer.Handler `group:"handlers"`
-	Halt   peer.Handler `group:"handlers"`
-	Room   peer.Handler `group:"handlers"`
-	Open   peer.Handler `group:"handlers"`
-	Find   peer.Handler `group:"handlers"`
+	Submit  peer.Handler `group:"handlers"`
+	Lend    peer.Handler `group:"handlers"`
+	Halt    peer.Handler `group:"handlers"`
+	Room    peer.Handler `group:"handlers"`
+	Open    peer.Handler `group:"handlers"`
+	Unknown peer.Handler `group:"handlers"`
+	Find    peer.Handler `group:"handlers"`
 }
 
 func newHandlers(s *Scheduler) results {
@@ -266,6 +267,10 @@
 			Kind:  peer.KindOpen,
 			Serve: s.ServeOpen,
 		},
+		Unknown: peer.Handler{
+			Kind:  peer.KindUnknown,
+			Serve: s.ServeUnknown,
+		},
 		Find: peer.Handler{
 			Kind:  peer.KindFind,
 			Serve: s.ServeFind,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -114,6 +114,7 @@
 		counters:     s.config.Counters,
 		log:          s.config.Log.WithName("scheduler").WithValues("service", service),
 		pool:         pool.New(domain, s.config.Pool),
+		ask:          func(cmd schedule.AskCmd) { s.ask(service, cmd) },
 		jobs:         schedule.New(s.config.Self, s.config.Jobs),
 		callers:      map[string]caller{},
 		lent:         map[string]*lentRun{},
@@ -195,6 +196,7 @@
 	for _, shard := range s.all() {
 		view := s.config.Roster.View(s.Servers(shard.service))
 		homes = max(homes, len(s.plan(shard.service).Homes(self.Domain)))
+		s.updateHomes(shard)
 		mine := view.AssignedServers(self, shard.Held(), claims)
 		shard.update(pool.AssignMsg{
 			Servers: mine,
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -51,6 +51,7 @@
 	notifyLimits schedule.ReportIntervals
 	stalls       *stall.Detector
 	wake         func() // called when the shard needs ticks
+	ask          func(schedule.AskCmd)
 	counters     *telemetry.Counters
 	log          logr.Logger
 
@@ -227,6 +228,8 @@
 			Job:   cmd.Job,
 			At:    cmd.At,
 		}}, nil
+	case schedule.AskCmd:
+		return nil, []effect{func() { go s.ask(cmd) }}
 	case schedule.LogCmd:
 		s.countJob(cmd)
 		return nil, []effect{func() { s.logJob(cmd) }}
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"rosemarywalk/core/schedule"
 )
 
 // minOwnershipInterval is the minimum time between computations of ownership, so that a
@@ -44,7 +42,7 @@
 		if now.Sub(lastConfirm) >= confirmInterval {
 			lastConfirm = now
 			for _, shard := range s.all() {
-				shard.update(schedule.HomesMsg{Hosts: s.otherHomes(shard.service)})
+				s.updateHomes(shard)
 				shard.confirm()
 			}
 		}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -243,6 +243,9 @@
 
 	// Submit corresponds to the JSON schema field "submit".
 	Submit *Submit `cbor:"submit,omitempty" json:"submit,omitempty,omitzero"`
+
+	// Unknown corresponds to the JSON schema field "unknown".
+	Unknown *Unknown `cbor:"unknown,omitempty" json:"unknown,omitempty,omitzero"`
 }
 
 // Fresh bounds the age of a call that is received: its caller was known to wait at
@@ -738,6 +741,13 @@
 	Turn int `cbor:"turn" json:"turn"`
 }
 
+// Unknown asks a home which unfinished jobs it coordinates, as the sender may not
+// know its announcements. The answer is an Open frame.
+type Unknown struct {
+	// Service that runs the jobs' tasks.
+	Service string `cbor:"service" json:"service"`
+}
+
 // Wait is the typical time that a route's callers wait for an answer.
 type Wait struct {
 	// Name of the route.
