core/pool: simulated servers for tests of other packages' models

Cause: a simulation of homes with pools needs the simulated backend servers, which were tied to the simulation of pools alone. Change: clock, network and servers move to simulated_test.go with exported names, so that external tests of the package can use them. Their behaviour is unchanged. Measured: go test -race ./core/pool passes.

--- a/core/pool/lifetime_test.go
+++ b/core/pool/lifetime_test.go
@@ -32,7 +32,7 @@
 		{
 			name: "stops lost",
 			conditions: conditions{
-				Network: network{
+				Network: Network{
 					Delay:    10 * time.Millisecond,
 					StopLoss: 1,
 				},
@@ -42,7 +42,7 @@
 		{
 			name: "jobs not withdrawn",
 			conditions: conditions{
-				Network:      network{Delay: 10 * time.Millisecond},
+				Network:      Network{Delay: 10 * time.Millisecond},
 				Hosts:        1,
 				WithdrawLoss: 1,
 			},
@@ -50,7 +50,7 @@
 		{
 			name: "owner stalls, orders lost and late",
 			conditions: conditions{
-				Network: network{
+				Network: Network{
 					Delay:    60 * time.Millisecond,
 					Loss:     0.2,
 					LateLoss: 0.7,
@@ -64,7 +64,7 @@
 		{
 			name: "owners take over from one another",
 			conditions: conditions{
-				Network: network{
+				Network: Network{
 					Delay:    20 * time.Millisecond,
 					Loss:     0.1,
 					LateLoss: 0.7,
@@ -98,7 +98,7 @@
 				if len(sim.violations) > 0 {
 					t.Fatalf("%d violations, first: %s", len(sim.violations), sim.violations[0])
 				}
-				assert.DeepEqual(t, sim.twice, []string(nil))
+				assert.DeepEqual(t, sim.Twice, []string(nil))
 			})
 			assert.Assert(t, done > 0)
 		})
@@ -127,7 +127,7 @@
 				const jobs = 20
 				sim := newSimulation(rapid.Uint64().Draw(t, "seed"), conditions{
 					Limits:      lifetimeLimits(test.lease),
-					Network:     network{Delay: 3 * time.Millisecond},
+					Network:     Network{Delay: 3 * time.Millisecond},
 					Hosts:       1,
 					Rate:        rapid.Float64Range(minClockRate, 1).Draw(t, "rate"),
 					Jobs:        jobs,
@@ -137,7 +137,7 @@
 				})
 				sim.run()
 				assert.DeepEqual(t, sim.violations, []string(nil))
-				assert.DeepEqual(t, sim.twice, []string(nil))
+				assert.DeepEqual(t, sim.Twice, []string(nil))
 				assert.DeepEqual(t, sim.ends, map[work.End]int{work.EndDone: jobs})
 				assert.DeepEqual(t, sim.reasons, map[core.Reason]int{"": jobs})
 			})
