core/pool: a model check of two homes with pools, links, pauses and half-open callers

Change: two entries, a home in each of two failure domains and one that lends, each with a pool and a server. Delays, silent links, pauses, kills, lost and late orders, lost stops and takeovers are drawn by seed; callers come again 1.3 s or later after an attempt ended.

--- /dev/null
+++ b/core/pool/homes_test.go
@@ -0,0 +1,1124 @@
+package pool_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core/confirm"
+	"rosemarywalk/core/health"
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/schedule"
+	"rosemarywalk/core/work"
+)
+
+// The defaults of the settings, and constants of io/scheduler and io/peer.
+const (
+	resubmit         = 1300 * time.Millisecond
+	answerTimeout    = 80 * time.Millisecond
+	reattach         = 300 * time.Millisecond
+	retryFor         = 250 * time.Millisecond
+	retryInterval    = 20 * time.Millisecond
+	stallLimit       = 500 * time.Millisecond
+	dialTimeout      = 200 * time.Millisecond
+	pingTimeout      = 400 * time.Millisecond
+	probeInterval    = 100 * time.Millisecond
+	confirmInterval  = 50 * time.Millisecond
+	announceInterval = 300 * time.Millisecond
+	reportInterval   = 200 * time.Millisecond
+	assignInterval   = 500 * time.Millisecond
+	tickInterval     = 10 * time.Millisecond
+	idleInterval     = 50 * time.Millisecond
+	earlyHalts       = time.Second
+)
+
+func poolLimits(b confirm.Bounds) pool.Limits {
+	return pool.Limits{
+		Lease:         b.Lease,
+		MaxLease:      time.Second,
+		AnswerTimeout: answerTimeout,
+		HedgeDelay:    25 * time.Millisecond,
+		PollWait:      150 * time.Millisecond,
+		ShortPollWait: 30 * time.Millisecond,
+		TakeoverDelay: 400 * time.Millisecond,
+		RetakeDelay:   time.Second,
+		SlowFactor:    3,
+		SlowMargin:    60 * time.Millisecond,
+		StartTimeout:  500 * time.Millisecond,
+		ProbeInterval: 200 * time.Millisecond,
+		Health: health.Limits{
+			FailureThreshold: 2,
+			InitialBackoff:   time.Second,
+			MaxBackoff:       4 * time.Second,
+		},
+		SlowdownWeight:  0.3,
+		MaxSlowdown:     1.8,
+		MaxUnconfirmed:  b.MaxUnconfirmed,
+		StopUnconfirmed: b.StopUnconfirmed,
+	}
+}
+
+func jobLimits(b confirm.Bounds) schedule.Limits {
+	return schedule.Limits{
+		AdmitWaitFactor:     100,
+		RefuseWaitFactor:    100,
+		DemoteStartFactor:   100,
+		UsefulLatencyFactor: 100,
+		DemotedWaitFactor:   100,
+		ProvisionalTimeout:  10 * time.Millisecond,
+		PlacementRetryDelay: 5 * time.Millisecond,
+		OutcomeRetention:    5 * time.Second,
+		CapacityTTL:         2 * time.Second,
+		MaxConfirmAge:       b.MaxAge,
+		MaxJobs:             100,
+		AnnounceAge:         800 * time.Millisecond,
+		AnnouncementTTL:     time.Second,
+	}
+}
+
+// faults are what may go wrong while a caller submits a job again and again.
+type faults struct {
+	HalfOpen     bool          // entries don't see that a caller leaves
+	LateRequest  time.Duration // longest time until an entry reads a request
+	Delay        time.Duration // longest delay of a message between hosts
+	AnnounceLoss float64       // share of announcements that are lost
+	Silent       int           // links that fall silent for a time
+	CutHomes     bool          // the links between two homes are silent until the caller submits the job again
+	PauseHome    bool          // a home is paused until shortly before the caller submits the job again
+	Pauses       int           // pauses of random hosts
+	MaxPause     time.Duration
+	Pausable     string       // names of the hosts that pause
+	Killed       string       // names of the hosts of which one is killed and started again
+	Handovers    int          // of servers to another host of their failure domain
+	Orders       pool.Network // conditions of orders to servers
+	Rate         float64      // of the servers' clocks
+}
+
+// cluster is a home and an entry in each of two failure domains, and a second home in the
+// first one, which lends. Each home has a server that fits one task.
+type cluster struct {
+	*pool.SimulatedServers
+	faults
+
+	bounds  confirm.Bounds
+	hosts   map[string]*host
+	links   map[string]*link  // by the names of the host that dials and of the other one
+	owners  map[string]string // of the servers
+	job     work.Job
+	resends int
+	joined  int
+	lent    int
+	trace   []string
+	tracing bool
+}
+
+const (
+	length    = 9 * time.Second
+	attempts  = 4
+	maxLeave  = 2500 * time.Millisecond // longest time until a caller leaves
+	maxUnseen = 90 * time.Millisecond   // until the end of a connection is seen
+	homeNames = "ABC"
+	allNames  = "ABCab" // with the entries of both failure domains
+)
+
+func newCluster(seed uint64, f faults) *cluster {
+	w := &cluster{
+		SimulatedServers: pool.NewSimulatedServers(seed, f.Rate, "sA", "sB", "sC"),
+		faults:           f,
+		bounds:           confirm.NewBounds(resubmit, 900*time.Millisecond),
+		hosts:            map[string]*host{},
+		links:            map[string]*link{},
+		owners: map[string]string{
+			"sA": "A",
+			"sB": "B",
+			"sC": "C",
+		},
+	}
+	w.Network, w.AnswerTimeout = f.Orders, answerTimeout
+	runTime := 200*time.Millisecond + w.UpTo(3*time.Second)
+	w.RunTime = func(string) time.Duration { return runTime }
+	w.OnEnd = func(s *pool.SimulatedServer, name string) { w.log("server", "run of %s ends at %s", name, s.ID) }
+	w.job = work.Job{
+		ID:    "j",
+		Route: "r",
+		Steps: []work.Step{{
+			Count:    1 + w.Random.IntN(2),
+			Size:     work.Size{CPU: 1000},
+			Estimate: runTime,
+		}},
+		MaxAttempts: 3,
+		Stretch:     10,
+		Slack:       20 * time.Second,
+	}
+	for name := range strings.SplitSeq(allNames, "") {
+		w.hosts[name] = &host{
+			w:    w,
+			name: name,
+		}
+		w.hosts[name].start()
+	}
+	return w
+}
+
+func (w *cluster) log(who, format string, args ...any) {
+	if w.tracing {
+		w.trace = append(w.trace, fmt.Sprintf("%7.1f %s: ", float64(w.Now.UnixMicro()%1e8)/1e3, who)+fmt.Sprintf(format, args...))
+	}
+}
+
+// oneOf returns a random host of those named.
+func (w *cluster) oneOf(names string) *host {
+	i := w.Random.IntN(len(names))
+	return w.hosts[names[i:i+1]]
+}
+
+// play lets a caller submit the job while faults occur.
+func (w *cluster) play() {
+	const first = time.Second // by then the homes have taken their servers over
+	begin := w.Now.Add(first)
+	w.At(begin, func() { w.attempt(0) })
+	during := func(n int, do func()) {
+		for range n {
+			w.At(begin.Add(w.UpTo(length/2)), do)
+		}
+	}
+	during(w.Silent, func() { w.silence(w.oneOf(allNames), w.oneOf(homeNames), w.UpTo(2*time.Second)) })
+	during(w.Pauses, func() { w.oneOf(w.Pausable).pause(w.UpTo(w.MaxPause)) })
+	during(min(len(w.Killed), 1), func() { w.oneOf(w.Killed).kill() })
+	during(w.Handovers, func() {
+		server := "s" + w.oneOf("AC").name
+		w.owners[server] = w.oneOf("AC").name
+		w.log("roster", "%s goes to %s", server, w.owners[server])
+	})
+	w.RunUntil(begin.Add(length))
+}
+
+// attempt submits the job at an entry, and again at another one once the attempt has ended
+// for the caller.
+func (w *cluster) attempt(n int) {
+	names := [...]string{"aA", "bB"}[n%2]
+	if n > 1 && w.Happens(0.3) {
+		names = "aA"
+	}
+	entry, home := w.hosts[names[:1]], w.hosts[names[1:]]
+	open, seen := true, true
+	var request *request
+	end := func(why string) {
+		if open && n+1 < attempts {
+			w.log("caller", "attempt %d ends: %s", n, why)
+			w.resends++
+			delay := resubmit + w.UpTo(200*time.Millisecond)
+			w.After(delay, func() { w.attempt(n + 1) })
+			if w.PauseHome {
+				w.hosts["B"].pause(delay - w.UpTo(100*time.Millisecond))
+			}
+			if w.CutHomes {
+				w.silence(w.hosts["A"], w.hosts["B"], delay+w.UpTo(100*time.Millisecond))
+			}
+		}
+		open = false
+	}
+	entry.onKill = append(entry.onKill, func() {
+		if open {
+			end("entry killed")
+		}
+	})
+	w.log("caller", "attempt %d at %s", n, entry.name)
+	w.After(w.UpTo(w.LateRequest), entry.run(func() {
+		job := w.job
+		job.Arrived, job.Deadline = w.Now, w.Now.Add(length)
+		if !seen {
+			return
+		}
+		request = entry.forward(home, job, false, func() (time.Time, bool) { return w.Now, seen }, func(o work.Outcome) {
+			w.log(entry.name, "answers %s %s", o.State, o.Reason)
+			if o.State == work.Completed {
+				open = false
+				return
+			}
+			end("answered " + string(o.State))
+		})
+	}))
+	if n+1 == attempts {
+		return
+	}
+	w.After(w.UpTo(maxLeave), func() {
+		if !open {
+			return
+		}
+		end("caller leaves")
+		if w.HalfOpen {
+			return
+		}
+		w.After(w.UpTo(maxUnseen), func() {
+			seen = false
+			entry.run(func() {
+				if request != nil && !request.over {
+					request.over = true
+					entry.send(home, func() { home.update(schedule.WithdrawMsg{ID: "j"}) })
+				}
+			})()
+		})
+	})
+}
+
+// host is a process that is an entry or a home.
+type host struct {
+	w           *cluster
+	name        string
+	life        int
+	pausedUntil time.Time
+	ranAt       time.Time
+	jobs        *schedule.Model
+	pool        *pool.Model
+	callers     map[string]*served
+	lastCaller  int
+	lent        map[string]*lentRun
+	halted      map[string]time.Time // until when the halt of an unknown task counts
+	onKill      []func()
+
+	confirmedAt, announcedAt, reportedAt, assignedAt time.Time
+}
+
+// lentRun is a run for another host.
+type lentRun struct {
+	call   *served
+	result *schedule.EndMsg
+}
+
+func (h *host) start() {
+	h.life++
+	h.ranAt = h.w.Now
+	h.jobs, h.pool = schedule.New(h.name, jobLimits(h.w.bounds)), pool.New("d", poolLimits(h.w.bounds))
+	h.callers, h.lent, h.halted = map[string]*served{}, map[string]*lentRun{}, map[string]time.Time{}
+	h.assignedAt = time.Time{}
+	h.w.After(h.w.UpTo(tickInterval), h.run(h.tick))
+}
+
+func (h *host) kill() {
+	h.w.log(h.name, "killed")
+	for _, f := range h.onKill {
+		f()
+	}
+	h.onKill = nil
+	h.w.breakLinks(h, true)
+	h.start()
+	h.pausedUntil = h.w.Now.Add(h.w.UpTo(time.Second))
+	h.ranAt = h.pausedUntil
+}
+
+// pause stops the process. Others close their links to it when pings get no answer.
+func (h *host) pause(d time.Duration) {
+	h.w.log(h.name, "paused for %s", d)
+	until := h.w.Now.Add(d)
+	if until.After(h.pausedUntil) {
+		h.pausedUntil = until
+	}
+	h.w.After(pingTimeout+h.w.UpTo(pingTimeout/2), func() {
+		if h.w.Now.Before(until) {
+			h.w.breakLinks(h, true)
+		}
+	})
+}
+
+// run returns a function that is called while this process runs: after a pause, and not by
+// a later process.
+func (h *host) run(f func()) func() {
+	life := h.life
+	var call func()
+	call = func() {
+		switch now := h.w.Now; {
+		case h.life != life:
+		case now.Before(h.pausedUntil):
+			h.w.At(h.pausedUntil.Add(h.w.UpTo(5*time.Millisecond)), call)
+		default:
+			stalled := now.Sub(h.ranAt) >= stallLimit
+			h.ranAt = now
+			if stalled {
+				h.w.log(h.name, "stalled")
+				h.w.breakLinks(h, false)
+				h.update(schedule.StallMsg{})
+			}
+			f()
+		}
+	}
+	return call
+}
+
+func (h *host) tick() {
+	now := h.w.Now
+	due := func(last *time.Time, interval time.Duration) bool {
+		if now.Sub(*last) < interval {
+			return false
+		}
+		*last = now
+		return true
+	}
+	if due(&h.confirmedAt, confirmInterval) {
+		h.confirm()
+	}
+	interval := idleInterval
+	if !h.jobs.Idle() || !h.pool.Idle() {
+		interval = tickInterval
+		h.update(pool.TickMsg{}, schedule.TickMsg{})
+	}
+	if due(&h.announcedAt, announceInterval) {
+		h.announce()
+	}
+	if h.name == "C" && due(&h.reportedAt, reportInterval) {
+		to, report := h.w.hosts["A"], h.pool.Capacity(now)
+		h.send(to, func() {
+			to.update(schedule.CapacityMsg{
+				Host:     h.name,
+				Capacity: report,
+			})
+		})
+	}
+	if due(&h.assignedAt, assignInterval) {
+		h.assign()
+	}
+	h.w.After(interval, h.run(h.tick))
+}
+
+func (h *host) confirm() {
+	var msgs []any
+	for _, id := range slices.Sorted(maps.Keys(h.callers)) {
+		c := h.callers[id]
+		if at, waiting := c.confirmation(); waiting && !at.IsZero() {
+			msgs = append(msgs, schedule.ConfirmMsg{Callers: []schedule.Confirmation{{
+				Caller: id,
+				At:     at,
+			}}})
+		}
+	}
+	for _, owner := range slices.Sorted(maps.Keys(h.lent)) {
+		run := h.lent[owner]
+		if at, waiting := run.call.confirmation(); waiting && !at.IsZero() && run.result == nil {
+			msgs = append(msgs, pool.ConfirmMsg{
+				Owner: owner,
+				At:    at,
+			})
+		}
+	}
+	h.update(msgs...)
+}
+
+func (h *host) announce() {
+	ids := h.jobs.Announceable(h.w.Now)
+	if len(ids) == 0 {
+		return
+	}
+	for name := range strings.SplitSeq(homeNames, "") {
+		if to := h.w.hosts[name]; to != h && !h.w.Happens(h.w.AnnounceLoss) {
+			h.send(to, func() {
+				to.update(schedule.AnnouncedMsg{
+					Host: h.name,
+					Jobs: ids,
+				})
+			})
+		}
+	}
+}
+
+// assign makes this host own the servers that it should, with a token as io/scheduler draws
+// it.
+func (h *host) assign() {
+	msg := pool.AssignMsg{Token: h.w.Now.UnixMilli()<<11 | int64(h.name[0])}
+	for _, id := range []string{"sA", "sB", "sC"} {
+		if h.w.owners[id] == h.name {
+			msg.Servers = append(msg.Servers, listing.Server{
+				ID:              id,
+				Domain:          "d",
+				Capacity:        work.Size{CPU: 1000},
+				StartedAtMillis: h.w.Servers[id].Born.UnixMilli(),
+			})
+		}
+	}
+	h.update(msg)
+}
+
+// update passes messages to the models, and carries the resulting commands out.
+func (h *host) update(msgs ...any) {
+	var effects []func()
+	changed := false
+	for len(msgs) > 0 || changed {
+		if len(msgs) == 0 {
+			changed = false
+			msgs = append(msgs, schedule.CapacityMsg{
+				Host:     h.name,
+				Capacity: h.pool.Capacity(h.w.Now),
+			})
+		}
+		msg := msgs[0]
+		msgs = msgs[1:]
+		switch msg := msg.(type) {
+		case pool.Msg:
+			for _, cmd := range h.pool.Update(h.w.Now, msg) {
+				if _, ok := cmd.(pool.CapacityChangedCmd); ok {
+					changed = true
+				}
+				more, effect := h.runPoolCmd(cmd)
+				msgs, effects = append(msgs, more...), append(effects, effect)
+			}
+		case schedule.Msg:
+			for _, cmd := range h.jobs.Update(h.w.Now, msg) {
+				more, effect := h.runJobCmd(cmd)
+				msgs, effects = append(msgs, more...), append(effects, effect)
+			}
+		}
+	}
+	for _, effect := range effects {
+		if effect != nil {
+			effect()
+		}
+	}
+}
+
+func (h *host) runPoolCmd(cmd pool.Cmd) (msgs []any, effect func()) {
+	switch cmd := cmd.(type) {
+	case pool.StartCmd, pool.StopCmd, pool.PollCmd:
+		if start, ok := cmd.(pool.StartCmd); ok {
+			h.w.log(h.name, "orders %s run %d at %s, confirmed %s ago", start.Task.Name(), start.Task.Run, start.Server, h.w.Now.Sub(start.Task.ConfirmedAt))
+		}
+		return nil, func() {
+			h.w.Order(cmd, func(msg pool.Msg) { h.run(func() { h.update(msg) })() })
+		}
+	case pool.EndCmd:
+		h.w.log(h.name, "run ended %s at %s: %s %s", cmd.Task.Name(), cmd.Server, cmd.End, cmd.Reason)
+		end := schedule.EndMsg{
+			Host:   h.name,
+			Task:   cmd.Task,
+			End:    cmd.End,
+			Server: cmd.Server,
+			Took:   cmd.Took,
+			Reason: cmd.Reason,
+		}
+		if cmd.Owner == "" {
+			return []any{end}, nil
+		}
+		run := h.lent[cmd.Owner]
+		run.result = &end
+		return nil, func() { run.call.answer(end) }
+	case pool.CapacityChangedCmd, pool.LogCmd:
+	}
+	return nil, nil
+}
+
+func (h *host) runJobCmd(cmd schedule.Cmd) (msgs []any, effect func()) {
+	switch cmd := cmd.(type) {
+	case schedule.RunCmd:
+		if cmd.Host != h.name {
+			return nil, func() { h.lend(h.w.hosts[cmd.Host], cmd.Task) }
+		}
+		return []any{pool.RunMsg{Task: cmd.Task}}, nil
+	case schedule.HaltCmd:
+		to := h.w.hosts[cmd.Host]
+		if to != h {
+			return nil, func() { h.send(to, func() { to.halt(cmd.Name) }) }
+		}
+		return []any{pool.StopMsg{Name: cmd.Name}}, nil
+	case schedule.AnswerCmd:
+		caller := h.callers[cmd.Caller]
+		delete(h.callers, cmd.Caller)
+		if caller != nil {
+			return nil, func() { caller.reply(cmd.Outcome) }
+		}
+	case schedule.ConfirmCmd:
+		return []any{pool.ConfirmMsg{
+			Job: cmd.Job,
+			At:  cmd.At,
+		}}, nil
+	case schedule.LogCmd:
+		h.w.log(h.name, "job %s %s", cmd.Event, cmd.Reason)
+	}
+	return nil, nil
+}
+
+// forward submits the job to a home.
+func (h *host) forward(home *host, job work.Job, joinOnly bool, c confirmation, done func(work.Outcome)) *request {
+	r := &request{
+		from:         h,
+		to:           home,
+		confirmation: c,
+	}
+	r.serve = func(c *served, age time.Duration) {
+		job.Arrived = h.w.Now.Add(-age)
+		home.coordinate(c, schedule.SubmitMsg{
+			Job:         job,
+			Remote:      true,
+			Resubmitted: c.repeated,
+			JoinOnly:    joinOnly,
+		})
+	}
+	r.arrived = job.Arrived
+	r.done = func(answer any, repeated bool, err error) {
+		o, ok := answer.(work.Outcome)
+		if err != nil || !ok || (repeated && (o.State == work.Refused || o.State == work.Absent)) {
+			o.State = work.Broken
+		}
+		done(o)
+	}
+	r.send(false)
+	return r
+}
+
+// coordinate submits a job to the model, and joins it at the home that announced it.
+func (h *host) coordinate(c *served, msg schedule.SubmitMsg) {
+	h.submit(c, msg, func(o work.Outcome) {
+		if o.State != work.Elsewhere {
+			c.answer(o)
+			return
+		}
+		h.w.joined++
+		h.w.log(h.name, "joins at %s", o.Home)
+		home := h.w.hosts[o.Home]
+		join := h.forward(home, msg.Job, true, c.confirmation, func(o work.Outcome) {
+			if o.State != work.Absent {
+				c.answer(o)
+				return
+			}
+			msg.Local = true
+			h.submit(c, msg, func(o work.Outcome) { c.answer(o) })
+		})
+		c.onEnd = func(bool) {
+			join.over = true
+			h.w.After(reattach, h.run(func() {
+				h.send(home, func() { home.update(schedule.WithdrawMsg{ID: msg.Job.ID}) })
+			}))
+		}
+	})
+}
+
+func (h *host) submit(c *served, msg schedule.SubmitMsg, reply func(work.Outcome)) {
+	h.lastCaller++
+	id := fmt.Sprint(h.lastCaller)
+	h.callers[id], c.reply = c, reply
+	msg.Caller = id
+	msg.ConfirmedAt, _ = c.confirmation()
+	c.onEnd = func(withdrawn bool) {
+		h.w.After(dropAfter(withdrawn), h.run(func() {
+			delete(h.callers, id)
+			h.update(schedule.CallerGoneMsg{Caller: id})
+		}))
+	}
+	h.w.log(h.name, "submit repeated=%t join=%t local=%t", msg.Resubmitted, msg.JoinOnly, msg.Local)
+	h.update(msg)
+}
+
+func dropAfter(withdrawn bool) time.Duration {
+	if withdrawn {
+		return 0
+	}
+	return reattach
+}
+
+// lend runs a task on another host's servers.
+func (h *host) lend(to *host, task work.Task) {
+	h.w.lent++
+	r := &request{
+		from:         h,
+		to:           to,
+		confirmation: func() (time.Time, bool) { return h.jobs.ConfirmedAt(to.name, task) },
+		serve:        func(c *served, _ time.Duration) { to.serveLend(c, task) },
+	}
+	r.done = func(answer any, repeated bool, err error) {
+		end, ok := answer.(schedule.EndMsg)
+		switch {
+		case errors.Is(err, errNoLink):
+			end.End = work.EndNotStarted
+		case err != nil || !ok:
+			end.End = work.EndUnknown
+			h.send(to, func() { to.halt(task.Name()) })
+		case repeated && end.End == work.EndNotStarted:
+			end.End = work.EndUnknown
+		}
+		number := max(end.Task.Run, task.Run)
+		end.Host, end.Task = to.name, task
+		end.Task.Run = number
+		h.update(end)
+	}
+	r.send(false)
+}
+
+// serveLend runs a task for another host.
+func (h *host) serveLend(c *served, task work.Task) {
+	owner := fmt.Sprint(task.Name(), "#", task.Run)
+	run := h.lent[owner]
+	if run == nil && (c.repeated || h.w.Now.Before(h.halted[task.Name()])) {
+		end := schedule.EndMsg{End: work.EndNotStarted}
+		if c.repeated {
+			end.End = work.EndUnknown
+		}
+		c.answer(end)
+		return
+	}
+	known := run != nil && (c.repeated || run.result == nil || run.result.End != work.EndNotStarted)
+	if !known {
+		run = &lentRun{}
+		h.lent[owner] = run
+	}
+	run.call = c
+	c.onEnd = func(withdrawn bool) {
+		h.w.After(dropAfter(withdrawn), h.run(func() {
+			if run.call == c && run.result == nil {
+				h.update(pool.StopMsg{Owner: owner})
+			}
+		}))
+	}
+	switch {
+	case run.result != nil:
+		c.answer(*run.result)
+	case !known:
+		task.ConfirmedAt, _ = c.confirmation()
+		h.update(pool.RunMsg{
+			Task:  task,
+			Owner: owner,
+		})
+	}
+}
+
+func (h *host) halt(name string) {
+	if owner, ok := h.pool.OwnerOf(name); !ok {
+		h.halted[name] = h.w.Now.Add(earlyHalts)
+	} else if owner != "" {
+		h.update(pool.StopMsg{
+			Name:  name,
+			Owner: owner,
+		})
+	}
+}
+
+var (
+	errNoLink     = errors.New("no link")
+	errLinkClosed = errors.New("link closed")
+)
+
+// link is a connection from one host to another.
+type link struct {
+	generation  int
+	open        bool
+	silentUntil time.Time
+	calls       []*served
+	probeSent   time.Time // of the last probe that was received
+	probedAt    time.Time
+}
+
+// dial returns the link between two hosts, if it can be used.
+func (w *cluster) dial(from, to *host) (*link, bool) {
+	key := from.name + to.name
+	l := w.links[key]
+	if l == nil {
+		l = &link{}
+		w.links[key] = l
+	}
+	if !l.open && (w.Now.Before(l.silentUntil) || to.pausedUntil.Sub(w.Now) > dialTimeout) {
+		return nil, false
+	}
+	l.open = true
+	return l, true
+}
+
+// transfer carries a message over a link, unless the link breaks first.
+func (w *cluster) transfer(l *link, generation int, to *host, f func()) {
+	receive := to.run(func() {
+		if l.generation == generation {
+			f()
+		}
+	})
+	w.After(w.UpTo(w.Delay), receive)
+}
+
+// send sends a message without an answer.
+func (h *host) send(to *host, f func()) {
+	if l, ok := h.w.dial(h, to); ok {
+		h.w.transfer(l, l.generation, to, f)
+	}
+}
+
+// silence makes the links between two hosts lose everything for a time.
+func (w *cluster) silence(a, b *host, d time.Duration) {
+	until := w.Now.Add(d)
+	w.log("network", "links between %s and %s silent for %s", a.name, b.name, until.Sub(w.Now))
+	for _, key := range []string{a.name + b.name, b.name + a.name} {
+		if w.links[key] == nil {
+			w.links[key] = &link{}
+		}
+		w.breakLink(w.links[key], until)
+	}
+}
+
+// breakLinks breaks the links to a host, and those that it has dialed if all is set.
+func (w *cluster) breakLinks(h *host, all bool) {
+	for other := range strings.SplitSeq(allNames, "") {
+		if l := w.links[other+h.name]; l != nil {
+			w.breakLink(l, l.silentUntil)
+		}
+		if l := w.links[h.name+other]; l != nil && all {
+			w.breakLink(l, l.silentUntil)
+		}
+	}
+}
+
+func (w *cluster) breakLink(l *link, silentUntil time.Time) {
+	calls := l.calls
+	l.calls, l.open, l.silentUntil = nil, false, silentUntil
+	l.generation++
+	l.probedAt = time.Time{}
+	for _, c := range calls {
+		w.After(w.UpTo(pingTimeout*3/2), c.toRun(func() { c.cancel(false) }))
+		w.After(w.UpTo(pingTimeout*3/2), c.fromRun(func() { c.request.closed() }))
+	}
+}
+
+// confirmation returns when a caller was last known to wait, or false if it is gone.
+type confirmation func() (time.Time, bool)
+
+// request is a call to another host, which is repeated while its link is broken.
+type request struct {
+	from, to     *host
+	confirmation confirmation
+	arrived      time.Time
+	serve        func(c *served, age time.Duration)
+	done         func(answer any, repeated bool, err error)
+	over         bool // nobody waits for the answer
+	retryUntil   time.Time
+}
+
+func (r *request) send(repeated bool) {
+	w := r.from.w
+	l, ok := w.dial(r.from, r.to)
+	switch {
+	case ok:
+	case !repeated:
+		w.After(dialTimeout, r.from.run(func() { r.finish(nil, false, errNoLink) }))
+		return
+	case w.Now.After(r.retryUntil):
+		r.finish(nil, false, errLinkClosed)
+		return
+	default:
+		w.After(retryInterval, r.from.run(func() {
+			if !r.over {
+				r.send(true)
+			}
+		}))
+		return
+	}
+	c := &served{
+		request:    r,
+		link:       l,
+		generation: l.generation,
+		repeated:   repeated,
+		table:      confirm.New(),
+	}
+	c.toRun, c.fromRun = r.to.run, r.from.run
+	l.calls = append(l.calls, c)
+	age := w.Now.Sub(r.arrived)
+	var fresh time.Time
+	if at, _ := r.confirmation(); !at.IsZero() && !l.probedAt.IsZero() {
+		fresh = confirm.Since(l.probeSent, at.Sub(l.probedAt))
+	}
+	w.transfer(l, c.generation, r.to, func() {
+		c.age = age
+		c.table.Add(0, fresh)
+		if w.Now.Sub(fresh) < probeInterval {
+			c.start()
+		}
+		c.probe()
+	})
+}
+
+// closed repeats the request, as its link has closed.
+func (r *request) closed() {
+	if r.over {
+		return
+	}
+	if r.retryUntil.IsZero() {
+		r.retryUntil = r.from.w.Now.Add(retryFor)
+	}
+	r.send(true)
+}
+
+func (r *request) finish(answer any, repeated bool, err error) {
+	if !r.over {
+		r.over = true
+		r.done(answer, repeated, err)
+	}
+}
+
+// served is a request at the host that serves it.
+type served struct {
+	*request
+	link           *link
+	generation     int
+	repeated       bool
+	age            time.Duration
+	table          *confirm.Table
+	started        bool
+	ended          bool // the other host doesn't wait, or the link broke
+	answered       bool
+	onEnd          func(withdrawn bool)
+	reply          func(work.Outcome)
+	toRun, fromRun func(func()) func()
+}
+
+func (c *served) start() {
+	if !c.started && !c.ended {
+		c.started = true
+		c.request.serve(c, c.age)
+	}
+}
+
+// confirmation returns when the caller was last known to wait.
+func (c *served) confirmation() (time.Time, bool) { return c.table.At(0), !c.ended }
+
+// probe asks whether the caller still waits, again and again.
+func (c *served) probe() {
+	if c.ended || c.answered {
+		return
+	}
+	w, sent := c.from.w, c.from.w.Now
+	w.transfer(c.link, c.generation, c.from, func() {
+		c.link.probeSent, c.link.probedAt = sent, w.Now
+		at, waiting := c.request.confirmation()
+		waiting = waiting && !c.request.over
+		age := w.Now.Sub(at)
+		w.transfer(c.link, c.generation, c.to, func() {
+			if !waiting {
+				c.cancel(true)
+				return
+			}
+			c.table.Confirm(0, sent, min(age, time.Hour))
+			c.start()
+		})
+	})
+	w.After(probeInterval, c.to.run(c.probe))
+}
+
+// cancel ends the context of the call.
+func (c *served) cancel(withdrawn bool) {
+	if !c.ended && !c.answered {
+		c.ended = true
+		if c.onEnd != nil {
+			c.onEnd(withdrawn)
+		}
+	}
+}
+
+func (c *served) answer(answer any) {
+	if !c.answered {
+		c.answered = true
+		c.from.w.transfer(c.link, c.generation, c.from, func() {
+			c.link.calls = slices.DeleteFunc(c.link.calls, func(o *served) bool { return o == c })
+			c.finish(answer, c.repeated, nil)
+		})
+	}
+}
+
+// calm returns faults that occur on prompt hosts and links, for servers with clocks that are
+// as slow as is allowed.
+func calm(f faults) faults {
+	f.Rate = 0.98
+	f.Delay = max(f.Delay, 3*time.Millisecond)
+	f.Orders.Delay = max(f.Orders.Delay, 5*time.Millisecond)
+	return f
+}
+
+var seeds = flag.Uint64("seeds", 40, "number of simulations of each case")
+
+// checkOnce plays under faults with many seeds, and reports the first trace with a task that
+// ran twice at once.
+func checkOnce(t *testing.T, f faults) {
+	t.Helper()
+	var twice []uint64
+	resends, joined, lent := 0, 0, 0
+	for seed := range *seeds {
+		w := newCluster(seed, calm(f))
+		w.play()
+		resends, joined, lent = resends+w.resends, joined+w.joined, lent+w.lent
+		if len(w.Twice) > 0 {
+			twice = append(twice, seed)
+		}
+	}
+	t.Logf("%d resends, %d joined, %d tasks lent, twice at once in %d of %d seeds", resends, joined, lent, len(twice), *seeds)
+	assert.Assert(t, resends > 0 && lent > 0)
+	if len(twice) > 0 {
+		w := newCluster(twice[0], calm(f))
+		w.tracing = true
+		w.play()
+		t.Fatalf("seeds %v; seed %d:\n%s\n%s", twice, twice[0], strings.Join(w.Twice, "\n"), strings.Join(w.trace, "\n"))
+	}
+}
+
+var lossyServers = pool.Network{
+	Delay:    60 * time.Millisecond,
+	Loss:     0.2,
+	LateLoss: 0.7,
+	StopLoss: 0.5,
+}
+
+// TestHomesRunOnce checks that a job whose caller submits it again in another failure domain
+// never runs at two homes at once.
+func TestHomesRunOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults faults
+	}{
+		{
+			name: "none",
+		},
+		{
+			name:   "messages late",
+			faults: faults{Delay: 300 * time.Millisecond},
+		},
+		{
+			name:   "requests late",
+			faults: faults{LateRequest: 3 * time.Second},
+		},
+		{
+			name: "links silent, announcements lost",
+			faults: faults{
+				AnnounceLoss: 1,
+				Silent:       6,
+			},
+		},
+		{
+			name: "hosts pause",
+			faults: faults{
+				Pauses:   6,
+				MaxPause: 3 * time.Second,
+				Pausable: allNames,
+			},
+		},
+		{
+			name:   "an entry is killed",
+			faults: faults{Killed: "ab"},
+		},
+		{
+			name:   "a home is killed",
+			faults: faults{Killed: homeNames},
+		},
+		{
+			name: "stops lost",
+			faults: faults{
+				AnnounceLoss: 1,
+				Orders:       pool.Network{StopLoss: 1},
+			},
+		},
+		{
+			name:   "orders late and lost",
+			faults: faults{Orders: lossyServers},
+		},
+		{
+			name:   "servers taken over",
+			faults: faults{Handovers: 3},
+		},
+		{
+			name: "all",
+			faults: faults{
+				LateRequest:  time.Second,
+				Delay:        150 * time.Millisecond,
+				AnnounceLoss: 0.5,
+				Silent:       3,
+				Pauses:       3,
+				MaxPause:     2 * time.Second,
+				Pausable:     allNames,
+				Killed:       allNames,
+				Handovers:    2,
+				Orders:       lossyServers,
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { checkOnce(t, test.faults) })
+	}
+}
+
+// TestHalfOpenRunsOnce checks the same for a caller whose connection is half-open.
+func TestHalfOpenRunsOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults faults
+	}{
+		{
+			name: "none",
+		},
+		{
+			name:   "messages late",
+			faults: faults{Delay: 150 * time.Millisecond},
+		},
+		{
+			name:   "an entry is killed",
+			faults: faults{Killed: "ab"},
+		},
+		{
+			name:   "a home is killed",
+			faults: faults{Killed: homeNames},
+		},
+		{
+			name:   "orders late and lost",
+			faults: faults{Orders: lossyServers},
+		},
+		{
+			name:   "servers taken over",
+			faults: faults{Handovers: 3},
+		},
+	}
+	for _, test := range tests {
+		test.faults.HalfOpen = true
+		t.Run(test.name, func(t *testing.T) { checkOnce(t, test.faults) })
+	}
+}
+
+// TestLostAnnouncementRunsTwice guards against a second run of a job of a half-open caller
+// whose announcements are lost.
+func TestLostAnnouncementRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen:     true,
+		AnnounceLoss: 1,
+	})
+}
+
+// TestSilentLinkRunsTwice guards against a second run of a job of a half-open caller while
+// the homes can't reach each other.
+func TestSilentLinkRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen: true,
+		CutHomes: true,
+	})
+}
+
+// TestPausedHomeRunsTwice guards against a second run of a job of a half-open caller at a
+// home that was paused and has not read the announcements.
+func TestPausedHomeRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen:  true,
+		PauseHome: true,
+	})
+}
+
+// TestLateRequestRunsTwice guards against a run of a job whose request an entry reads after
+// its half-open caller has submitted it elsewhere.
+func TestLateRequestRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen:    true,
+		LateRequest: 3 * time.Second,
+	})
+}
+
+// TestPausedEntryRunsTwice guards against the same at an entry that was paused.
+func TestPausedEntryRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen: true,
+		Pauses:   6,
+		MaxPause: 3 * time.Second,
+		Pausable: "ab",
+	})
+}
