core/pool: the model check of two homes acknowledges announcements

Cause: homes acknowledge announcements now, and runs are bounded by that. Change: the model carries acknowledgements, the list of homes and the time of an attempt as io/scheduler and io/peer do. The cases of lost announcements, homes that can't reach each other and paused homes hold, so they move to TestHalfOpenRunsOnce, with two more. A home that is killed and started again has a test of its own, which fails.

--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -32,7 +32,7 @@
 	pingTimeout      = 400 * time.Millisecond
 	probeInterval    = 100 * time.Millisecond
 	confirmInterval  = 50 * time.Millisecond
-	announceInterval = 300 * time.Millisecond
+	announceInterval = 100 * time.Millisecond
 	reportInterval   = 200 * time.Millisecond
 	assignInterval   = 500 * time.Millisecond
 	tickInterval     = 10 * time.Millisecond
@@ -79,13 +79,15 @@
 		CapacityTTL:         2 * time.Second,
 		MaxConfirmAge:       b.MaxAge,
 		MaxJobs:             100,
-		AnnounceAge:         800 * time.Millisecond,
-		AnnouncementTTL:     time.Second,
+		AnnounceAge:         b.AnnounceAge,
+		AnnouncementTTL:     b.AnnouncementTTL,
+		MaxLease:            time.Second,
 	}
 }
 
 // faults are what may go wrong while a caller submits a job again and again.
 type faults struct {
+	KillHome     bool          // a home is killed and started again shortly before the caller submits the job again
 	HalfOpen     bool          // entries don't see that a caller leaves
 	LateRequest  time.Duration // longest time until an entry reads a request
 	Delay        time.Duration // longest delay of a message between hosts
@@ -192,7 +194,7 @@
 	}
 	during(w.Silent, func() { w.silence(w.oneOf(allNames), w.oneOf(homeNames), w.UpTo(2*time.Second)) })
 	during(w.Pauses, func() { w.oneOf(w.Pausable).pause(w.UpTo(w.MaxPause)) })
-	during(min(len(w.Killed), 1), func() { w.oneOf(w.Killed).kill() })
+	during(min(len(w.Killed), 1), func() { w.oneOf(w.Killed).kill(time.Second) })
 	during(w.Handovers, func() {
 		server := "s" + w.oneOf("AC").name
 		w.owners[server] = w.oneOf("AC").name
@@ -220,6 +222,9 @@
 			if w.PauseHome {
 				w.hosts["B"].pause(delay - w.UpTo(100*time.Millisecond))
 			}
+			if w.KillHome {
+				w.After(delay-w.UpTo(150*time.Millisecond), func() { w.hosts["B"].kill(50 * time.Millisecond) })
+			}
 			if w.CutHomes {
 				w.silence(w.hosts["A"], w.hosts["B"], delay+w.UpTo(100*time.Millisecond))
 			}
@@ -234,7 +239,7 @@
 	w.log("caller", "attempt %d at %s", n, entry.name)
 	w.After(w.UpTo(w.LateRequest), entry.run(func() {
 		job := w.job
-		job.Arrived, job.Deadline = w.Now, w.Now.Add(length)
+		job.Arrived, job.Received, job.Deadline = w.Now, w.Now, w.Now.Add(length)
 		if !seen {
 			return
 		}
@@ -303,7 +308,8 @@
 	h.w.After(h.w.UpTo(tickInterval), h.run(h.tick))
 }
 
-func (h *host) kill() {
+// kill ends the process. The next one runs within a time.
+func (h *host) kill(restart time.Duration) {
 	h.w.log(h.name, "killed")
 	for _, f := range h.onKill {
 		f()
@@ -311,7 +317,7 @@
 	h.onKill = nil
 	h.w.breakLinks(h, true)
 	h.start()
-	h.pausedUntil = h.w.Now.Add(h.w.UpTo(time.Second))
+	h.pausedUntil = h.w.Now.Add(h.w.UpTo(restart))
 	h.ranAt = h.pausedUntil
 }
 
@@ -389,7 +395,7 @@
 }
 
 func (h *host) confirm() {
-	var msgs []any
+	msgs := []any{schedule.HomesMsg{Hosts: slices.DeleteFunc(strings.Split(homeNames, ""), func(name string) bool { return name == h.name })}}
 	for _, id := range slices.Sorted(maps.Keys(h.callers)) {
 		c := h.callers[id]
 		if at, waiting := c.confirmation(); waiting && !at.IsZero() {
@@ -418,14 +424,33 @@
 	}
 	for name := range strings.SplitSeq(homeNames, "") {
 		if to := h.w.hosts[name]; to != h && !h.w.Happens(h.w.AnnounceLoss) {
-			h.send(to, func() {
-				to.update(schedule.AnnouncedMsg{
-					Host: h.name,
-					Jobs: ids,
+			h.announceTo(to, ids)
+		}
+	}
+}
+
+// announceTo announces jobs, and records which of them the other home leaves to this one.
+func (h *host) announceTo(to *host, ids []string) {
+	l, ok := h.w.dial(h, to)
+	if !ok {
+		return
+	}
+	generation, sent := l.generation, h.w.Now
+	h.w.transfer(l, generation, to, func() {
+		for _, cmd := range to.jobs.Update(to.w.Now, schedule.AnnouncedMsg{
+			Host: h.name,
+			Jobs: ids,
+		}) {
+			cmd := cmd.(schedule.AcknowledgeCmd)
+			h.w.transfer(l, generation, h, func() {
+				h.update(schedule.AcknowledgedMsg{
+					Host:   to.name,
+					Jobs:   cmd.Jobs,
+					SentAt: sent,
 				})
 			})
 		}
-	}
+	})
 }
 
 // assign makes this host own the servers that it should, with a token as io/scheduler draws
@@ -549,8 +574,10 @@
 		to:           home,
 		confirmation: c,
 	}
-	r.serve = func(c *served, age time.Duration) {
-		job.Arrived = h.w.Now.Add(-age)
+	r.serve = func(c *served) {
+		job := job
+		job.Arrived = h.w.Now.Add(-c.age)
+		job.Received = confirm.Before(c.sentAt, c.held)
 		home.coordinate(c, schedule.SubmitMsg{
 			Job:         job,
 			Remote:      true,
@@ -558,7 +585,7 @@
 			JoinOnly:    joinOnly,
 		})
 	}
-	r.arrived = job.Arrived
+	r.arrived, r.received = job.Arrived, job.Received
 	r.done = func(answer any, repeated bool, err error) {
 		o, ok := answer.(work.Outcome)
 		if err != nil || !ok || (repeated && (o.State == work.Refused || o.State == work.Absent)) {
@@ -627,7 +654,7 @@
 		from:         h,
 		to:           to,
 		confirmation: func() (time.Time, bool) { return h.jobs.ConfirmedAt(to.name, task) },
-		serve:        func(c *served, _ time.Duration) { to.serveLend(c, task) },
+		serve:        func(c *served) { to.serveLend(c, task) },
 	}
 	r.done = func(answer any, repeated bool, err error) {
 		end, ok := answer.(schedule.EndMsg)
@@ -705,6 +732,7 @@
 type link struct {
 	generation  int
 	open        bool
+	openedAt    time.Time
 	silentUntil time.Time
 	calls       []*served
 	probeSent   time.Time // of the last probe that was received
@@ -722,7 +750,9 @@
 	if !l.open && (w.Now.Before(l.silentUntil) || to.pausedUntil.Sub(w.Now) > dialTimeout) {
 		return nil, false
 	}
-	l.open = true
+	if !l.open {
+		l.open, l.openedAt = true, w.Now
+	}
 	return l, true
 }
 
@@ -786,7 +816,8 @@
 	from, to     *host
 	confirmation confirmation
 	arrived      time.Time
-	serve        func(c *served, age time.Duration)
+	received     time.Time
+	serve        func(c *served)
 	done         func(answer any, repeated bool, err error)
 	over         bool // nobody waits for the answer
 	retryUntil   time.Time
@@ -820,14 +851,17 @@
 	}
 	c.toRun, c.fromRun = r.to.run, r.from.run
 	l.calls = append(l.calls, c)
-	age := w.Now.Sub(r.arrived)
+	c.age, c.held = w.Now.Sub(r.arrived), w.Now.Sub(r.received)
 	var fresh time.Time
 	if at, _ := r.confirmation(); !at.IsZero() && !l.probedAt.IsZero() {
 		fresh = confirm.Since(l.probeSent, at.Sub(l.probedAt))
 	}
 	w.transfer(l, c.generation, r.to, func() {
-		c.age = age
 		c.table.Add(0, fresh)
+		c.sentAt = fresh
+		if fresh.IsZero() {
+			c.sentAt = l.openedAt
+		}
 		if w.Now.Sub(fresh) < probeInterval {
 			c.start()
 		}
@@ -859,7 +893,9 @@
 	link           *link
 	generation     int
 	repeated       bool
-	age            time.Duration
+	age            time.Duration // of the job
+	held           time.Duration // since the attempt was received
+	sentAt         time.Time     // or later
 	table          *confirm.Table
 	started        bool
 	ended          bool // the other host doesn't wait, or the link broke
@@ -872,7 +908,7 @@
 func (c *served) start() {
 	if !c.started && !c.ended {
 		c.started = true
-		c.request.serve(c, c.age)
+		c.request.serve(c)
 	}
 }
 
@@ -1070,6 +1106,39 @@
 			name:   "servers taken over",
 			faults: faults{Handovers: 3},
 		},
+		{
+			name:   "announcements lost",
+			faults: faults{AnnounceLoss: 1},
+		},
+		{
+			name:   "homes can't reach each other",
+			faults: faults{CutHomes: true},
+		},
+		{
+			name:   "a home is paused",
+			faults: faults{PauseHome: true},
+		},
+		{
+			name: "homes pause",
+			faults: faults{
+				Pauses:   8,
+				MaxPause: 2 * time.Second,
+				Pausable: homeNames,
+			},
+		},
+		{
+			name: "all at homes",
+			faults: faults{
+				Delay:        100 * time.Millisecond,
+				AnnounceLoss: 0.3,
+				Silent:       3,
+				Pauses:       3,
+				MaxPause:     2 * time.Second,
+				Pausable:     homeNames,
+				Handovers:    2,
+				Orders:       lossyServers,
+			},
+		},
 	}
 	for _, test := range tests {
 		test.faults.HalfOpen = true
@@ -1077,33 +1146,6 @@
 	}
 }
 
-// TestLostAnnouncementRunsTwice guards against a second run of a job of a half-open caller
-// whose announcements are lost.
-func TestLostAnnouncementRunsTwice(t *testing.T) {
-	checkOnce(t, faults{
-		HalfOpen:     true,
-		AnnounceLoss: 1,
-	})
-}
-
-// TestSilentLinkRunsTwice guards against a second run of a job of a half-open caller while
-// the homes can't reach each other.
-func TestSilentLinkRunsTwice(t *testing.T) {
-	checkOnce(t, faults{
-		HalfOpen: true,
-		CutHomes: true,
-	})
-}
-
-// TestPausedHomeRunsTwice guards against a second run of a job of a half-open caller at a
-// home that was paused and has not read the announcements.
-func TestPausedHomeRunsTwice(t *testing.T) {
-	checkOnce(t, faults{
-		HalfOpen:  true,
-		PauseHome: true,
-	})
-}
-
 // TestLateRequestRunsTwice guards against a run of a job whose request an entry reads after
 // its half-open caller has submitted it elsewhere.
 func TestLateRequestRunsTwice(t *testing.T) {
@@ -1122,3 +1164,12 @@
 		Pausable: "ab",
 	})
 }
+
+// TestRestartedHomeRunsTwice guards against a run at a home whose previous process has
+// acknowledged that the job runs elsewhere.
+func TestRestartedHomeRunsTwice(t *testing.T) {
+	checkOnce(t, faults{
+		HalfOpen: true,
+		KillHome: true,
+	})
+}
