--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -15,6 +15,7 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/route"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
@@ -81,7 +82,7 @@
 			h.refuse(w, http.StatusServiceUnavailable, core.ReasonDraining, "this host is shutting down; retry on another host", stopRetryDelay)
 			return
 		}
-		arrived := time.Now()
+		arrived := clock.Now()
 		h.startGate.wait(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
@@ -159,7 +160,7 @@
 // open.
 func callerOf(ctx context.Context) peer.Confirmation {
 	return func() (time.Time, bool) {
-		now := time.Now()
+		now := clock.Now()
 		return now, server.PeerOpen(ctx) && ctx.Err() == nil
 	}
 }
@@ -192,10 +193,10 @@
 	if !ok {
 		state = "caller left"
 	}
-	age := time.Since(job.Arrived)
+	age := clock.Since(job.Arrived)
 	h.latency.Observe(job.Route, state, age)
 	h.log.Info("answer", "job", job.ID, "route", job.Route, "state", state, "reason", o.Reason,
-		"retry", o.RetryAfter.String(), "home", o.Home, "age", age.String(), "wait", time.Until(job.Deadline).String(),
+		"retry", o.RetryAfter.String(), "home", o.Home, "age", age.String(), "wait", clock.Until(job.Deadline).String(),
 		"config", job.Version, "domain", h.roster.Self().Domain,
 		"objective", job.Objective(job.DeclaredPath()).Sub(job.Arrived).String())
 }
--- a/io/peer/confirmation.go
+++ b/io/peer/confirmation.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rosemarywalk/io/clock"
 )
 
 // ErrWithdrawn is the cause with which the context of a served call is canceled when the
@@ -12,7 +14,8 @@
 const ErrWithdrawn = errors.ConstError("the caller does not wait any more")
 
 // Confirmation returns when a caller was last known to wait, zero if that is unknown, and
-// false if the caller is known to be gone. It may be called concurrently.
+// false if the caller is known to be gone. The time is of package clock. It may be called
+// concurrently.
 type Confirmation func() (at time.Time, waiting bool)
 
 type confirmationKey struct{}
@@ -29,7 +32,7 @@
 	if c, ok := ctx.Value(confirmationKey{}).(Confirmation); ok {
 		return c()
 	}
-	now := time.Now()
+	now := clock.Now()
 	if ctx.Err() != nil {
 		return time.Time{}, false
 	}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -31,6 +32,7 @@
 	log            logr.Logger
 	pingTimeout    time.Duration
 	counters       *telemetry.Counters
+	now            func() time.Time
 	inFlight       atomic.Int64  // calls from the peer that have no answer yet
 	wroteSincePing atomic.Bool   // a frame was written since the last ping
 	wake           chan struct{} // wakes keepAlive on an idle link
@@ -59,6 +61,7 @@
 		log:         log,
 		pingTimeout: pingTimeout,
 		counters:    counters,
+		now:         clock.Now,
 		pending:     map[int]pendingCall{},
 		done:        make(chan struct{}),
 		wake:        make(chan struct{}, 1),
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -140,7 +141,7 @@
 	waitForBeats(1)
 	first, err := links.link(t.Context(), address)
 	assert.NilError(t, err)
-	stalls.RecordSuspension(limit)
+	stalls.Observe(clock.Now().Add(limit))
 	assert.NilError(t, first.write(beat))
 	<-first.done
 	assert.Equal(t, received.Load(), int64(1))
--- a/io/peer/prober.go
+++ b/io/peer/prober.go
@@ -41,7 +41,7 @@
 func newProber(l *link) *prober {
 	return &prober{
 		link:   l,
-		opened: time.Now(),
+		opened: l.now(),
 		wake:   make(chan struct{}, 1),
 		calls:  confirm.New(),
 		served: map[int]*servedCall{},
@@ -65,7 +65,7 @@
 	p.served[f.Id] = call
 	first := p.calls.Len() == 1
 	p.mu.Unlock()
-	recent := time.Since(at) < probeInterval
+	recent := p.link.now().Sub(at) < probeInterval
 	if recent {
 		call.confirm()
 	}
@@ -105,7 +105,7 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := p.link.now()
 		p.mu.Lock()
 		open, due := p.calls.Len(), p.calls.Due(now.Add(-probeInterval/2))
 		p.mu.Unlock()
@@ -165,14 +165,14 @@
 	if !waiting {
 		return withdrawnAge
 	}
-	return int(min(max(0, time.Since(at)), maxAge).Microseconds()) + 1
+	return int(min(max(0, l.now().Sub(at)), maxAge).Microseconds()) + 1
 }
 
 // recordProbe notes the receipt of a probe, by which later calls are dated.
 func (l *link) recordProbe(probe *wire.Probe) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.probeStamp, l.probedAt = probe.Stamp, time.Now()
+	l.probeStamp, l.probedAt = probe.Stamp, l.now()
 }
 
 // fresh dates a call by the last probe that was received. It returns nil without one, or if
--- a/io/peer/prober_test.go
+++ b/io/peer/prober_test.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -84,7 +85,7 @@
 func TestCallConfirmedWithoutCaller(t *testing.T) {
 	served := make(chan context.Context, 1)
 	links, address := serveSubmit(t, served)
-	last := time.Now()
+	last := clock.Now()
 	ctx := WithConfirmation(t.Context(), func() (time.Time, bool) { return last, true })
 	go func() { _, _ = links.Call(ctx, address, wire.Frame{Submit: &wire.Submit{}}) }()
 	call := <-served
@@ -93,7 +94,7 @@
 		at, waiting := Confirm(call)
 		assert.Assert(t, waiting)
 		assert.Assert(t, !at.After(last), "%s later than the caller was known to wait", at.Sub(last))
-		if !at.IsZero() && time.Since(last) > 5*probeInterval {
+		if !at.IsZero() && clock.Since(last) > 5*probeInterval {
 			assert.Assert(t, last.Sub(at) < time.Second, last.Sub(at))
 			return
 		}
@@ -101,3 +102,36 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestCallerSeemsRecentAfterSuspension checks that the time for which a host was suspended counts
+// in what it says of when a caller was last known to wait.
+func TestCallerSeemsRecentAfterSuspension(t *testing.T) {
+	const suspension = 450 * time.Millisecond
+	began := clock.Now()
+	ctx := WithConfirmation(t.Context(), func() (time.Time, bool) { return began, true })
+	tests := []struct {
+		name string
+		age  func(*link) time.Duration
+	}{
+		{
+			name: "answer to a probe",
+			age:  func(l *link) time.Duration { return microseconds(l.callerAge(1)) },
+		},
+		{
+			name: "call after a probe",
+			age: func(l *link) time.Duration {
+				l.recordProbe(&wire.Probe{})
+				return -microseconds(l.fresh(ctx).Since)
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			age := test.age(&link{
+				pending: map[int]pendingCall{1: {ctx: ctx}},
+				now:     func() time.Time { return clock.Now().Add(suspension) },
+			})
+			assert.Assert(t, age >= suspension, age)
+		})
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -67,9 +68,9 @@
 		calls = newProber(l)
 		go calls.run()
 	}
-	stallCount, _ := s.stalls.Observe(time.Now())
+	stallCount, _ := s.stalls.Observe(clock.Now())
 	l.read(func(f wire.Frame) {
-		if count, _ := s.stalls.Observe(time.Now()); count != stallCount {
+		if count, _ := s.stalls.Observe(clock.Now()); count != stallCount {
 			l.close(closedByStall)
 			return
 		}
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -34,7 +34,7 @@
 func (s *Shard) announceable() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.jobs.Announceable(time.Now())
+	return s.jobs.Announceable(s.now())
 }
 
 // ServeOpen records the jobs that another home announces.
@@ -91,7 +91,7 @@
 		state = "caller left"
 	}
 	s.config.Counters.Joined(state)
-	s.config.Log.Info("job joined elsewhere", "job", job.ID, "home", outcome.Home, "age", time.Since(job.Arrived).String(),
+	s.config.Log.Info("job joined elsewhere", "job", job.ID, "home", outcome.Home, "age", s.config.Now().Sub(job.Arrived).String(),
 		"state", state, "reason", outcome.Reason)
 }
 
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -27,6 +27,7 @@
 // lender runs tasks on other hosts over peer links.
 type lender struct {
 	peers    Peers
+	now      func() time.Time
 	reattach time.Duration // how long the remote run continues after a link breaks
 }
 
@@ -40,7 +41,7 @@
 		Task: t,
 	}
 	answer, repeated, err := callWithRetry(ctx, l.reattach, func(repeated bool) (wire.Frame, error) {
-		lend := taskToWire(service, t, time.Now())
+		lend := taskToWire(service, t, l.now())
 		lend.Again = repeated
 		return l.peers.Call(ctx, host, wire.Frame{Lend: lend})
 	})
@@ -158,8 +159,8 @@
 // ServeLend runs a task for another host.
 func (s *Scheduler) ServeLend(ctx context.Context, f wire.Frame) (wire.Frame, bool) {
 	l := f.Lend
-	task := taskFromWire(l, time.Now())
-	ctx, cancel := context.WithDeadline(ctx, task.Deadline.Add(sendTimeout))
+	task := taskFromWire(l, s.config.Now())
+	ctx, cancel := context.WithTimeout(ctx, microseconds(l.Left)+sendTimeout)
 	defer cancel()
 	end := s.Shard(l.Service).RunLent(ctx, task, l.Again)
 	return wire.Frame{Lent: &wire.Lent{
@@ -216,7 +217,7 @@
 	}
 	shard := s.Shard(r.Service)
 	shard.mu.Lock()
-	shard.notifier.SetLow(time.Now(), r.Host, r.Need)
+	shard.notifier.SetLow(shard.now(), r.Host, r.Need)
 	shard.mu.Unlock()
 	shard.update(schedule.CapacityMsg{
 		Host:     r.Host,
@@ -269,7 +270,7 @@
 func (s *Shard) capacityFrame(partners []string) (wire.Frame, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.now()
 	if s.capacityDirty || now.Sub(s.capacityCheckedAt) >= s.notifyLimits.Unchanged {
 		s.capacityDirty, s.capacityCheckedAt = false, now
 		if current := s.capacityToWire(now); !sameCapacity(current, s.reportedCapacity) {
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +13,6 @@
 	"rosemarywalk/core/health"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/pool"
-	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/telemetry"
@@ -83,15 +84,17 @@
 }
 
 func newShard(servers Servers) *Shard {
-	s := New(Config{
-		Servers:  servers,
-		Pool:     testPoolLimits(),
-		Jobs:     schedule.Limits{MaxJobs: 10},
-		Answer:   time.Second,
-		Reattach: 100 * time.Millisecond,
-		Counters: telemetry.NewCounters(telemetry.NewRegistry()),
-		Log:      logr.Discard(),
-	}).newShard("service", "")
+	return newShardWith(Config{
+		Servers: servers,
+		Pool:    testPoolLimits(),
+	})
+}
+
+// newShardWith returns a shard that owns a server, with the common settings of these tests.
+func newShardWith(c Config) *Shard {
+	c.Jobs.MaxJobs, c.Answer, c.Reattach = 10, time.Second, 100*time.Millisecond
+	c.Counters, c.Log = telemetry.NewCounters(telemetry.NewRegistry()), logr.Discard()
+	s := New(c).newShard("service", "")
 	s.update(pool.AssignMsg{
 		Servers: []listing.Server{{
 			ID:       "a",
@@ -261,3 +264,65 @@
 	task.Size.CPU = 500
 	assert.Equal(t, s.RunLent(t.Context(), task, false).End, work.EndDone)
 }
+
+// lateServer answers that the first start was carried out too late, after this host was
+// suspended.
+type lateServer struct {
+	fakeServer
+
+	suspend func()
+	late    bool
+}
+
+func (l *lateServer) Start(ctx context.Context, cmd pool.StartCmd) pool.StartedMsg {
+	msg := l.fakeServer.Start(ctx, cmd)
+	if !l.late {
+		l.late = true
+		l.suspend()
+		msg.Result, msg.Clock = pool.DeadlinePassed, 2001
+	}
+	return msg
+}
+
+// TestLentTaskStartsAfterSuspension checks that a lent task is not started with a confirmation
+// from before a suspension: the home has given the run up since.
+func TestLentTaskStartsAfterSuspension(t *testing.T) {
+	for _, ticked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ticked %t", ticked), func(t *testing.T) {
+			f := &lateServer{fakeServer: fakeServer{
+				runTime: time.Hour,
+				starts:  make(chan string, 10),
+				stops:   make(chan string, 10),
+			}}
+			limits := testPoolLimits()
+			limits.Lease, limits.MaxUnconfirmed, limits.StopUnconfirmed = 720*time.Millisecond, 1200*time.Millisecond, 840*time.Millisecond
+			limits.AnswerTimeout = 80 * time.Millisecond
+			var suspended atomic.Int64
+			s := newShardWith(Config{
+				Servers: f,
+				Pool:    limits,
+				Stall:   500 * time.Millisecond,
+				Now:     func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) },
+			})
+			f.suspend = func() {
+				suspended.Store(int64(2 * time.Second))
+				if ticked {
+					s.advance()
+				}
+			}
+			at := s.now()
+			ctx := peer.WithConfirmation(t.Context(), func() (time.Time, bool) { return at, true })
+			go s.RunLent(ctx, work.Task{
+				Job:  "j",
+				Run:  1,
+				Size: work.Size{CPU: 500},
+			}, false)
+			<-f.starts
+			select {
+			case <-f.starts:
+				t.Fatal("started again with a confirmation from before the suspension")
+			case <-time.After(300 * time.Millisecond):
+			}
+		})
+	}
+}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"rosemarywalk/core/owner"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
@@ -30,6 +31,7 @@
 	Reattach time.Duration // how long work continues for a host whose link broke
 	Stall    time.Duration // age at which a decision is outdated
 	Stalls   *stall.Detector
+	Now      func() time.Time // of package clock if nil
 	Tell     schedule.ReportIntervals
 	Announce time.Duration // interval between announcements of older jobs
 	Settle   time.Duration // time after startup before servers are taken over
@@ -58,9 +60,12 @@
 	if c.Stalls == nil {
 		c.Stalls = stall.New(c.Stall)
 	}
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
 	return &Scheduler{
 		config:  c,
-		started: time.Now(),
+		started: c.Now(),
 		wakeUp:  make(chan struct{}, 1),
 		shards:  map[string]*Shard{},
 		plans:   map[string]owner.Plan{},
@@ -95,7 +100,7 @@
 
 // newShard returns a shard for a host in the given failure domain.
 func (s *Scheduler) newShard(service, domain string) *Shard {
-	stallCount, _ := s.config.Stalls.Observe(time.Now())
+	stallCount, _ := s.config.Stalls.Observe(s.config.Now())
 	return &Shard{
 		stallCount: stallCount,
 		service:    service,
@@ -103,11 +108,13 @@
 		servers:    s.config.Servers,
 		lender: lender{
 			peers:    s.config.Peers,
+			now:      s.config.Now,
 			reattach: s.config.Reattach,
 		},
 		answer:       s.config.Answer,
 		stall:        s.config.Stall,
 		stalls:       s.config.Stalls,
+		now:          s.config.Now,
 		notifyLimits: s.config.Tell,
 		notifier:     schedule.NewReporter(s.config.Tell),
 		wake:         s.wake,
@@ -168,7 +175,7 @@
 // periodically, as the rows of other hosts may have expired meanwhile.
 func (s *Scheduler) refreshOwnership() {
 	s.mu.Lock()
-	due := s.ownershipDirty || time.Since(s.ownershipUpdatedAt) >= maxOwnershipInterval
+	due := s.ownershipDirty || s.config.Now().Sub(s.ownershipUpdatedAt) >= maxOwnershipInterval
 	s.mu.Unlock()
 	if due {
 		s.updateOwnership()
@@ -187,7 +194,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.ownershipDirty, s.ownershipUpdatedAt = false, time.Now()
+	s.ownershipDirty, s.ownershipUpdatedAt = false, s.config.Now()
 	s.mu.Unlock()
 	self := s.config.Roster.Self()
 	claims := s.config.Roster.Claims()
@@ -210,7 +217,7 @@
 func (s *Scheduler) membershipSettled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.config.Now()
 	if s.hostsListedAt.IsZero() && s.config.Roster.HasListedHosts() {
 		s.hostsListedAt = now
 	}
@@ -277,7 +284,7 @@
 func (s *Shard) Capacity() pool.Capacity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Capacity(time.Now())
+	return s.pool.Capacity(s.now())
 }
 
 func (s *Shard) remoteHosts() []string {
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -50,6 +50,7 @@
 	stall        time.Duration // age at which a decision is outdated
 	notifyLimits schedule.ReportIntervals
 	stalls       *stall.Detector
+	now          func() time.Time
 	wake         func() // called when the shard needs ticks
 	counters     *telemetry.Counters
 	log          logr.Logger
@@ -94,7 +95,7 @@
 
 func (s *Shard) apply(msgs []any) {
 	s.mu.Lock()
-	now := time.Now()
+	now := s.now()
 	if count, gap := s.stalls.Observe(now); count != s.stallCount {
 		s.stallCount = count
 		s.log.Info("process stalled", "for", gap.String(), "jobs", s.jobs.Jobs(), "runs", s.pool.Pending())
@@ -199,7 +200,7 @@
 	switch cmd := cmd.(type) {
 	case schedule.RunCmd:
 		if cmd.Host != s.self {
-			decided := time.Now()
+			decided := s.now()
 			return nil, []effect{func() { go s.lend(cmd, decided) }}
 		}
 		return []any{pool.RunMsg{
@@ -269,7 +270,7 @@
 
 // lend asks another host to run a task, unless this host has stalled since the decision.
 func (s *Shard) lend(cmd schedule.RunCmd, decided time.Time) {
-	if s.stall > 0 && time.Since(decided) >= s.stall {
+	if s.stall > 0 && s.now().Sub(decided) >= s.stall {
 		s.update(schedule.EndMsg{
 			Host:   cmd.Host,
 			Task:   cmd.Task,
@@ -278,7 +279,7 @@
 		})
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), cmd.Task.Deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), cmd.Task.Deadline.Sub(s.now()))
 	defer cancel()
 	ctx = peer.WithConfirmation(ctx, func() (time.Time, bool) {
 		s.mu.Lock()
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -22,7 +22,7 @@
 // and the caller gets no answer. Near the deadline the caller is answered even if the
 // home is silent.
 func (s *Scheduler) Do(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
-	bounded, cancel := context.WithDeadline(ctx, job.Deadline.Add(-answerMargin))
+	bounded, cancel := context.WithTimeout(ctx, job.Deadline.Add(-answerMargin).Sub(s.config.Now()))
 	defer cancel()
 	outcome, ok = s.submit(bounded, job)
 	if ok || ctx.Err() != nil {
@@ -58,7 +58,7 @@
 			s.config.Roster.MarkNotListening(home.Address)
 			continue
 		case err != nil:
-			s.config.Log.Info("connection to home lost", "job", job.ID, "home", home.Address, "age", time.Since(job.Arrived).String(), "error", err.Error())
+			s.config.Log.Info("connection to home lost", "job", job.ID, "home", home.Address, "age", s.config.Now().Sub(job.Arrived).String(), "error", err.Error())
 			return work.Outcome{
 				State:  work.Broken,
 				Reason: core.ReasonLink,
@@ -80,7 +80,7 @@
 // forward submits a job to another host. With joinOnly that host doesn't start the job.
 func (s *Scheduler) forward(ctx context.Context, home string, job work.Job, joinOnly bool) (work.Outcome, error) {
 	answer, repeated, err := callWithRetry(ctx, s.config.Reattach, func(repeated bool) (wire.Frame, error) {
-		submit := jobToWire(job, time.Now())
+		submit := jobToWire(job, s.config.Now())
 		submit.Again, submit.Join = repeated, joinOnly
 		return s.config.Peers.Call(ctx, home, wire.Frame{Submit: submit})
 	})
@@ -116,7 +116,7 @@
 	if isWithdrawn(ctx) {
 		return wire.Frame{}, false
 	}
-	job := jobFromWire(f.Submit, time.Now())
+	job := jobFromWire(f.Submit, s.config.Now())
 	outcome, ok := s.coordinate(ctx, schedule.SubmitMsg{
 		Job:         job,
 		Remote:      true,
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // minOwnershipInterval is the minimum time between computations of ownership, so that a
@@ -21,7 +19,6 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var lastReport, lastConfirm, lastAnnouncement, lastOwnership time.Time
-	var clock suspendClock
 	for {
 		idle := s.idle()
 		period, wake := tick, (<-chan struct{})(nil)
@@ -35,10 +32,7 @@
 		case <-timer.C:
 		case <-wake:
 		}
-		now := time.Now()
-		if pause := clock.suspended(); pause > 0 {
-			s.config.Stalls.RecordSuspension(pause)
-		}
+		now := s.config.Now()
 		if now.Sub(lastConfirm) >= confirmInterval {
 			lastConfirm = now
 			for _, shard := range s.all() {
@@ -89,28 +83,3 @@
 		}
 	}
 }
-
-// suspendClock detects that the host was suspended, by comparing a clock that counts
-// this time with one that doesn't.
-type suspendClock struct {
-	initialized bool
-	offset      time.Duration // of CLOCK_BOOTTIME from CLOCK_MONOTONIC
-}
-
-// suspended returns how long the host was suspended since the last call.
-func (c *suspendClock) suspended() time.Duration {
-	var with, without unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &with) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &without) != nil {
-		return 0
-	}
-	return c.update(time.Duration(with.Nano() - without.Nano()))
-}
-
-func (c *suspendClock) update(offset time.Duration) time.Duration {
-	suspended := offset - c.offset
-	if !c.initialized {
-		suspended = 0
-	}
-	c.initialized, c.offset = true, offset
-	return suspended
-}
--- a/io/scheduler/tick_test.go
+++ b/io/scheduler/tick_test.go
@@ -81,34 +81,9 @@
 		Remote: true,
 	})
 	assert.Equal(t, len(answer), 0)
-	s.config.Stalls.RecordSuspension(stall)
+	s.config.Stalls.Observe(s.config.Now().Add(stall))
 	shard.apply(nil)
 	assert.Equal(t, (<-answer).Reason, core.ReasonStall)
 	// The shard has no peers, so an attempt to lend would panic.
-	shard.lend(schedule.RunCmd{Host: "other"}, time.Now().Add(-stall))
-}
-
-// TestSuspendClock checks that a suspension is measured correctly whether or not the
-// clocks differ at the start.
-func TestSuspendClock(t *testing.T) {
-	tests := []struct {
-		name  string
-		first time.Duration
-	}{
-		{
-			name: "never suspended before",
-		},
-		{
-			name:  "suspended before the start",
-			first: time.Hour,
-		},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			var c suspendClock
-			assert.Equal(t, c.update(test.first), time.Duration(0))
-			assert.Equal(t, c.update(test.first), time.Duration(0))
-			assert.Equal(t, c.update(test.first+2*time.Second), 2*time.Second)
-		})
-	}
+	shard.lend(schedule.RunCmd{Host: "other"}, shard.now().Add(-stall))
 }
--- a/io/stall/detector_test.go
+++ b/io/stall/detector_test.go
@@ -7,16 +7,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestDetector checks that each gap and each suspension of at least the limit is
-// counted exactly once.
+// TestDetector checks that each gap of at least the limit is counted exactly once.
 func TestDetector(t *testing.T) {
 	const limit = 500 * time.Millisecond
 	now := time.Unix(1000, 0)
 	tests := []struct {
-		name  string
-		pass  time.Duration
-		slept time.Duration
-		want  int
+		name string
+		pass time.Duration
+		want int
 	}{
 		{
 			name: "first asked",
@@ -35,20 +33,19 @@
 			want: 1,
 		},
 		{
-			name:  "suspended",
-			slept: limit,
-			want:  2,
+			name: "another long gap",
+			pass: limit,
+			want: 2,
 		},
 		{
-			name:  "suspended for a moment",
-			slept: limit / 2,
-			want:  2,
+			name: "another short gap",
+			pass: limit / 2,
+			want: 2,
 		},
 	}
 	d := New(limit)
 	for _, test := range tests {
 		now = now.Add(test.pass)
-		d.RecordSuspension(test.slept)
 		count, _ := d.Observe(now)
 		assert.Equal(t, count, test.want, test.name)
 	}
