--- a/io/peer/prober.go
+++ b/io/peer/prober.go
@@ -20,9 +20,10 @@
 
 // prober tracks the callers of the calls that are served on one link.
 type prober struct {
-	link   *link
-	opened time.Time
-	wake   chan struct{} // probes at once
+	link    *link
+	answers bool // the other host answers probes
+	opened  time.Time
+	wake    chan struct{} // probes at once
 
 	mu     sync.Mutex
 	calls  *confirm.Table
@@ -38,13 +39,14 @@
 
 func (c *servedCall) confirm() { c.once.Do(func() { close(c.confirmed) }) }
 
-func newProber(l *link) *prober {
+func newProber(l *link, answers bool) *prober {
 	return &prober{
-		link:   l,
-		opened: l.now(),
-		wake:   make(chan struct{}, 1),
-		calls:  confirm.New(),
-		served: map[int]*servedCall{},
+		link:    l,
+		answers: answers,
+		opened:  l.now(),
+		wake:    make(chan struct{}, 1),
+		calls:   confirm.New(),
+		served:  map[int]*servedCall{},
 	}
 }
 
@@ -109,11 +111,15 @@
 		p.mu.Lock()
 		open, due := p.calls.Len(), p.calls.Due(now.Add(-probeInterval/2))
 		p.mu.Unlock()
-		if len(due) > 0 {
+		switch {
+		case len(due) == 0:
+		case p.answers:
 			_ = p.link.write(wire.Frame{Probe: &wire.Probe{
 				Stamp: int(now.Sub(p.opened).Microseconds()),
 				Calls: due,
 			}})
+		default:
+			go p.ping(now, due)
 		}
 		if open > 0 {
 			timer.Reset(probeInterval)
@@ -121,6 +127,22 @@
 	}
 }
 
+// ping confirms calls of a host of an earlier version, which answers no probes. An answered
+// ping shows that it ran and could have withdrawn them.
+func (p *prober) ping(now time.Time, calls []int) {
+	if !p.link.ping() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range calls {
+		if call := p.served[id]; call != nil {
+			p.calls.Confirm(id, now, 0)
+			call.confirm()
+		}
+	}
+}
+
 // apply records the answer to a probe, and cancels the calls that were withdrawn.
 func (p *prober) apply(answer *wire.Probed) {
 	sent := p.opened.Add(microseconds(answer.Stamp))
--- a/io/peer/prober_test.go
+++ b/io/peer/prober_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
@@ -135,3 +139,67 @@
 		})
 	}
 }
+
+// TestSilentOldHostConfirmed checks that the callers of a host that answers no probes, as of an
+// earlier version, are taken as waiting only as long as the host answers pings.
+func TestSilentOldHostConfirmed(t *testing.T) {
+	const silence = 300 * time.Millisecond
+	tests := []struct {
+		name   string
+		silent bool // from the start
+	}{
+		{
+			name: "falls silent once the call is served",
+		},
+		{
+			name:   "silent from the start",
+			silent: true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			served := make(chan context.Context, 1)
+			_, address := serveSubmit(t, served)
+			var silent atomic.Bool
+			transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return blackholeConn{
+					Conn: conn,
+					drop: &silent,
+				}, err
+			}}
+			conn, _, err := websocket.Dial(t.Context(), "ws://"+address+peerPath, &websocket.DialOptions{
+				HTTPClient: &http.Client{Transport: transport},
+			})
+			assert.NilError(t, err)
+			defer func() { _ = conn.CloseNow() }()
+			raw, err := cbor.Marshal(wire.Frame{
+				Id:     1,
+				Submit: &wire.Submit{},
+			})
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, raw))
+			silent.Store(test.silent)
+			conn.CloseRead(t.Context())
+			if test.silent {
+				time.Sleep(silence)
+				assert.Equal(t, len(served), 0)
+				return
+			}
+			call := <-served
+			began := clock.Now()
+			confirmed := func() time.Time {
+				at, waiting := Confirm(call)
+				assert.Assert(t, waiting)
+				return at
+			}
+			for confirmed().Before(began) {
+				time.Sleep(time.Millisecond)
+			}
+			silent.Store(true)
+			began = clock.Now()
+			time.Sleep(silence)
+			assert.Assert(t, !confirmed().After(began), "confirmed %s after the silence began", confirmed().Sub(began))
+		})
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -63,18 +63,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.keepAlive()
-	var calls *prober
-	if r.Header.Get(probesHeader) != "" {
-		calls = newProber(l)
-		go calls.run()
-	}
+	calls := newProber(l, r.Header.Get(probesHeader) != "")
+	go calls.run()
 	stallCount, _ := s.stalls.Observe(clock.Now())
 	l.read(func(f wire.Frame) {
 		if count, _ := s.stalls.Observe(clock.Now()); count != stallCount {
 			l.close(closedByStall)
 			return
 		}
-		if f.Probed != nil && calls != nil {
+		if f.Probed != nil {
 			calls.apply(f.Probed)
 			return
 		}
@@ -107,7 +104,7 @@
 	go func() {
 		defer s.activeCalls.Add(-1)
 		defer l.inFlight.Add(-1)
-		if calls == nil || !isProbed(f) {
+		if !isProbed(f) {
 			s.answer(ctx, l, h, f)
 			return
 		}
