--- a/io/peer/prober_test.go
+++ b/io/peer/prober_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -99,7 +104,7 @@
 func TestCallConfirmedWithoutCaller(t *testing.T) {
 	served := make(chan context.Context, 1)
 	links, address := serveSubmit(t, served)
-	last := time.Now()
+	last := clock.Now()
 	ctx := WithConfirmation(t.Context(), func() (time.Time, bool) { return last, true })
 	go func() { _, _ = links.Call(ctx, address, wire.Frame{Submit: &wire.Submit{}}) }()
 	call := <-served
@@ -108,7 +113,7 @@
 		at, waiting := Confirm(call)
 		assert.Assert(t, waiting)
 		assert.Assert(t, !at.After(last), "%s later than the caller was known to wait", at.Sub(last))
-		if !at.IsZero() && time.Since(last) > 5*probeInterval {
+		if !at.IsZero() && clock.Since(last) > 5*probeInterval {
 			assert.Assert(t, last.Sub(at) < time.Second, last.Sub(at))
 			return
 		}
@@ -116,3 +121,100 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestCallerSeemsRecentAfterSuspension checks that the time for which a host was suspended counts
+// in what it says of when a caller was last known to wait.
+func TestCallerSeemsRecentAfterSuspension(t *testing.T) {
+	const suspension = 450 * time.Millisecond
+	began := clock.Now()
+	ctx := WithConfirmation(t.Context(), func() (time.Time, bool) { return began, true })
+	tests := []struct {
+		name string
+		age  func(*link) time.Duration
+	}{
+		{
+			name: "answer to a probe",
+			age:  func(l *link) time.Duration { return microseconds(l.callerAge(1)) },
+		},
+		{
+			name: "call after a probe",
+			age: func(l *link) time.Duration {
+				l.recordProbe(&wire.Probe{})
+				return -microseconds(l.fresh(ctx).Since)
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			age := test.age(&link{
+				pending: map[int]pendingCall{1: {ctx: ctx}},
+				now:     func() time.Time { return clock.Now().Add(suspension) },
+			})
+			assert.Assert(t, age >= suspension, age)
+		})
+	}
+}
+
+// TestSilentOldHostConfirmed checks that the callers of a host that answers no probes, as of an
+// earlier version, are taken as waiting only as long as the host answers pings.
+func TestSilentOldHostConfirmed(t *testing.T) {
+	const silence = 300 * time.Millisecond
+	tests := []struct {
+		name   string
+		silent bool // from the start
+	}{
+		{
+			name: "falls silent once the call is served",
+		},
+		{
+			name:   "silent from the start",
+			silent: true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			served := make(chan context.Context, 1)
+			_, address := serveSubmit(t, served)
+			var silent atomic.Bool
+			transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return blackholeConn{
+					Conn: conn,
+					drop: &silent,
+				}, err
+			}}
+			conn, _, err := websocket.Dial(t.Context(), "ws://"+address+peerPath, &websocket.DialOptions{
+				HTTPClient: &http.Client{Transport: transport},
+			})
+			assert.NilError(t, err)
+			defer func() { _ = conn.CloseNow() }()
+			raw, err := cbor.Marshal(wire.Frame{
+				Id:     1,
+				Submit: &wire.Submit{},
+			})
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Write(t.Context(), websocket.MessageBinary, raw))
+			silent.Store(test.silent)
+			conn.CloseRead(t.Context())
+			if test.silent {
+				time.Sleep(silence)
+				assert.Equal(t, len(served), 0)
+				return
+			}
+			call := <-served
+			began := clock.Now()
+			confirmed := func() time.Time {
+				at, waiting := Confirm(call)
+				assert.Assert(t, waiting)
+				return at
+			}
+			for confirmed().Before(began) {
+				time.Sleep(time.Millisecond)
+			}
+			silent.Store(true)
+			began = clock.Now()
+			time.Sleep(silence)
+			assert.Assert(t, !confirmed().After(began), "confirmed %s after the silence began", confirmed().Sub(began))
+		})
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/io/clock"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -62,18 +63,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.keepAlive()
-	var calls *prober
-	if r.Header.Get(probesHeader) != "" {
-		calls = newProber(l)
-		go calls.run()
-	}
-	stallCount, _ := s.stalls.Observe(time.Now())
+	calls := newProber(l, r.Header.Get(probesHeader) != "")
+	go calls.run()
+	stallCount, _ := s.stalls.Observe(clock.Now())
 	l.read(func(f wire.Frame) {
-		if count, _ := s.stalls.Observe(time.Now()); count != stallCount {
+		if count, _ := s.stalls.Observe(clock.Now()); count != stallCount {
 			l.close(closedByStall)
 			return
 		}
-		if f.Probed != nil && calls != nil {
+		if f.Probed != nil {
 			calls.apply(f.Probed)
 			return
 		}
@@ -106,7 +104,7 @@
 	go func() {
 		defer s.activeCalls.Add(-1)
 		defer l.inFlight.Add(-1)
-		if calls == nil || !isProbed(f) {
+		if !isProbed(f) {
 			s.answer(ctx, l, h, f)
 			return
 		}
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -15,7 +15,7 @@
 // which of them these leave to this host.
 func (s *Scheduler) announce() {
 	for _, shard := range s.all() {
-		sent := time.Now()
+		sent := s.config.Now()
 		jobs := shard.announceable()
 		if len(jobs) == 0 {
 			continue
@@ -48,7 +48,7 @@
 // ask asks a home for the unfinished jobs that it coordinates until it answers, leaves, or
 // the answer is not needed any more.
 func (s *Scheduler) ask(service string, cmd schedule.AskCmd) {
-	ctx, cancel := context.WithDeadline(context.Background(), cmd.Until)
+	ctx, cancel := context.WithTimeout(context.Background(), cmd.Until.Sub(s.config.Now()))
 	defer cancel()
 	for ctx.Err() == nil && slices.Contains(s.otherHomes(service), cmd.Host) {
 		if s.askOnce(ctx, service, cmd.Host) {
@@ -118,7 +118,7 @@
 func (s *Shard) announceable() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.jobs.Announceable(time.Now())
+	return s.jobs.Announceable(s.now())
 }
 
 // ServeOpen records the jobs that another home announces, and acknowledges them.
@@ -134,7 +134,7 @@
 func (s *Shard) recordAnnouncements(msg schedule.AnnouncedMsg) (acknowledged []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, cmd := range s.jobs.Update(time.Now(), msg) {
+	for _, cmd := range s.jobs.Update(s.now(), msg) {
 		if cmd, ok := cmd.(schedule.AcknowledgeCmd); ok {
 			acknowledged = append(acknowledged, cmd.Jobs...)
 		}
@@ -187,7 +187,7 @@
 		state = "caller left"
 	}
 	s.config.Counters.Joined(state)
-	s.config.Log.Info("job joined elsewhere", "job", job.ID, "home", outcome.Home, "age", time.Since(job.Arrived).String(),
+	s.config.Log.Info("job joined elsewhere", "job", job.ID, "home", outcome.Home, "age", s.config.Now().Sub(job.Arrived).String(),
 		"state", state, "reason", outcome.Reason)
 }
 
