core/schedule: homes that are replaced one after the other run a task twice, listed

Cause: a home that has just started asks the others what they coordinate. One that was replaced too can't speak for its predecessor, whose runs end with their leases, up to 1.2 s later. TestOneHomeAtOnce replaces processes 1.5 s apart; this is the rest, as a test of its own. To answer only after that time would hold up every start of a whole fleet by 1.27 s.

--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -991,3 +991,20 @@
 		})
 	}
 }
+
+// TestSuccessiveRestartsRunTwice guards against a second run of a job whose announcements
+// were known only to homes that were replaced one soon after the other.
+func TestSuccessiveRestartsRunTwice(t *testing.T) {
+	for seed := range uint64(10) {
+		r := newHomesReplay(seed, 3, replayTimes{
+			run:     timeRange{most: 2 * time.Second},
+			message: timeRange{most: 20 * time.Millisecond},
+			restart: timeRange{
+				least: 50 * time.Millisecond,
+				most:  time.Second,
+			},
+		})
+		r.play(60)
+		assert.Check(t, len(r.twice) == 0, "seed %d: %v", seed, r.twice)
+	}
+}
