proof: a job that is sent again to a host that has just become a home

Cause: with acknowledged announcements TestSoakSilentConnections failed where two hosts differed on who is a home. setHomes counts a new home as one that has acknowledged all jobs since it was first seen, as it would ask for announcements before it starts anything; nothing asks.

--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -493,6 +493,34 @@
 	}
 }
 
+// TestResentJobAtNewHome: a host that has just become a home gets a job that a home of another
+// failure domain runs, and of which that home could not tell it.
+func TestResentJobAtNewHome(t *testing.T) {
+	resendTest{
+		before: func(f *resendFleet) {
+			// The new home is the other host of the failure domain.
+			const job = 1 << 21
+			path := fmt.Sprintf("%016x", job)
+			_, _, err := f.other.call(http.MethodPost, routePrefix+path, jobBody(1))
+			assert.NilError(f.t, err)
+			eventually(f.t, "the answer is logged", func() bool { return f.other.homeOf(path) != "" })
+			if f.hostByPeerAddress(f.other.homeOf(path)) == f.other {
+				f.other = f.hosts[slices.Index(f.hosts, f.other)+len(usedDomains)]
+			}
+		},
+		abandon: func(f *resendFleet, a attempt) time.Time {
+			f.cutOff(a)
+			time.Sleep(time.Until(a.sent.Add(shortPause)))
+			for i, h := range f.hosts {
+				if domainInTurn(nil, i) != domainInTurn(nil, slices.Index(f.hosts, f.home)) && h != f.other {
+					h.kill()
+				}
+			}
+			return a.sent
+		},
+	}.run(t)
+}
+
 // cutOff makes the caller's connection half-open, and the home's links to the other failure
 // domain lose what it sends until the caller has sent its job again.
 func (f *resendFleet) cutOff(a attempt) {
