--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -283,6 +283,7 @@
 	life        int
 	pausedUntil time.Time
 	ranAt       time.Time
+	startedAt   time.Time
 	jobs        *schedule.Model
 	pool        *pool.Model
 	callers     map[string]*served
@@ -302,7 +303,7 @@
 
 func (h *host) start() {
 	h.life++
-	h.ranAt = h.w.Now
+	h.ranAt, h.startedAt = h.w.Now, h.w.Now
 	h.jobs, h.pool = schedule.New(h.name, jobLimits(h.w.bounds)), pool.New("d", poolLimits(h.w.bounds))
 	h.callers, h.lent, h.halted = map[string]*served{}, map[string]*lentRun{}, map[string]time.Time{}
 	h.assignedAt, h.confirmedAt = time.Time{}, time.Time{}
@@ -319,9 +320,11 @@
 	h.w.breakLinks(h, true)
 	h.start()
 	h.pausedUntil = h.w.Now.Add(h.w.UpTo(restart))
-	h.ranAt = h.pausedUntil
+	h.ranAt, h.startedAt = h.pausedUntil, h.pausedUntil
 }
 
+func (h *host) age() time.Duration { return h.w.Now.Sub(h.startedAt) + 1 }
+
 // pause stops the process. Others close their links to it when pings get no answer.
 func (h *host) pause(d time.Duration) {
 	h.w.log(h.name, "paused for %s", d)
@@ -463,13 +466,14 @@
 	if l, ok := h.w.dial(h, to); ok {
 		generation := l.generation
 		h.w.transfer(l, generation, to, func() {
-			ids := to.jobs.Announceable(to.w.Now)
+			ids, age := to.jobs.Announceable(to.w.Now), to.age()
 			h.w.transfer(l, generation, h, func() {
 				answered = true
 				h.update(schedule.AnnouncedMsg{
 					Host:     to.name,
 					Jobs:     ids,
 					Complete: true,
+					Age:      age,
 				})
 			})
 		})
--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -54,13 +54,24 @@
 		}
 	}
 	cmds := []Cmd{AcknowledgeCmd{Jobs: acknowledged}}
-	if msg.Complete && m.unheard[msg.Host] {
+	switch {
+	case !msg.Complete || !m.unheard[msg.Host]:
+	case m.isNew(msg.Age):
+		// The previous process of that home may have announced jobs that still run.
+		if until := now.Add(m.limits.AnnouncementTTL - msg.Age); until.After(m.unheardUntil) {
+			m.unheardUntil = until
+		}
+	default:
 		delete(m.unheard, msg.Host)
 		cmds = append(cmds, m.dispatch(now)...)
 	}
 	return cmds
 }
 
+// isNew reports whether runs of the previous process of a host may still go on, given the
+// age of its process, or 0 if that is unknown.
+func (m *Model) isNew(age time.Duration) bool { return age > 0 && age < m.limits.AnnouncementTTL }
+
 // ask asks all other homes for the jobs that they coordinate: this home may not know what
 // they announced before.
 func (m *Model) ask(now time.Time) []Cmd {
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -790,6 +790,7 @@
 				Host:     cmd.Host,
 				Jobs:     r.models[other].Announceable(now),
 				Complete: true,
+				Age:      now.Sub(r.models[other].startedAt),
 			}
 			r.at(now.Add(r.draw(r.announcement)), func(now time.Time) { r.update(now, home, msg) })
 		})
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -37,6 +37,8 @@
 	Host     string
 	Jobs     []string // IDs
 	Complete bool     // this host asked for all of them
+
+	Age time.Duration // of the other home's process; 0 if unknown
 }
 
 // AcknowledgedMsg reports that another home doesn't start jobs that were announced to it.
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -79,16 +79,32 @@
 		Host:     home,
 		Jobs:     answer.Open.Jobs,
 		Complete: true,
+		Age:      processAge(answer.Open.Up),
 	})
 	return true
 }
 
+// processAge returns the age of another host's process, or 0 if it doesn't say.
+func processAge(up *int) time.Duration {
+	if up == nil {
+		return 0
+	}
+	return microseconds(*up)
+}
+
+// up returns the age of this process in microseconds.
+func (s *Scheduler) up() *int {
+	up := int(s.config.Now().Sub(s.started).Microseconds())
+	return &up
+}
+
 // ServeUnknown returns the jobs that this home announces.
 func (s *Scheduler) ServeUnknown(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	return wire.Frame{Open: &wire.Open{
 		Service: f.Unknown.Service,
 		Host:    s.config.Self,
 		Jobs:    s.Shard(f.Unknown.Service).announceable(),
+		Up:      s.up(),
 	}}, true
 }
 
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -466,6 +466,9 @@
 
 	// Service that runs the jobs' tasks.
 	Service string `cbor:"service" json:"service"`
+
+	// Time since the sender's process started, in microseconds.
+	Up *int `cbor:"up,omitempty" json:"up,omitempty,omitzero"`
 }
 
 // Opened acknowledges an Open frame: until its announcement expires, the sender
