--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -82,6 +82,8 @@
 		MaxJobs:             100,
 		AnnounceAge:         b.AnnounceAge,
 		AnnouncementTTL:     b.AnnouncementTTL,
+		AnnounceFirst:       b.AnnounceFirst,
+		AnnounceWait:        b.AnnounceWait,
 		MaxLease:            time.Second,
 	}
 }
@@ -91,6 +93,7 @@
 	KillHome     bool          // a home is killed and started again shortly before the caller submits the job again
 	HalfOpen     bool          // entries don't see that a caller leaves
 	LateRequest  time.Duration // longest time until an entry reads a request
+	Resent       bool          // callers say that they have submitted the job before
 	Delay        time.Duration // longest delay of a message between hosts
 	AnnounceLoss float64       // share of announcements that are lost
 	Silent       int           // links that fall silent for a time
@@ -241,6 +244,7 @@
 	w.After(w.UpTo(w.LateRequest), entry.run(func() {
 		job := w.job
 		job.Arrived, job.Received, job.Deadline = w.Now, w.Now, w.Now.Add(length)
+		job.Resent = w.Resent && n > 0
 		if !seen {
 			return
 		}
@@ -292,6 +296,8 @@
 	halted      map[string]time.Time // until when the halt of an unknown task counts
 	onKill      []func()
 
+	acknowledged func(ids []string) // answers the announcement that is being handled
+
 	confirmedAt, announcedAt, reportedAt, assignedAt time.Time
 }
 
@@ -425,10 +431,12 @@
 }
 
 func (h *host) announce() {
-	ids := h.jobs.Announceable(h.w.Now)
-	if len(ids) == 0 {
-		return
+	if ids := h.jobs.Announceable(h.w.Now); len(ids) > 0 {
+		h.announceJobs(ids)
 	}
+}
+
+func (h *host) announceJobs(ids []string) {
 	for name := range strings.SplitSeq(homeNames, "") {
 		if to := h.w.hosts[name]; to != h && !h.w.Happens(h.w.AnnounceLoss) {
 			h.announceTo(to, ids)
@@ -444,19 +452,22 @@
 	}
 	generation, sent := l.generation, h.w.Now
 	h.w.transfer(l, generation, to, func() {
-		for _, cmd := range to.jobs.Update(to.w.Now, schedule.AnnouncedMsg{
-			Host: h.name,
-			Jobs: ids,
-		}) {
-			cmd := cmd.(schedule.AcknowledgeCmd)
+		to.acknowledged = func(acknowledged []string) {
+			age := to.age()
 			h.w.transfer(l, generation, h, func() {
 				h.update(schedule.AcknowledgedMsg{
-					Host:   to.name,
-					Jobs:   cmd.Jobs,
-					SentAt: sent,
+					Host:    to.name,
+					Jobs:    acknowledged,
+					SentAt:  sent,
+					Refused: slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(acknowledged, id) }),
+					Age:     age,
 				})
 			})
 		}
+		to.update(schedule.AnnouncedMsg{
+			Host: h.name,
+			Jobs: ids,
+		})
 	})
 }
 
@@ -469,6 +480,7 @@
 			ids, age := to.jobs.Announceable(to.w.Now), to.age()
 			h.w.transfer(l, generation, h, func() {
 				answered = true
+				h.acknowledged = func([]string) {}
 				h.update(schedule.AnnouncedMsg{
 					Host:     to.name,
 					Jobs:     ids,
@@ -595,7 +607,10 @@
 		}}, nil
 	case schedule.AskCmd:
 		return nil, func() { h.ask(h.w.hosts[cmd.Host], cmd.Until) }
+	case schedule.AnnounceCmd:
+		return nil, func() { h.announceJobs([]string{cmd.Job}) }
 	case schedule.AcknowledgeCmd:
+		return nil, func() { h.acknowledged(cmd.Jobs) }
 	case schedule.LogCmd:
 		h.w.log(h.name, "job %s %s", cmd.Event, cmd.Reason)
 	}
@@ -1149,6 +1164,13 @@
 			name:   "servers taken over",
 			faults: faults{Handovers: 3},
 		},
+		{
+			name: "requests late",
+			faults: faults{
+				LateRequest: 3 * time.Second,
+				Resent:      true,
+			},
+		},
 		{
 			name:   "announcements lost",
 			faults: faults{AnnounceLoss: 1},
--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -18,15 +18,15 @@
 // Announceable returns the sorted IDs of the unfinished jobs that the other homes must
 // know of. A home depends on the failure domain of the host that received the job, so a
 // job that its caller sends again to another failure domain has another home, which would
-// start it a second time. The same holds for jobs that were given up, whatever their age,
-// until their runs have ended, and for jobs that can't start without an acknowledgement.
+// start it a second time. The same holds, whatever their age, for jobs that were given up
+// until their runs have ended, and for jobs that can't start without acknowledgements.
 func (m *Model) Announceable(now time.Time) []string {
 	if m.limits.AnnouncementTTL == 0 {
 		return nil
 	}
 	var ids []string
 	for id, j := range m.jobs {
-		if now.Sub(j.Arrived) >= m.limits.AnnounceAge || !m.isConfirmed(now, j) {
+		if j.announceFirst || now.Sub(j.Arrived) >= m.limits.AnnounceAge || !m.isConfirmed(now, j) {
 			ids = append(ids, id)
 		}
 	}
@@ -43,6 +43,7 @@
 	// An idle host gets no ticks.
 	m.expireAnnouncements(now)
 	var acknowledged []string
+	var cmds []Cmd
 	for _, id := range msg.Jobs {
 		if m.keeps(now, id, msg.Host) {
 			continue
@@ -52,8 +53,9 @@
 			host:      msg.Host,
 			expiresAt: now.Add(m.limits.AnnouncementTTL),
 		}
+		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
-	cmds := []Cmd{AcknowledgeCmd{Jobs: acknowledged}}
+	cmds = append(cmds, AcknowledgeCmd{Jobs: acknowledged})
 	switch {
 	case !msg.Complete || !m.unheard[msg.Host]:
 	case m.isNew(msg.Age):
@@ -72,6 +74,48 @@
 // age of its process, or 0 if that is unknown.
 func (m *Model) isNew(age time.Duration) bool { return age > 0 && age < m.limits.AnnouncementTTL }
 
+// yield leaves a job to another home, unless a task of it was started here.
+func (m *Model) yield(now time.Time, id, host string) []Cmd {
+	j := m.jobs[id]
+	if j == nil || j.started || j.local {
+		return nil
+	}
+	return m.finish(now, j, work.Outcome{
+		State: work.Elsewhere,
+		Home:  host,
+	})
+}
+
+// isResent reports whether an earlier attempt at the job may run elsewhere.
+func (j *job) isResent() bool { return j.Resent || j.local }
+
+// mustAnnounceFirst reports whether a job starts only when all other homes have acknowledged
+// it: one of them may run it already, or it may run so long that its caller submits it to
+// one of them meanwhile.
+func (m *Model) mustAnnounceFirst(j *job) bool {
+	return m.limits.AnnounceFirst > 0 && (j.isResent() || max(j.criticalPath(), j.DeclaredPath()) >= m.limits.AnnounceFirst)
+}
+
+// awaitsAcknowledgement reports whether a job must not start yet because another home may
+// run it. A first submission doesn't wait long for a home that gives no answer.
+func (m *Model) awaitsAcknowledgement(now time.Time, j *job) bool {
+	if !j.announceFirst || (!j.isResent() && now.Sub(j.acceptedAt) >= m.limits.AnnounceWait) {
+		return false
+	}
+	return !m.isAcknowledged(j)
+}
+
+// isAcknowledged reports whether no other home runs or starts a job. For one that was
+// submitted before, that includes the runs of the homes' previous processes.
+func (m *Model) isAcknowledged(j *job) bool {
+	for home := range m.homes {
+		if j.acknowledged[home].IsZero() || (j.isResent() && !j.excluded[home]) {
+			return false
+		}
+	}
+	return m.homesKnown
+}
+
 // ask asks all other homes for the jobs that they coordinate: this home may not know what
 // they announced before.
 func (m *Model) ask(now time.Time) []Cmd {
@@ -102,24 +146,36 @@
 		return true
 	}
 	j := m.jobs[id]
-	return j != nil && (j.running() || (m.mayStart(now, j) && m.self < host))
+	return j != nil && (j.running() || (m.isEligible(now, j) && m.self < host))
 }
 
-// acknowledge records that another home doesn't start announced jobs.
+// acknowledge records which announced jobs another home doesn't start, and leaves the others
+// to it.
 func (m *Model) acknowledge(now time.Time, msg AcknowledgedMsg) []Cmd {
+	var cmds []Cmd
+	for _, id := range msg.Refused {
+		cmds = append(cmds, m.yield(now, id, msg.Host)...)
+	}
 	var acknowledged []*job
+	awaited := false
 	for _, id := range msg.Jobs {
 		j := m.jobs[id]
 		if j == nil || !msg.SentAt.After(j.acknowledged[msg.Host]) {
 			continue
 		}
 		if j.acknowledged == nil {
-			j.acknowledged = map[string]time.Time{}
+			j.acknowledged, j.excluded = map[string]time.Time{}, map[string]bool{}
 		}
+		awaited = awaited || m.awaitsAcknowledgement(now, j)
 		j.acknowledged[msg.Host] = msg.SentAt
+		j.excluded[msg.Host] = j.excluded[msg.Host] || !m.isNew(msg.Age)
 		acknowledged = append(acknowledged, j)
 	}
-	return m.reconfirm(now, acknowledged...)
+	cmds = append(cmds, m.reconfirm(now, acknowledged...)...)
+	if awaited {
+		cmds = append(cmds, m.dispatch(now)...)
+	}
+	return cmds
 }
 
 // setHomes sets the other homes. One that is new asks for what was announced before it
@@ -134,7 +190,7 @@
 		}
 		homes[host] = since
 	}
-	m.homes = homes
+	m.homes, m.homesKnown = homes, true
 	maps.DeleteFunc(m.unheard, func(host string, _ bool) bool { _, ok := homes[host]; return !ok })
 	joined := msg.Member && !m.member
 	m.member = msg.Member
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -319,6 +319,122 @@
 	}
 }
 
+// TestUnannouncedStart guards against a start of a job that another home runs and has not
+// announced yet.
+func TestUnannouncedStart(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	acknowledged := AcknowledgedMsg{
+		Host:   otherHome,
+		Jobs:   []string{"j"},
+		SentAt: epoch,
+	}
+	fromNew := acknowledged
+	fromNew.Age = announcementTTL - 1
+	refused := AcknowledgedMsg{
+		Host:    otherHome,
+		Refused: []string{"j"},
+	}
+	tests := []struct {
+		name   string
+		short  bool
+		resent bool
+		local  bool
+		msg    Msg
+		after  time.Duration
+		starts int
+		left   bool // to the other home
+	}{
+		{
+			name: "no answer yet",
+			msg:  TickMsg{},
+		},
+		{
+			name:   "no answer",
+			msg:    TickMsg{},
+			after:  wait,
+			starts: 1,
+		},
+		{
+			name:   "acknowledged",
+			msg:    acknowledged,
+			starts: 1,
+		},
+		{
+			name:   "acknowledged by a new process",
+			msg:    fromNew,
+			starts: 1,
+		},
+		{
+			name: "refused",
+			msg:  refused,
+			left: true,
+		},
+		{
+			name: "announced by the other home",
+			msg: AnnouncedMsg{
+				Host: "a",
+				Jobs: []string{"j"},
+			},
+			left: true,
+		},
+		{
+			name:   "sent again, no answer",
+			short:  true,
+			resent: true,
+			msg:    TickMsg{},
+			after:  wait,
+		},
+		{
+			name:   "sent again, acknowledged",
+			short:  true,
+			resent: true,
+			msg:    acknowledged,
+			starts: 1,
+		},
+		{
+			name:   "sent again, acknowledged by a new process",
+			short:  true,
+			resent: true,
+			msg:    fromNew,
+		},
+		{
+			name:   "sent again, the other home leaves",
+			resent: true,
+			msg:    HomesMsg{},
+			starts: 1,
+		},
+		{
+			name:  "unknown to the home that announced it, refused",
+			local: true,
+			msg:   refused,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.limits.AnnounceFirst, m.limits.AnnounceWait = 400*time.Millisecond, wait
+			m.Update(epoch, HomesMsg{Hosts: []string{otherHome}})
+			job := jobOf("j", 1)
+			job.Steps[0].Estimate, job.Slack, job.Deadline = time.Second, time.Minute, epoch.Add(time.Minute)
+			if test.short {
+				job.Steps[0].Estimate = 100 * time.Millisecond
+			}
+			job.Resent = test.resent
+			msg := submit(job)
+			msg.Local = test.local
+			cmds := m.Update(epoch, msg)
+			assert.DeepEqual(t, pick.OfType[AnnounceCmd](cmds), []AnnounceCmd{{Job: "j"}})
+			assert.DeepEqual(t, m.Announceable(epoch), []string{"j"})
+			cmds = append(cmds, m.Update(epoch.Add(test.after), test.msg)...)
+			assert.Equal(t, len(runs(cmds)), test.starts)
+			if test.left {
+				assert.Equal(t, answers(cmds)[0].Outcome.State, work.Elsewhere)
+			}
+			assert.Equal(t, m.Jobs() == 0, test.left)
+		})
+	}
+}
+
 // TestConfirmedByHomes checks the time that bounds the runs of a job whose caller waits.
 func TestConfirmedByHomes(t *testing.T) {
 	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
@@ -576,6 +692,7 @@
 func (r *homesReplay) startProcess(now time.Time, home int) {
 	m := newAnnouncingModel(strconv.Itoa(home))
 	m.limits.MaxConfirmAge, m.limits.AnnounceAge, m.limits.AnnouncementTTL = bounds.MaxAge, bounds.AnnounceAge, bounds.AnnouncementTTL
+	m.limits.AnnounceFirst, m.limits.AnnounceWait = bounds.AnnounceFirst, bounds.AnnounceWait
 	m.startedAt = now
 	r.models[home] = m
 	msg := HomesMsg{Member: true}
@@ -632,6 +749,8 @@
 			if announced.Host != "" {
 				r.acknowledge(now, home, announced, cmd.Jobs)
 			}
+		case AnnounceCmd:
+			r.announceJobs(now, home, []string{cmd.Job})
 		case AnswerCmd:
 			r.replies[cmd.Caller](now, cmd.Outcome)
 		case LogCmd:
@@ -728,10 +847,12 @@
 
 // announce sends the announcements of a home to all others.
 func (r *homesReplay) announce(now time.Time, home int) {
-	ids := r.models[home].Announceable(now)
-	if now.Before(r.paused[home]) || len(ids) == 0 {
-		return
+	if ids := r.models[home].Announceable(now); !now.Before(r.paused[home]) && len(ids) > 0 {
+		r.announceJobs(now, home, ids)
 	}
+}
+
+func (r *homesReplay) announceJobs(now time.Time, home int, ids []string) {
 	for other := range r.models {
 		if other == home || r.rng.Float64() < r.lost {
 			continue
@@ -761,11 +882,14 @@
 		return
 	}
 	announcer, _ := strconv.Atoi(msg.Host)
+	age := now.Sub(r.models[home].startedAt)
 	r.at(now.Add(r.draw(r.announcement)), func(now time.Time) {
 		r.update(now, announcer, AcknowledgedMsg{
-			Host:   strconv.Itoa(home),
-			Jobs:   jobs,
-			SentAt: msg.at,
+			Host:    strconv.Itoa(home),
+			Jobs:    jobs,
+			SentAt:  msg.at,
+			Refused: slices.DeleteFunc(slices.Clone(msg.Jobs), func(id string) bool { return slices.Contains(jobs, id) }),
+			Age:     age,
 		})
 	})
 }
--- a/core/schedule/confirm.go
+++ b/core/schedule/confirm.go
@@ -75,8 +75,8 @@
 	return m.limits.MaxConfirmAge == 0 || now.Sub(j.confirmedAt) <= m.limits.MaxConfirmAge
 }
 
-// mayStart reports whether tasks of a job may start.
-func (m *Model) mayStart(now time.Time, j *job) bool {
+// isEligible reports whether tasks of a job may start as far as this home knows.
+func (m *Model) isEligible(now time.Time, j *job) bool {
 	_, announced := m.announcer(now, j.ID)
 	return m.isConfirmed(now, j) && !announced && !m.isUninformed(now)
 }
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -86,7 +86,7 @@
 			outcome:   outcome,
 			expiresAt: now.Add(m.limits.OutcomeRetention),
 		}
-	case work.Refused, work.Broken:
+	case work.Refused, work.Broken, work.Elsewhere:
 		// The outcome isn't retained, so that a resubmitted job runs.
 	}
 	return append(cmds, m.logCmd(now, j, string(outcome.State), outcome.Reason))
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -49,6 +49,10 @@
 	confirmedAt time.Time // the same, or earlier: when all other homes were last known not to start it
 
 	acknowledged map[string]time.Time // when the latest announcement was sent that another home acknowledged, by home
+	excluded     map[string]bool      // homes that have said that neither they nor their previous processes run it
+
+	announceFirst bool // starts when the other homes have acknowledged it
+	local         bool // not left to another home, as that one didn't know it
 
 	provisional bool // admitted only if capacity for all of its tasks becomes free
 }
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -24,6 +25,8 @@
 	MaxUnconfirmed      time.Duration // time since a job's caller was last known to wait by which its runs have ended, also those in other hosts' pools; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
 	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
+	AnnounceFirst       time.Duration // predicted duration from which a job is announced before it starts; 0 for never
+	AnnounceWait        time.Duration // how long such a job waits for the acknowledgements of all other homes, unless it was submitted before
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
 	MaxLease            time.Duration // after which a run whose end is unknown counts as ended
 }
@@ -52,6 +55,7 @@
 	ending        map[string]*endingJob   // by job ID
 	submissions   int                     // number of jobs submitted so far
 	homes         map[string]time.Time    // when each other home was first known to be one
+	homesKnown    bool                    // homes was set
 	member        bool                    // this host is a home
 	unheard       map[string]bool         // homes whose announcements this one may not know
 	unheardUntil  time.Time               // after which those made before don't count any more
@@ -195,13 +199,19 @@
 	j.submission = m.submissions
 	j.callers, j.remote, j.waitedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
 	j.confirmedAt = m.confirmation(j)
+	j.local = msg.Local
+	j.announceFirst = m.mustAnnounceFirst(j)
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
 	}
 	m.jobs[id] = j
 	m.callers[msg.Caller] = id
 	m.enqueue(j)
-	return m.admit(now, j)
+	cmds := m.admit(now, j)
+	if m.jobs[id] == j && m.awaitsAcknowledgement(now, j) {
+		cmds = append(cmds, AnnounceCmd{Job: id})
+	}
+	return cmds
 }
 
 func (m *Model) predict(w work.Job) []time.Duration {
@@ -241,7 +251,7 @@
 		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
 			break
 		}
-		if !m.mayStart(now, j) {
+		if !m.isEligible(now, j) {
 			continue
 		}
 		if j.provisional {
@@ -250,6 +260,10 @@
 			}
 			m.accept(now, j)
 		}
+		if m.awaitsAcknowledgement(now, j) {
+			continue
+		}
+		begun := j.started
 		for _, t := range j.tasks {
 			if !j.runnable(now, t) {
 				continue
@@ -264,6 +278,9 @@
 				unplaced.add(order)
 			}
 		}
+		if j.started && !begun && j.announceFirst && !m.isAcknowledged(j) {
+			cmds = append(cmds, m.logCmd(now, j, "started unacknowledged", core.ReasonUnconfirmed))
+		}
 	}
 	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool { return !j.hasWaiting() })
 	return cmds
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -46,6 +46,9 @@
 	Host   string
 	Jobs   []string  // IDs
 	SentAt time.Time // when the announcement was sent
+
+	Refused []string      // IDs of announced jobs that the other home coordinates itself
+	Age     time.Duration // of the other home's process; 0 if unknown
 }
 
 // HomesMsg sets the homes of the service.
@@ -133,6 +136,9 @@
 	Until time.Time // after which the answer is not needed any more
 }
 
+// AnnounceCmd announces a job to all other homes at once.
+type AnnounceCmd struct{ Job string }
+
 // AcknowledgeCmd answers an AnnouncedMsg: no task of the jobs is started here until the
 // announcement expires.
 type AcknowledgeCmd struct{ Jobs []string }
@@ -159,6 +165,7 @@
 func (HaltCmd) scheduleCmd()        {}
 func (ConfirmCmd) scheduleCmd()     {}
 func (AskCmd) scheduleCmd()         {}
+func (AnnounceCmd) scheduleCmd()    {}
 func (AcknowledgeCmd) scheduleCmd() {}
 func (AnswerCmd) scheduleCmd()      {}
 func (LogCmd) scheduleCmd()         {}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -170,7 +170,8 @@
 		wait = req.route.Timeout
 	}
 	deadline := req.arrived.Add(wait)
-	arrived := req.arrived.Add(-h.waitEstimator.elapsed(req.route.Name, wait))
+	elapsed := h.waitEstimator.elapsed(req.route.Name, wait)
+	arrived := req.arrived.Add(-elapsed)
 	return work.Job{
 		ID:          req.id,
 		Route:       req.route.Name,
@@ -183,6 +184,7 @@
 		Slack:       req.route.Slack,
 		Arrived:     arrived,
 		Received:    req.arrived,
+		Resent:      elapsed > 0,
 		Deadline:    deadline,
 		Version:     req.config.Version,
 	}
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -11,21 +11,24 @@
 	"rosemarywalk/io/wire"
 )
 
-// announce sends the older unfinished jobs of this host to all other homes, and records
-// which of them these leave to this host.
+// announce sends the unfinished jobs of this host that other homes must know of to these.
 func (s *Scheduler) announce() {
 	for _, shard := range s.all() {
 		sent := s.config.Now()
-		jobs := shard.announceable()
-		if len(jobs) == 0 {
-			continue
-		}
-		for _, home := range s.otherHomes(shard.service) {
-			go s.announceTo(home, shard, sent, jobs)
+		if jobs := shard.announceable(); len(jobs) > 0 {
+			s.announceJobs(shard, sent, jobs)
 		}
 	}
 }
 
+// announceJobs sends jobs to all other homes, and records which of them these leave to this
+// host.
+func (s *Scheduler) announceJobs(shard *Shard, sent time.Time, jobs []string) {
+	for _, home := range s.otherHomes(shard.service) {
+		go s.announceTo(home, shard, sent, jobs)
+	}
+}
+
 func (s *Scheduler) announceTo(home string, shard *Shard, sent time.Time, jobs []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -39,9 +42,11 @@
 	}
 	acknowledged := slices.DeleteFunc(slices.Clone(jobs), func(id string) bool { return slices.Contains(answer.Opened.Refused, id) })
 	shard.update(schedule.AcknowledgedMsg{
-		Host:   home,
-		Jobs:   acknowledged,
-		SentAt: sent,
+		Host:    home,
+		Jobs:    acknowledged,
+		SentAt:  sent,
+		Refused: answer.Opened.Refused,
+		Age:     processAge(answer.Opened.Up),
 	})
 }
 
@@ -144,16 +149,27 @@
 		Jobs: f.Open.Jobs,
 	})
 	refused := slices.DeleteFunc(slices.Clone(f.Open.Jobs), func(id string) bool { return slices.Contains(acknowledged, id) })
-	return wire.Frame{Opened: &wire.Opened{Refused: refused}}, true
+	return wire.Frame{Opened: &wire.Opened{
+		Refused: refused,
+		Up:      s.up(),
+	}}, true
 }
 
 func (s *Shard) recordAnnouncements(msg schedule.AnnouncedMsg) (acknowledged []string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, cmd := range s.jobs.Update(s.now(), msg) {
+	now := s.now()
+	var effects []effect
+	for _, cmd := range s.jobs.Update(now, msg) {
 		if cmd, ok := cmd.(schedule.AcknowledgeCmd); ok {
 			acknowledged = append(acknowledged, cmd.Jobs...)
+			continue
 		}
+		msgs, run := s.runJobCmd(cmd)
+		effects = append(append(effects, run...), s.process(now, msgs)...)
+	}
+	s.mu.Unlock()
+	for _, run := range effects {
+		run()
 	}
 	return acknowledged
 }
@@ -163,7 +179,12 @@
 func (s *Scheduler) coordinate(ctx context.Context, msg schedule.SubmitMsg, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
 	shard := s.Shard(msg.Job.Service)
 	outcome, ok = shard.Do(ctx, msg, dropAfter)
-	if !ok || outcome.State != work.Elsewhere {
+	switch {
+	case !ok || outcome.State != work.Elsewhere:
+		return outcome, ok
+	case msg.JoinOnly:
+		// A job that was passed on is not passed on again.
+		outcome.State, outcome.Reason = work.Broken, core.ReasonLink
 		return outcome, ok
 	}
 	outcome, ok = s.join(ctx, shard, outcome.Home, msg.Job, dropAfter)
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -227,6 +227,8 @@
 		MaxUnconfirmed:      bounds.MaxUnconfirmed,
 		MaxJobs:             s.Integer(section, "jobs"),
 		AnnounceAge:         bounds.AnnounceAge,
+		AnnounceFirst:       bounds.AnnounceFirst,
+		AnnounceWait:        bounds.AnnounceWait,
 		AnnouncementTTL:     bounds.AnnouncementTTL,
 		MaxLease:            s.Duration(sectionPool, "granted"),
 	}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -101,7 +101,7 @@
 // newShard returns a shard for a host in the given failure domain.
 func (s *Scheduler) newShard(service, domain string) *Shard {
 	stallCount, _ := s.config.Stalls.Observe(s.config.Now())
-	return &Shard{
+	shard := &Shard{
 		stallCount: stallCount,
 		service:    service,
 		self:       s.config.Self,
@@ -129,6 +129,8 @@
 		joins:        map[string][]*joinCall{},
 		reattach:     s.config.Reattach,
 	}
+	shard.announce = func(cmd schedule.AnnounceCmd) { s.announceJobs(shard, s.config.Now(), []string{cmd.Job}) }
+	return shard
 }
 
 // all returns the shards, sorted by service.
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -53,6 +53,7 @@
 	now          func() time.Time
 	wake         func() // called when the shard needs ticks
 	ask          func(schedule.AskCmd)
+	announce     func(schedule.AnnounceCmd)
 	counters     *telemetry.Counters
 	log          logr.Logger
 
@@ -229,6 +230,8 @@
 			Job:   cmd.Job,
 			At:    cmd.At,
 		}}, nil
+	case schedule.AnnounceCmd:
+		return nil, []effect{func() { s.announce(cmd) }}
 	case schedule.AskCmd:
 		return nil, []effect{func() { go s.ask(cmd) }}
 	case schedule.LogCmd:
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -144,6 +144,7 @@
 		Slack:    int(j.Slack.Microseconds()),
 		Age:      int(now.Sub(j.Arrived).Microseconds()),
 		Held:     held(now, j),
+		Resent:   &j.Resent,
 		Left:     int(j.Deadline.Sub(now).Microseconds()),
 		Version:  j.Version,
 	}
@@ -193,6 +194,7 @@
 		Stretch:     s.Stretch,
 		Slack:       microseconds(s.Slack),
 		Arrived:     now.Add(-microseconds(s.Age)),
+		Resent:      s.Resent != nil && *s.Resent,
 		Deadline:    now.Add(microseconds(s.Left)),
 		Version:     s.Version,
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -477,6 +477,9 @@
 	// IDs of the announced jobs for which this does not hold, as the sender
 	// coordinates them too.
 	Refused []string `cbor:"refused" json:"refused"`
+
+	// Time since the sender's process started, in microseconds.
+	Up *int `cbor:"up,omitempty" json:"up,omitempty,omitzero"`
 }
 
 // Outcome is the final result of a job.
@@ -709,6 +712,9 @@
 	// Priority; 0 is the highest.
 	Priority int `cbor:"priority" json:"priority"`
 
+	// Whether the caller has submitted the job before.
+	Resent *bool `cbor:"resent,omitempty" json:"resent,omitempty,omitzero"`
+
 	// Name of the job's route.
 	Route string `cbor:"route" json:"route"`
 
