--- a/core/member/model.go
+++ b/core/member/model.go
@@ -97,6 +97,8 @@
 	peers       map[string]*peer
 	sortedPeers []*peer          // peers sorted by address; nil if outdated
 	period      int              // current heartbeat period
+	tickedAt    time.Time        // start of that period
+	resumedAt   time.Time        // end of the latest pause of this process
 	relays      map[string]relay // by peer address
 	minRelays   int              // minimum number of relays per failure domain, from MinRelaysMsg
 	relayCycle  int              // periods in which a relay sends a heartbeat to each non-relay
@@ -231,6 +233,10 @@
 }
 
 func (m *Model) tick(now time.Time) []Cmd {
+	if !m.tickedAt.IsZero() && now.Sub(m.tickedAt) >= m.limits.DeadAfter/minPauseDivisor {
+		m.resumedAt = now
+	}
+	m.tickedAt = now
 	m.self.HeartbeatCount++
 	changed := m.expire(now)
 	if changed || len(m.relays) == 0 {
@@ -255,6 +261,10 @@
 	return cmds
 }
 
+// minPauseDivisor is the part of DeadAfter from which the time between two periods counts as
+// a pause of this process, in which it heard nobody.
+const minPauseDivisor = 2
+
 // markDead marks a host as dead immediately. The next heartbeat makes it alive again.
 func (m *Model) markDead(now time.Time, address string) []Cmd {
 	p := m.peers[address]
--- a/core/member/model_test.go
+++ b/core/member/model_test.go
@@ -234,3 +234,58 @@
 	assert.Equal(t, len(m.Live()), 1)
 	assert.Equal(t, len(m.Holders()), 2)
 }
+
+// TestPausedHostCallsOthersDead guards against a host that wakes from a pause and acts as if
+// all others had died meanwhile.
+func TestPausedHostCallsOthersDead(t *testing.T) {
+	const pause = 10 * time.Second
+	tests := []struct {
+		name  string
+		heard int // period after the pause in which the other host is heard; 0 for never
+		ticks int // after the pause
+		want  int
+	}{
+		{
+			name:  "just after the pause",
+			ticks: 1,
+			want:  2,
+		},
+		{
+			name:  "heard again",
+			heard: 4,
+			ticks: 8,
+			want:  2,
+		},
+		{
+			name:  "not heard for too long",
+			ticks: 6,
+			want:  1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := New(Host{
+				Incarnation: "self",
+				Address:     addressOf(0),
+				Domain:      "a",
+			}, limits(), rand.New(rand.NewPCG(1, 1)))
+			other := Host{
+				Incarnation:    "other",
+				Address:        addressOf(1),
+				Domain:         "a",
+				HeartbeatCount: 1,
+			}
+			m.Update(startTime, TickMsg{})
+			m.Update(startTime, HeartbeatMsg{From: other})
+			for tick := range test.ticks {
+				now := startTime.Add(pause + time.Duration(tick)*time.Second)
+				m.Update(now, TickMsg{})
+				if tick+1 == test.heard {
+					other.HeartbeatCount++
+					m.Update(now, HeartbeatMsg{From: other})
+				}
+			}
+			assert.Equal(t, len(m.Live()), test.want)
+		})
+	}
+}
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -89,7 +89,7 @@
 
 // silentFor returns the time for which no entry of a host was received. For a live host
 // it starts no earlier than the election of the host or of this one as a relay, because
-// entries arrived less often before.
+// entries arrived less often before, and no earlier than the end of a pause of this process.
 func (m *Model) silentFor(now time.Time, p *peer) time.Duration {
 	from := p.lastHeard
 	for _, address := range []string{p.host.Address, m.self.Address} {
@@ -97,6 +97,9 @@
 			from = r.since
 		}
 	}
+	if p.alive && m.resumedAt.After(from) {
+		from = m.resumedAt
+	}
 	return now.Sub(from)
 }
 
