--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -97,9 +97,9 @@
 	return microseconds(*up)
 }
 
-// up returns the age of this process in microseconds.
+// up returns the age of this process in microseconds, rounded up.
 func (s *Scheduler) up() *int {
-	up := int(s.config.Now().Sub(s.started).Microseconds())
+	up := int(s.config.Now().Sub(s.started).Microseconds()) + 1
 	return &up
 }
 
