--- a/core/confirm/bounds.go
+++ b/core/confirm/bounds.go
@@ -12,7 +12,6 @@
 
 	AnnounceAge     time.Duration // age from which a job is announced to other homes; leaves time for their answers
 	AnnounceFirst   time.Duration // predicted duration from which a job is announced before it starts
-	AnnounceWait    time.Duration // how long such a job waits for the answers of all homes
 	AnnouncementTTL time.Duration // how long another home doesn't start an announced job; longer than MaxUnconfirmed by any clock
 }
 
@@ -47,7 +46,6 @@
 		MaxUnconfirmed:  limit,
 		AnnounceAge:     maxAge / 2,
 		AnnounceFirst:   maxAge,
-		AnnounceWait:    maxAge / 4,
 		AnnouncementTTL: limit + clocks*drift(limit),
 	}
 }
--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -83,7 +83,6 @@
 		AnnounceAge:         b.AnnounceAge,
 		AnnouncementTTL:     b.AnnouncementTTL,
 		AnnounceFirst:       b.AnnounceFirst,
-		AnnounceWait:        b.AnnounceWait,
 		MaxLease:            time.Second,
 	}
 }
--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -97,23 +97,41 @@
 }
 
 // awaitsAcknowledgement reports whether a job must not start yet because another home may
-// run it. A first submission doesn't wait long for a home that gives no answer.
+// run it. For one that was submitted before, that includes the runs of the homes' previous
+// processes, and of homes that have just left.
 func (m *Model) awaitsAcknowledgement(now time.Time, j *job) bool {
-	if !j.announceFirst || (!j.isResent() && now.Sub(j.acceptedAt) >= m.limits.AnnounceWait) {
+	if !j.announceFirst {
 		return false
 	}
-	return !m.isAcknowledged(j)
+	if j.isResent() && now.Before(m.leftUntil) {
+		return true
+	}
+	for home := range m.homes {
+		switch {
+		case j.isResent() && !j.excluded[home]:
+			return true
+		case j.acknowledged[home].IsZero() && !m.isUnreachable(now, home):
+			return true
+		}
+	}
+	return !m.homesKnown
 }
 
-// isAcknowledged reports whether no other home runs or starts a job. For one that was
-// submitted before, that includes the runs of the homes' previous processes.
-func (m *Model) isAcknowledged(j *job) bool {
+// isUnreachable reports whether a home has acknowledged nothing for so long that first
+// submissions don't wait for it any more. Their runs then end as if it could start them.
+func (m *Model) isUnreachable(now time.Time, home string) bool {
+	since, ok := m.unansweredSince[home]
+	return ok && now.Sub(since) >= m.limits.MaxConfirmAge
+}
+
+// announceNow returns the command that announces a job at once.
+func (m *Model) announceNow(now time.Time, j *job) Cmd {
 	for home := range m.homes {
-		if j.acknowledged[home].IsZero() || (j.isResent() && !j.excluded[home]) {
-			return false
+		if m.unansweredSince[home].IsZero() {
+			m.unansweredSince[home] = now
 		}
 	}
-	return m.homesKnown
+	return AnnounceCmd{Job: j.ID}
 }
 
 // ask asks all other homes for the jobs that they coordinate: this home may not know what
@@ -152,6 +170,7 @@
 // acknowledge records which announced jobs another home doesn't start, and leaves the others
 // to it.
 func (m *Model) acknowledge(now time.Time, msg AcknowledgedMsg) []Cmd {
+	delete(m.unansweredSince, msg.Host)
 	var cmds []Cmd
 	for _, id := range msg.Refused {
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
@@ -190,6 +209,12 @@
 		}
 		homes[host] = since
 	}
+	for home := range m.homes {
+		if _, ok := homes[home]; !ok {
+			m.leftUntil = now.Add(m.limits.AnnouncementTTL)
+			delete(m.unansweredSince, home)
+		}
+	}
 	m.homes, m.homesKnown = homes, true
 	maps.DeleteFunc(m.unheard, func(host string, _ bool) bool { _, ok := homes[host]; return !ok })
 	joined := msg.Member && !m.member
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -322,7 +322,6 @@
 // TestUnannouncedStart guards against a start of a job that another home runs and has not
 // announced yet.
 func TestUnannouncedStart(t *testing.T) {
-	const wait = 100 * time.Millisecond
 	acknowledged := AcknowledgedMsg{
 		Host:   otherHome,
 		Jobs:   []string{"j"},
@@ -340,18 +339,18 @@
 		resent bool
 		local  bool
 		msg    Msg
-		after  time.Duration
 		starts int
 		left   bool // to the other home
+
+		unreachable bool
 	}{
 		{
-			name: "no answer yet",
+			name: "no answer",
 			msg:  TickMsg{},
 		},
 		{
-			name:   "no answer",
-			msg:    TickMsg{},
-			after:  wait,
+			name:   "the other home leaves",
+			msg:    HomesMsg{},
 			starts: 1,
 		},
 		{
@@ -382,7 +381,18 @@
 			short:  true,
 			resent: true,
 			msg:    TickMsg{},
-			after:  wait,
+		},
+		{
+			name:        "the other home was not reached before",
+			unreachable: true,
+			msg:         TickMsg{},
+			starts:      1,
+		},
+		{
+			name:        "sent again, the other home was not reached before",
+			resent:      true,
+			unreachable: true,
+			msg:         TickMsg{},
 		},
 		{
 			name:   "sent again, acknowledged",
@@ -401,7 +411,6 @@
 			name:   "sent again, the other home leaves",
 			resent: true,
 			msg:    HomesMsg{},
-			starts: 1,
 		},
 		{
 			name:  "unknown to the home that announced it, refused",
@@ -412,7 +421,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			m := newAnnouncingModel(self)
-			m.limits.AnnounceFirst, m.limits.AnnounceWait = 400*time.Millisecond, wait
+			m.limits.AnnounceFirst, m.limits.MaxConfirmAge = 400*time.Millisecond, 500*time.Millisecond
 			m.Update(epoch, HomesMsg{Hosts: []string{otherHome}})
 			job := jobOf("j", 1)
 			job.Steps[0].Estimate, job.Slack, job.Deadline = time.Second, time.Minute, epoch.Add(time.Minute)
@@ -420,17 +429,27 @@
 				job.Steps[0].Estimate = 100 * time.Millisecond
 			}
 			job.Resent = test.resent
+			if test.unreachable {
+				m.unansweredSince[otherHome] = epoch.Add(-m.limits.MaxConfirmAge)
+			}
 			msg := submit(job)
-			msg.Local = test.local
+			msg.Local, msg.ConfirmedAt, msg.Job.Received = test.local, epoch, epoch
 			cmds := m.Update(epoch, msg)
 			assert.DeepEqual(t, pick.OfType[AnnounceCmd](cmds), []AnnounceCmd{{Job: "j"}})
 			assert.DeepEqual(t, m.Announceable(epoch), []string{"j"})
-			cmds = append(cmds, m.Update(epoch.Add(test.after), test.msg)...)
+			cmds = append(cmds, m.Update(epoch, test.msg)...)
 			assert.Equal(t, len(runs(cmds)), test.starts)
 			if test.left {
 				assert.Equal(t, answers(cmds)[0].Outcome.State, work.Elsewhere)
 			}
 			assert.Equal(t, m.Jobs() == 0, test.left)
+			if test.resent && len(m.homes) == 0 {
+				cmds = m.Update(epoch.Add(announcementTTL), ConfirmMsg{Callers: []Confirmation{{
+					Caller: msg.Caller,
+					At:     epoch.Add(announcementTTL),
+				}}})
+				assert.Equal(t, len(runs(cmds)), 1, "the runs of that home have ended")
+			}
 		})
 	}
 }
@@ -692,7 +711,7 @@
 func (r *homesReplay) startProcess(now time.Time, home int) {
 	m := newAnnouncingModel(strconv.Itoa(home))
 	m.limits.MaxConfirmAge, m.limits.AnnounceAge, m.limits.AnnouncementTTL = bounds.MaxAge, bounds.AnnounceAge, bounds.AnnouncementTTL
-	m.limits.AnnounceFirst, m.limits.AnnounceWait = bounds.AnnounceFirst, bounds.AnnounceWait
+	m.limits.AnnounceFirst = bounds.AnnounceFirst
 	m.startedAt = now
 	r.models[home] = m
 	msg := HomesMsg{Member: true}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -26,7 +25,6 @@
 	MaxJobs             int           // maximum number of jobs
 	AnnounceAge         time.Duration // time since its arrival from which an unfinished job is announced to other homes
 	AnnounceFirst       time.Duration // predicted duration from which a job is announced before it starts; 0 for never
-	AnnounceWait        time.Duration // how long such a job waits for the acknowledgements of all other homes, unless it was submitted before
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
 	MaxLease            time.Duration // after which a run whose end is unknown counts as ended
 }
@@ -56,9 +54,12 @@
 	submissions   int                     // number of jobs submitted so far
 	homes         map[string]time.Time    // when each other home was first known to be one
 	homesKnown    bool                    // homes was set
-	member        bool                    // this host is a home
-	unheard       map[string]bool         // homes whose announcements this one may not know
-	unheardUntil  time.Time               // after which those made before don't count any more
+	leftUntil     time.Time               // by when the runs of homes that have left have ended
+
+	unansweredSince map[string]time.Time // when the first announcement was made that a home has not answered, by home
+	member          bool                 // this host is a home
+	unheard         map[string]bool      // homes whose announcements this one may not know
+	unheardUntil    time.Time            // after which those made before don't count any more
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -77,6 +78,8 @@
 		ending:        map[string]*endingJob{},
 		homes:         map[string]time.Time{},
 		unheard:       map[string]bool{},
+
+		unansweredSince: map[string]time.Time{},
 	}
 }
 
@@ -208,8 +211,8 @@
 	m.callers[msg.Caller] = id
 	m.enqueue(j)
 	cmds := m.admit(now, j)
-	if m.jobs[id] == j && m.awaitsAcknowledgement(now, j) {
-		cmds = append(cmds, AnnounceCmd{Job: id})
+	if m.jobs[id] == j && j.announceFirst {
+		cmds = append(cmds, m.announceNow(now, j))
 	}
 	return cmds
 }
@@ -263,7 +266,6 @@
 		if m.awaitsAcknowledgement(now, j) {
 			continue
 		}
-		begun := j.started
 		for _, t := range j.tasks {
 			if !j.runnable(now, t) {
 				continue
@@ -278,9 +280,6 @@
 				unplaced.add(order)
 			}
 		}
-		if j.started && !begun && j.announceFirst && !m.isAcknowledged(j) {
-			cmds = append(cmds, m.logCmd(now, j, "started unacknowledged", core.ReasonUnconfirmed))
-		}
 	}
 	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool { return !j.hasWaiting() })
 	return cmds
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -228,7 +228,6 @@
 		MaxJobs:             s.Integer(section, "jobs"),
 		AnnounceAge:         bounds.AnnounceAge,
 		AnnounceFirst:       bounds.AnnounceFirst,
-		AnnounceWait:        bounds.AnnounceWait,
 		AnnouncementTTL:     bounds.AnnouncementTTL,
 		MaxLease:            s.Duration(sectionPool, "granted"),
 	}
