--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -663,6 +663,7 @@
 	active  map[string][]*homeRun                          // by task name
 	paused  []time.Time                                    // end of the latest pause, by home
 	joined  int                                            // attempts passed on to another home
+	apart   [2]int                                         // homes whose plans lack each other, if they differ
 	twice   []string                                       // names of tasks that ran at two homes at once
 }
 
@@ -716,13 +717,19 @@
 	r.models[home] = m
 	msg := HomesMsg{Member: true}
 	for other := range r.models {
-		if other != home {
+		if r.knows(home, other) {
 			msg.Hosts = append(msg.Hosts, strconv.Itoa(other))
 		}
 	}
 	r.update(now, home, msg)
 }
 
+// knows reports whether another home is in the plan of a home.
+func (r *homesReplay) knows(home, other int) bool {
+	first, second := min(home, other), max(home, other)
+	return first != second && (r.apart[0] == r.apart[1] || r.apart != [2]int{first, second})
+}
+
 func (r *homesReplay) draw(t timeRange) time.Duration {
 	return t.least + time.Duration(r.rng.Int64N(int64(t.most-t.least)+1))
 }
@@ -873,7 +880,7 @@
 
 func (r *homesReplay) announceJobs(now time.Time, home int, ids []string) {
 	for other := range r.models {
-		if other == home || r.rng.Float64() < r.lost {
+		if !r.knows(home, other) || r.rng.Float64() < r.lost {
 			continue
 		}
 		sent := now
