--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -45,6 +45,10 @@
 	var acknowledged []string
 	var cmds []Cmd
 	for _, id := range msg.Jobs {
+		if third, ok := m.announcer(now, id); ok && third != msg.Host {
+			// That home may run the job and not know this one.
+			continue
+		}
 		if m.keeps(now, id, msg.Host) {
 			continue
 		}
