--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -60,20 +60,23 @@
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
 	cmds = append(cmds, AcknowledgeCmd{Jobs: acknowledged})
-	switch {
-	case !msg.Complete || !m.unheard[msg.Host]:
-	case m.isNew(msg.Age):
-		// The previous process of that home may have announced jobs that still run.
-		if until := now.Add(m.limits.AnnouncementTTL - msg.Age); until.After(m.unheardUntil) {
-			m.unheardUntil = until
+	if msg.Complete && m.unheard[msg.Host] {
+		if m.isNew(msg.Age) {
+			m.recordOldRuns(now.Add(-msg.Age))
 		}
-	default:
 		delete(m.unheard, msg.Host)
 		cmds = append(cmds, m.dispatch(now)...)
 	}
 	return cmds
 }
 
+// recordOldRuns records that a process has ended whose announcements this home may not know.
+func (m *Model) recordOldRuns(endedAt time.Time) {
+	if until := endedAt.Add(m.limits.AnnouncementTTL); until.After(m.oldRunsUntil) {
+		m.oldRunsUntil = until
+	}
+}
+
 // isNew reports whether runs of the previous process of a host may still go on, given the
 // age of its process, or 0 if that is unknown.
 func (m *Model) isNew(age time.Duration) bool { return age > 0 && age < m.limits.AnnouncementTTL }
@@ -107,7 +110,7 @@
 	if !j.announceFirst {
 		return false
 	}
-	if j.isResent() && now.Before(m.leftUntil) {
+	if j.isResent() && now.Before(m.oldRunsUntil) {
 		return true
 	}
 	for home := range m.homes {
@@ -215,7 +218,7 @@
 	}
 	for home := range m.homes {
 		if _, ok := homes[home]; !ok {
-			m.leftUntil = now.Add(m.limits.AnnouncementTTL)
+			m.recordOldRuns(now)
 			delete(m.unansweredSince, home)
 		}
 	}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -54,7 +54,7 @@
 	submissions   int                     // number of jobs submitted so far
 	homes         map[string]time.Time    // when each other home was first known to be one
 	homesKnown    bool                    // homes was set
-	leftUntil     time.Time               // by when the runs of homes that have left have ended
+	oldRunsUntil  time.Time               // by when the runs of processes that have ended are over
 
 	unansweredSince map[string]time.Time // when the first announcement was made that a home has not answered, by home
 	member          bool                 // this host is a home
