--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -98,9 +98,12 @@
 
 // mustAnnounceFirst reports whether a job starts only when all other homes have acknowledged
 // it: one of them may run it already, or it may run so long that its caller submits it to
-// one of them meanwhile.
+// one of them meanwhile. To a host that isn't a home nobody announces jobs, so it always asks.
 func (m *Model) mustAnnounceFirst(j *job) bool {
-	return m.limits.AnnounceFirst > 0 && (j.isResent() || max(j.criticalPath(), j.DeclaredPath()) >= m.limits.AnnounceFirst)
+	if m.limits.AnnounceFirst == 0 {
+		return false
+	}
+	return !m.member || j.isResent() || max(j.criticalPath(), j.DeclaredPath()) >= m.limits.AnnounceFirst
 }
 
 // awaitsAcknowledgement reports whether a job must not start yet because another home may
@@ -117,7 +120,7 @@
 		switch {
 		case j.isResent() && !j.excluded[home]:
 			return true
-		case j.acknowledged[home].IsZero() && !m.isUnreachable(now, home):
+		case j.acknowledged[home].IsZero() && !(m.member && m.isUnreachable(now, home)):
 			return true
 		}
 	}
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -350,7 +350,7 @@
 		},
 		{
 			name:   "the other home leaves",
-			msg:    HomesMsg{},
+			msg:    HomesMsg{Member: true},
 			starts: 1,
 		},
 		{
@@ -410,7 +410,7 @@
 		{
 			name:   "sent again, the other home leaves",
 			resent: true,
-			msg:    HomesMsg{},
+			msg:    HomesMsg{Member: true},
 		},
 		{
 			name:  "unknown to the home that announced it, refused",
@@ -422,7 +422,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			m := newAnnouncingModel(self)
 			m.limits.AnnounceFirst, m.limits.MaxConfirmAge = 400*time.Millisecond, 500*time.Millisecond
-			m.Update(epoch, HomesMsg{Hosts: []string{otherHome}})
+			m.Update(epoch.Add(-time.Minute), HomesMsg{
+				Hosts:  []string{otherHome},
+				Member: true,
+			})
 			job := jobOf("j", 1)
 			job.Steps[0].Estimate, job.Slack, job.Deadline = time.Second, time.Minute, epoch.Add(time.Minute)
 			if test.short {
