--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -207,18 +207,14 @@
 	return cmds
 }
 
-// setHomes sets the other homes. One that is new asks for what was announced before it
-// starts anything, so announcements that it hasn't seen don't matter yet.
+// setHomes sets the other homes. One that is new here has acknowledged nothing: it may have
+// been a home before, in the views of others.
 func (m *Model) setHomes(now time.Time, msg HomesMsg) []Cmd {
-	homes := make(map[string]time.Time, len(msg.Hosts))
-	changed := len(msg.Hosts) != len(m.homes)
+	homes := make(map[string]bool, len(msg.Hosts))
 	for _, host := range msg.Hosts {
-		since, known := m.homes[host]
-		if !known {
-			since, changed = now, true
-		}
-		homes[host] = since
+		homes[host] = true
 	}
+	changed := !maps.Equal(homes, m.homes)
 	for home := range m.homes {
 		if _, ok := homes[home]; !ok {
 			m.recordOldRuns(now)
--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -516,7 +516,7 @@
 		{
 			name:  "a home joins",
 			homes: []HomesMsg{{}, {Hosts: []string{"b"}}, {Hosts: []string{"b"}}},
-			want:  at(200),
+			want:  at(100),
 		},
 		{
 			name:  "a home leaves",
--- a/core/schedule/confirm.go
+++ b/core/schedule/confirm.go
@@ -30,15 +30,13 @@
 		return j.waitedAt
 	}
 	at := j.waitedAt
-	for home, since := range m.homes {
-		if acknowledged := j.acknowledged[home]; acknowledged.After(since) {
-			since = acknowledged
+	for home := range m.homes {
+		acknowledged := j.acknowledged[home]
+		if acknowledged.Before(j.Received) {
+			acknowledged = j.Received
 		}
-		if since.Before(j.Received) {
-			since = j.Received
-		}
-		if since.Before(at) {
-			at = since
+		if acknowledged.Before(at) {
+			at = acknowledged
 		}
 	}
 	return at
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -52,7 +52,7 @@
 	announcements map[string]announcement // of other homes, by job ID
 	ending        map[string]*endingJob   // by job ID
 	submissions   int                     // number of jobs submitted so far
-	homes         map[string]time.Time    // when each other home was first known to be one
+	homes         map[string]bool         // the other homes
 	homesKnown    bool                    // homes was set
 	oldRunsUntil  time.Time               // by when the runs of processes that have ended are over
 
@@ -76,7 +76,7 @@
 
 		announcements: map[string]announcement{},
 		ending:        map[string]*endingJob{},
-		homes:         map[string]time.Time{},
+		homes:         map[string]bool{},
 		unheard:       map[string]bool{},
 
 		unansweredSince: map[string]time.Time{},
