--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -153,15 +153,19 @@
 	m.unheardUntil = now.Add(m.limits.AnnouncementTTL)
 	var cmds []Cmd
 	for _, host := range slices.Sorted(maps.Keys(m.homes)) {
-		m.unheard[host] = true
-		cmds = append(cmds, AskCmd{
-			Host:  host,
-			Until: m.unheardUntil,
-		})
+		cmds = append(cmds, m.askHome(host))
 	}
 	return cmds
 }
 
+func (m *Model) askHome(host string) Cmd {
+	m.unheard[host] = true
+	return AskCmd{
+		Host:  host,
+		Until: m.unheardUntil,
+	}
+}
+
 // isUninformed reports whether another home may have announced jobs without this one knowing.
 func (m *Model) isUninformed(now time.Time) bool {
 	return len(m.unheard) > 0 && now.Before(m.unheardUntil)
@@ -215,6 +219,12 @@
 		homes[host] = true
 	}
 	changed := !maps.Equal(homes, m.homes)
+	var added []string
+	for _, host := range msg.Hosts {
+		if !m.homes[host] {
+			added = append(added, host)
+		}
+	}
 	for home := range m.homes {
 		if _, ok := homes[home]; !ok {
 			m.recordOldRuns(now)
@@ -229,8 +239,13 @@
 		return nil
 	}
 	cmds := m.reconfirm(now, m.sortedJobs()...)
-	if joined {
+	switch {
+	case joined:
 		cmds = append(cmds, m.ask(now)...)
+	case m.member && now.Before(m.unheardUntil):
+		for _, host := range added {
+			cmds = append(cmds, m.askHome(host))
+		}
 	}
 	return append(cmds, m.dispatch(now)...)
 }
