--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -42,24 +42,25 @@
 	}
 	// An idle host gets no ticks.
 	m.expireAnnouncements(now)
-	var acknowledged []string
+	var answer AcknowledgeCmd
 	var cmds []Cmd
 	for _, id := range msg.Jobs {
 		if third, ok := m.announcer(now, id); ok && third != msg.Host {
-			// That home may run the job and not know this one.
+			// The third home may run the job and not know the one that announces it now.
 			continue
 		}
-		if m.keeps(now, id, msg.Host) {
+		if m.keeps(id, msg.Host) {
+			answer.Refused = append(answer.Refused, id)
 			continue
 		}
-		acknowledged = append(acknowledged, id)
+		answer.Jobs = append(answer.Jobs, id)
 		m.announcements[id] = announcement{
 			host:      msg.Host,
 			expiresAt: now.Add(m.limits.AnnouncementTTL),
 		}
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
-	cmds = append(cmds, AcknowledgeCmd{Jobs: acknowledged})
+	cmds = append(cmds, answer)
 	if msg.Complete && m.unheard[msg.Host] {
 		if m.isNew(msg.Age) {
 			m.recordOldRuns(now.Add(-msg.Age))
@@ -84,7 +85,7 @@
 // yield leaves a job to another home, unless a task of it was started here.
 func (m *Model) yield(now time.Time, id, host string) []Cmd {
 	j := m.jobs[id]
-	if j == nil || j.started || j.local {
+	if j == nil || j.started {
 		return nil
 	}
 	return m.finish(now, j, work.Outcome{
@@ -94,7 +95,7 @@
 }
 
 // isResent reports whether an earlier attempt at the job may run elsewhere.
-func (j *job) isResent() bool { return j.Resent || j.local }
+func (j *job) isResent() bool { return j.Resent || j.wasElsewhere }
 
 // mustAnnounceFirst reports whether a job starts only when all other homes have acknowledged
 // it: one of them may run it already, or it may run so long that its caller submits it to
@@ -172,13 +173,14 @@
 }
 
 // keeps reports whether this home doesn't leave a job to another home that announces it: a
-// run may exist, or a task may start and the own address precedes that of the other home.
-func (m *Model) keeps(now time.Time, id, host string) bool {
+// run may exist, or the own address precedes that of the other home, which leaves the job to
+// this one unless it runs it.
+func (m *Model) keeps(id, host string) bool {
 	if m.ending[id] != nil {
 		return true
 	}
 	j := m.jobs[id]
-	return j != nil && (j.running() || (m.isEligible(now, j) && m.self < host))
+	return j != nil && (j.running() || m.self < host)
 }
 
 // acknowledge records which announced jobs another home doesn't start, and leaves the others
@@ -268,10 +270,11 @@
 // withoutStart returns the outcome of submitting an unknown job that must not be started
 // here.
 func (m *Model) withoutStart(now time.Time, msg SubmitMsg) (outcome work.Outcome, ok bool) {
-	if msg.Local {
+	host, announced := m.announcer(now, msg.Job.ID)
+	if announced && host == msg.AbsentAt {
 		delete(m.announcements, msg.Job.ID)
+		announced = false
 	}
-	host, announced := m.announcer(now, msg.Job.ID)
 	switch {
 	case msg.JoinOnly && now.Sub(m.startedAt) < m.limits.AnnouncementTTL:
 		// A previous process of this host may have announced the job, and its runs may
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -52,7 +52,7 @@
 	excluded     map[string]bool      // homes that have said that neither they nor their previous processes run it
 
 	announceFirst bool // starts when the other homes have acknowledged it
-	local         bool // not left to another home, as that one didn't know it
+	wasElsewhere  bool // another home announced it, and didn't know it any more
 
 	provisional bool // admitted only if capacity for all of its tasks becomes free
 }
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -202,7 +202,7 @@
 	j.submission = m.submissions
 	j.callers, j.remote, j.waitedAt = []string{msg.Caller}, msg.Remote, msg.ConfirmedAt
 	j.confirmedAt = m.confirmation(j)
-	j.local = msg.Local
+	j.wasElsewhere = msg.AbsentAt != ""
 	j.announceFirst = m.mustAnnounceFirst(j)
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -18,7 +18,8 @@
 	Remote      bool // another host received the job from the caller
 	Resubmitted bool // the other host submitted it before, on a connection that broke
 	JoinOnly    bool // another home passed it on because this host announced it; never started
-	Local       bool // started even if another home announced it
+
+	AbsentAt string // home that announced the job and doesn't know it; "" for none
 
 	ConfirmedAt time.Time // when the caller was last known to wait; zero if unknown
 }
@@ -140,8 +141,12 @@
 type AnnounceCmd struct{ Job string }
 
 // AcknowledgeCmd answers an AnnouncedMsg: no task of the jobs is started here until the
-// announcement expires.
-type AcknowledgeCmd struct{ Jobs []string }
+// announcement expires. Jobs that are neither acknowledged nor refused were announced by a
+// third home.
+type AcknowledgeCmd struct {
+	Jobs    []string // IDs
+	Refused []string // IDs of those that this home coordinates
+}
 
 // AnswerCmd sends a job's outcome to a caller.
 type AnswerCmd struct {
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -40,16 +40,20 @@
 	if err != nil || answer.Opened == nil {
 		return
 	}
-	acknowledged := slices.DeleteFunc(slices.Clone(jobs), func(id string) bool { return slices.Contains(answer.Opened.Refused, id) })
 	shard.update(schedule.AcknowledgedMsg{
 		Host:    home,
-		Jobs:    acknowledged,
+		Jobs:    without(jobs, answer.Opened.Refused),
 		SentAt:  sent,
-		Refused: answer.Opened.Refused,
+		Refused: without(answer.Opened.Refused, answer.Opened.Held),
 		Age:     processAge(answer.Opened.Up),
 	})
 }
 
+// without returns the IDs that are not among the others.
+func without(ids, others []string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(others, id) })
+}
+
 // ask asks a home for the unfinished jobs that it coordinates until it answers, leaves, or
 // the answer is not needed any more.
 func (s *Scheduler) ask(service string, cmd schedule.AskCmd) {
@@ -144,24 +148,25 @@
 
 // ServeOpen records the jobs that another home announces, and acknowledges them.
 func (s *Scheduler) ServeOpen(_ context.Context, f wire.Frame) (wire.Frame, bool) {
-	acknowledged := s.Shard(f.Open.Service).recordAnnouncements(schedule.AnnouncedMsg{
+	answer := s.Shard(f.Open.Service).recordAnnouncements(schedule.AnnouncedMsg{
 		Host: f.Open.Host,
 		Jobs: f.Open.Jobs,
 	})
-	refused := slices.DeleteFunc(slices.Clone(f.Open.Jobs), func(id string) bool { return slices.Contains(acknowledged, id) })
+	refused := without(f.Open.Jobs, answer.Jobs)
 	return wire.Frame{Opened: &wire.Opened{
 		Refused: refused,
+		Held:    without(refused, answer.Refused),
 		Up:      s.up(),
 	}}, true
 }
 
-func (s *Shard) recordAnnouncements(msg schedule.AnnouncedMsg) (acknowledged []string) {
+func (s *Shard) recordAnnouncements(msg schedule.AnnouncedMsg) (answer schedule.AcknowledgeCmd) {
 	s.mu.Lock()
 	now := s.now()
 	var effects []effect
 	for _, cmd := range s.jobs.Update(now, msg) {
 		if cmd, ok := cmd.(schedule.AcknowledgeCmd); ok {
-			acknowledged = append(acknowledged, cmd.Jobs...)
+			answer = cmd
 			continue
 		}
 		msgs, run := s.runJobCmd(cmd)
@@ -171,29 +176,34 @@
 	for _, run := range effects {
 		run()
 	}
-	return acknowledged
+	return answer
 }
 
+// maxJoins is how many homes a job is joined at, one after the other, if none of them knows it.
+const maxJoins = 3
+
 // coordinate submits a job to the shard of its service. A job that another home announced
-// is joined there, and started here only if that home doesn't know it.
+// is joined there, and started here only if that home doesn't know it. A job that was passed
+// on is not passed on again.
 func (s *Scheduler) coordinate(ctx context.Context, msg schedule.SubmitMsg, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
 	shard := s.Shard(msg.Job.Service)
-	outcome, ok = shard.Do(ctx, msg, dropAfter)
-	switch {
-	case !ok || outcome.State != work.Elsewhere:
-		return outcome, ok
-	case msg.JoinOnly:
-		// A job that was passed on is not passed on again.
-		outcome.State, outcome.Reason = work.Broken, core.ReasonLink
-		return outcome, ok
-	}
-	outcome, ok = s.join(ctx, shard, outcome.Home, msg.Job, dropAfter)
-	s.logJoin(msg.Job, outcome, ok)
-	if !ok || outcome.State != work.Absent {
-		return outcome, ok
+	for range maxJoins {
+		outcome, ok = shard.Do(ctx, msg, dropAfter)
+		if !ok || outcome.State != work.Elsewhere {
+			return outcome, ok
+		}
+		if msg.JoinOnly {
+			break
+		}
+		msg.AbsentAt = outcome.Home
+		outcome, ok = s.join(ctx, shard, outcome.Home, msg.Job, dropAfter)
+		s.logJoin(msg.Job, outcome, ok)
+		if !ok || outcome.State != work.Absent {
+			return outcome, ok
+		}
 	}
-	msg.Local = true
-	return shard.Do(ctx, msg, dropAfter)
+	outcome.State, outcome.Reason = work.Broken, core.ReasonLink
+	return outcome, true
 }
 
 // join waits for the outcome of a job that another home announced; ok is false if ctx
--- a/io/scheduler/service_test.go
+++ b/io/scheduler/service_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/peer"
+	"rosemarywalk/io/wire"
 )
 
 // TestResentToOtherService guards against a second run of a job whose route has changed to
@@ -61,3 +64,44 @@
 		})
 	}
 }
+
+// absentPeers are homes that announce a job and don't know it when it is joined there.
+type absentPeers struct{ shard *Shard }
+
+func (p *absentPeers) Call(_ context.Context, address string, f wire.Frame) (wire.Frame, error) {
+	if f.Submit == nil {
+		return wire.Frame{}, peer.ErrNoLink
+	}
+	p.announce(map[string]string{
+		"x": "y",
+		"y": "x",
+	}[address])
+	return wire.Frame{Outcome: &wire.Outcome{State: string(work.Absent)}}, nil
+}
+
+func (p *absentPeers) announce(host string) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	p.shard.jobs.Update(p.shard.now().Add(time.Minute), schedule.AnnouncedMsg{Host: host})
+	p.shard.jobs.Update(p.shard.now(), schedule.AnnouncedMsg{
+		Host: host,
+		Jobs: []string{announcedJob().ID},
+	})
+}
+
+func (*absentPeers) Send(context.Context, string, wire.Frame) error { return nil }
+
+func (*absentPeers) Reachable(string) {}
+
+// TestCallerAnsweredElsewhere guards against a caller that learns that another home coordinates
+// its job, after homes that announced it one after the other didn't know it.
+func TestCallerAnsweredElsewhere(t *testing.T) {
+	network, _, _ := newHomes(t, time.Millisecond)
+	s := network.schedulers["a"]
+	peers := &absentPeers{shard: s.Shard(announcedJob().Service)}
+	s.config.Peers = peers
+	peers.announce("x")
+	outcome, ok := s.coordinate(t.Context(), schedule.SubmitMsg{Job: announcedJob()}, 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, outcome.State, work.Broken)
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -474,8 +474,11 @@
 // Opened acknowledges an Open frame: until its announcement expires, the sender
 // starts no task of the jobs.
 type Opened struct {
+	// IDs of those that a third home has announced.
+	Held []string `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
+
 	// IDs of the announced jobs for which this does not hold, as the sender
-	// coordinates them too.
+	// coordinates them too, or a third home has announced them.
 	Refused []string `cbor:"refused" json:"refused"`
 
 	// Time since the sender's process started, in microseconds.
