--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -39,6 +39,8 @@
 	idleInterval     = 50 * time.Millisecond
 	askInterval      = 50 * time.Millisecond
 	earlyHalts       = time.Second
+	deadTimeout      = 600 * time.Millisecond
+	settle           = 300 * time.Millisecond
 )
 
 func poolLimits(b confirm.Bounds) pool.Limits {
@@ -96,7 +98,11 @@
 	Delay        time.Duration // longest delay of a message between hosts
 	AnnounceLoss float64       // share of announcements that are lost
 	Silent       int           // links that fall silent for a time
+	MaxSilence   time.Duration
 	CutHomes     bool          // the links between two homes are silent until the caller submits the job again
+	Cuts         int           // cuts between the failure domains
+	Unheard      int           // times when a home doesn't hear another, to which its links work
+	MaxCut       time.Duration // longest time of these
 	PauseHome    bool          // a home is paused until shortly before the caller submits the job again
 	Pauses       int           // pauses of random hosts
 	MaxPause     time.Duration
@@ -115,8 +121,9 @@
 
 	bounds  confirm.Bounds
 	hosts   map[string]*host
-	links   map[string]*link  // by the names of the host that dials and of the other one
-	owners  map[string]string // of the servers
+	links   map[string]*link     // by the names of the host that dials and of the other one
+	unheard map[string]time.Time // until when a home isn't heard, by the names of the other one and of itself
+	owners  map[string]string    // of the servers
 	job     work.Job
 	resends int
 	joined  int
@@ -141,6 +148,7 @@
 		bounds:           confirm.NewBounds(resubmit, 900*time.Millisecond),
 		hosts:            map[string]*host{},
 		links:            map[string]*link{},
+		unheard:          map[string]time.Time{},
 		owners: map[string]string{
 			"sA": "A",
 			"sB": "B",
@@ -195,7 +203,17 @@
 			w.At(begin.Add(w.UpTo(length/2)), do)
 		}
 	}
-	during(w.Silent, func() { w.silence(w.oneOf(allNames), w.oneOf(homeNames), w.UpTo(2*time.Second)) })
+	during(w.Silent, func() { w.silence(w.oneOf(allNames), w.oneOf(homeNames), w.UpTo(w.MaxSilence)) })
+	during(w.Cuts, func() {
+		cut := w.UpTo(w.MaxCut)
+		w.silence(w.hosts["A"], w.hosts["B"], cut)
+		w.silence(w.hosts["C"], w.hosts["B"], cut)
+	})
+	during(w.Unheard, func() {
+		by, home, d := w.oneOf(homeNames), w.oneOf(homeNames), w.UpTo(w.MaxCut)
+		w.log("network", "%s doesn't hear %s for %s", by.name, home.name, d)
+		w.unheard[by.name+home.name] = w.Now.Add(d)
+	})
 	during(w.Pauses, func() { w.oneOf(w.Pausable).pause(w.UpTo(w.MaxPause)) })
 	during(min(len(w.Killed), 1), func() { w.oneOf(w.Killed).kill(time.Second) })
 	during(w.Handovers, func() {
@@ -293,6 +311,8 @@
 	lastCaller  int
 	lent        map[string]*lentRun
 	halted      map[string]time.Time // until when the halt of an unknown task counts
+	heard       map[string]time.Time // when other homes were last heard
+	settled     bool                 // the other homes should be known
 	onKill      []func()
 
 	acknowledged func(ids []string) // answers the announcement that is being handled
@@ -311,6 +331,7 @@
 	h.ranAt, h.startedAt = h.w.Now, h.w.Now
 	h.jobs, h.pool = schedule.New(h.name, jobLimits(h.w.bounds)), pool.New("d", poolLimits(h.w.bounds))
 	h.callers, h.lent, h.halted = map[string]*served{}, map[string]*lentRun{}, map[string]time.Time{}
+	h.heard, h.settled = map[string]time.Time{}, false
 	h.assignedAt, h.confirmedAt = time.Time{}, time.Time{}
 	h.w.After(h.w.UpTo(tickInterval), h.run(h.tick))
 }
@@ -404,10 +425,16 @@
 }
 
 func (h *host) confirm() {
-	msgs := []any{schedule.HomesMsg{
-		Hosts:  slices.DeleteFunc(strings.Split(homeNames, ""), func(name string) bool { return name == h.name }),
-		Member: strings.Contains(homeNames, h.name),
-	}}
+	h.beat()
+	homes := h.homes()
+	h.settled = h.settled || len(homes) == len(strings.ReplaceAll(homeNames, h.name, "")) || h.age() > settle
+	var msgs []any
+	if h.settled {
+		msgs = append(msgs, schedule.HomesMsg{
+			Hosts:  homes,
+			Member: strings.Contains(homeNames, h.name),
+		})
+	}
 	for _, id := range slices.Sorted(maps.Keys(h.callers)) {
 		c := h.callers[id]
 		if at, waiting := c.confirmation(); waiting && !at.IsZero() {
@@ -429,6 +456,22 @@
 	h.update(msgs...)
 }
 
+// beat makes the others hear this host.
+func (h *host) beat() {
+	for _, to := range h.w.hosts {
+		if !h.w.isSilent(h, to) && !h.w.Now.Before(h.w.unheard[to.name+h.name]) {
+			to.heard[h.name] = h.w.Now
+		}
+	}
+}
+
+// homes returns the other homes that this host hears.
+func (h *host) homes() []string {
+	return slices.DeleteFunc(strings.Split(homeNames, ""), func(name string) bool {
+		return name == h.name || h.w.Now.Sub(h.heard[name]) >= deadTimeout
+	})
+}
+
 func (h *host) announce() {
 	if ids := h.jobs.Announceable(h.w.Now); len(ids) > 0 {
 		h.announceJobs(ids)
@@ -436,9 +479,9 @@
 }
 
 func (h *host) announceJobs(ids []string) {
-	for name := range strings.SplitSeq(homeNames, "") {
-		if to := h.w.hosts[name]; to != h && !h.w.Happens(h.w.AnnounceLoss) {
-			h.announceTo(to, ids)
+	for _, name := range h.homes() {
+		if !h.w.Happens(h.w.AnnounceLoss) {
+			h.announceTo(h.w.hosts[name], ids)
 		}
 	}
 }
@@ -490,7 +533,7 @@
 		})
 	}
 	h.w.After(askInterval, h.run(func() {
-		if !answered && h.w.Now.Before(until) {
+		if !answered && h.w.Now.Before(until) && slices.Contains(h.homes(), to.name) {
 			h.ask(to, until)
 		}
 	}))
@@ -834,6 +877,12 @@
 	}
 }
 
+// isSilent reports whether nothing that a host sends reaches another one.
+func (w *cluster) isSilent(from, to *host) bool {
+	l := w.links[from.name+to.name]
+	return l != nil && w.Now.Before(l.silentUntil)
+}
+
 // breakLinks breaks the links to a host, and those that it has dialed if all is set.
 func (w *cluster) breakLinks(h *host, all bool) {
 	for other := range strings.SplitSeq(allNames, "") {
@@ -848,7 +897,10 @@
 
 func (w *cluster) breakLink(l *link, silentUntil time.Time) {
 	calls := l.calls
-	l.calls, l.open, l.silentUntil = nil, false, silentUntil
+	l.calls, l.open = nil, false
+	if silentUntil.After(l.silentUntil) {
+		l.silentUntil = silentUntil
+	}
 	l.generation++
 	l.probedAt = time.Time{}
 	for _, c := range calls {
@@ -1080,6 +1132,7 @@
 			faults: faults{
 				AnnounceLoss: 1,
 				Silent:       6,
+				MaxSilence:   2 * time.Second,
 			},
 		},
 		{
@@ -1113,6 +1166,28 @@
 			name:   "servers taken over",
 			faults: faults{Handovers: 3},
 		},
+		{
+			name: "failure domains cut off from each other",
+			faults: faults{
+				Cuts:   2,
+				MaxCut: 4 * time.Second,
+			},
+		},
+		{
+			name: "failure domains cut off from each other, resent",
+			faults: faults{
+				Cuts:   2,
+				MaxCut: 4 * time.Second,
+				Resent: true,
+			},
+		},
+		{
+			name: "homes don't hear each other",
+			faults: faults{
+				Unheard: 6,
+				MaxCut:  4 * time.Second,
+			},
+		},
 		{
 			name: "all",
 			faults: faults{
@@ -1120,6 +1195,10 @@
 				Delay:        150 * time.Millisecond,
 				AnnounceLoss: 0.5,
 				Silent:       3,
+				MaxSilence:   2 * time.Second,
+				Cuts:         1,
+				Unheard:      2,
+				MaxCut:       4 * time.Second,
 				Pauses:       3,
 				MaxPause:     2 * time.Second,
 				Pausable:     allNames,
@@ -1175,8 +1254,42 @@
 			faults: faults{AnnounceLoss: 1},
 		},
 		{
-			name:   "homes can't reach each other",
-			faults: faults{CutHomes: true},
+			name: "homes can't reach each other, resent",
+			faults: faults{
+				CutHomes: true,
+				Resent:   true,
+			},
+		},
+		{
+			name: "failure domains cut off from each other for a short time",
+			faults: faults{
+				Cuts:   1,
+				MaxCut: deadTimeout - 2*confirmInterval,
+			},
+		},
+		{
+			name: "homes don't hear each other",
+			faults: faults{
+				Unheard: 6,
+				MaxCut:  4 * time.Second,
+			},
+		},
+		{
+			name: "homes don't hear each other, resent",
+			faults: faults{
+				Unheard: 6,
+				MaxCut:  4 * time.Second,
+				Resent:  true,
+			},
+		},
+		{
+			name: "homes don't hear each other, announcements lost",
+			faults: faults{
+				Delay:        100 * time.Millisecond,
+				AnnounceLoss: 0.5,
+				Unheard:      6,
+				MaxCut:       4 * time.Second,
+			},
 		},
 		{
 			name:   "a home is started again",
@@ -1200,6 +1313,7 @@
 				Delay:        100 * time.Millisecond,
 				AnnounceLoss: 0.3,
 				Silent:       3,
+				MaxSilence:   2 * time.Second,
 				Pauses:       3,
 				MaxPause:     2 * time.Second,
 				Pausable:     homeNames,
@@ -1214,6 +1328,39 @@
 	}
 }
 
+// TestCutHomesRunTwice guards against a run of a job whose half-open caller submits it
+// again to a home that doesn't hear the first one.
+func TestCutHomesRunTwice(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults faults
+	}{
+		{
+			name:   "homes can't reach each other",
+			faults: faults{CutHomes: true},
+		},
+		{
+			name: "failure domains cut off from each other",
+			faults: faults{
+				Cuts:   2,
+				MaxCut: 4 * time.Second,
+			},
+		},
+		{
+			name: "failure domains cut off from each other, resent",
+			faults: faults{
+				Cuts:   2,
+				MaxCut: 4 * time.Second,
+				Resent: true,
+			},
+		},
+	}
+	for _, test := range tests {
+		test.faults.HalfOpen = true
+		t.Run(test.name, func(t *testing.T) { checkOnce(t, test.faults) })
+	}
+}
+
 // TestLateRequestRunsTwice guards against a run of a job whose request an entry reads after
 // its half-open caller has submitted it elsewhere.
 func TestLateRequestRunsTwice(t *testing.T) {
