--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -42,34 +42,42 @@
 	}
 	// An idle host gets no ticks.
 	m.expireAnnouncements(now)
-	var acknowledged []string
+	var answer AcknowledgeCmd
 	var cmds []Cmd
 	for _, id := range msg.Jobs {
-		if m.keeps(now, id, msg.Host) {
+		if third, ok := m.announcer(now, id); ok && third != msg.Host {
+			// The third home may run the job and not know the one that announces it now.
 			continue
 		}
-		acknowledged = append(acknowledged, id)
+		if m.keeps(id, msg.Host) {
+			answer.Refused = append(answer.Refused, id)
+			continue
+		}
+		answer.Jobs = append(answer.Jobs, id)
 		m.announcements[id] = announcement{
 			host:      msg.Host,
 			expiresAt: now.Add(m.limits.AnnouncementTTL),
 		}
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
-	cmds = append(cmds, AcknowledgeCmd{Jobs: acknowledged})
-	switch {
-	case !msg.Complete || !m.unheard[msg.Host]:
-	case m.isNew(msg.Age):
-		// The previous process of that home may have announced jobs that still run.
-		if until := now.Add(m.limits.AnnouncementTTL - msg.Age); until.After(m.unheardUntil) {
-			m.unheardUntil = until
+	cmds = append(cmds, answer)
+	if msg.Complete && m.unheard[msg.Host] {
+		if m.isNew(msg.Age) {
+			m.recordOldRuns(now.Add(-msg.Age))
 		}
-	default:
 		delete(m.unheard, msg.Host)
 		cmds = append(cmds, m.dispatch(now)...)
 	}
 	return cmds
 }
 
+// recordOldRuns records that a process has ended whose announcements this home may not know.
+func (m *Model) recordOldRuns(endedAt time.Time) {
+	if until := endedAt.Add(m.limits.AnnouncementTTL); until.After(m.oldRunsUntil) {
+		m.oldRunsUntil = until
+	}
+}
+
 // isNew reports whether runs of the previous process of a host may still go on, given the
 // age of its process, or 0 if that is unknown.
 func (m *Model) isNew(age time.Duration) bool { return age > 0 && age < m.limits.AnnouncementTTL }
@@ -77,7 +85,7 @@
 // yield leaves a job to another home, unless a task of it was started here.
 func (m *Model) yield(now time.Time, id, host string) []Cmd {
 	j := m.jobs[id]
-	if j == nil || j.started || j.local {
+	if j == nil || j.started {
 		return nil
 	}
 	return m.finish(now, j, work.Outcome{
@@ -87,33 +95,54 @@
 }
 
 // isResent reports whether an earlier attempt at the job may run elsewhere.
-func (j *job) isResent() bool { return j.Resent || j.local }
+func (j *job) isResent() bool { return j.Resent || j.wasElsewhere }
 
 // mustAnnounceFirst reports whether a job starts only when all other homes have acknowledged
 // it: one of them may run it already, or it may run so long that its caller submits it to
-// one of them meanwhile.
+// one of them meanwhile. To a host that isn't a home nobody announces jobs, so it always asks.
 func (m *Model) mustAnnounceFirst(j *job) bool {
-	return m.limits.AnnounceFirst > 0 && (j.isResent() || max(j.criticalPath(), j.DeclaredPath()) >= m.limits.AnnounceFirst)
+	if m.limits.AnnounceFirst == 0 {
+		return false
+	}
+	return !m.member || j.isResent() || max(j.criticalPath(), j.DeclaredPath()) >= m.limits.AnnounceFirst
 }
 
 // awaitsAcknowledgement reports whether a job must not start yet because another home may
-// run it. A first submission doesn't wait long for a home that gives no answer.
+// run it. For one that was submitted before, that includes the runs of the homes' previous
+// processes, and of homes that have just left.
 func (m *Model) awaitsAcknowledgement(now time.Time, j *job) bool {
-	if !j.announceFirst || (!j.isResent() && now.Sub(j.acceptedAt) >= m.limits.AnnounceWait) {
+	if !j.announceFirst {
 		return false
 	}
-	return !m.isAcknowledged(j)
+	if j.isResent() && now.Before(m.oldRunsUntil) {
+		return true
+	}
+	for home := range m.homes {
+		switch {
+		case j.isResent() && !j.excluded[home]:
+			return true
+		case j.acknowledged[home].IsZero() && !(m.member && m.isUnreachable(now, home)):
+			return true
+		}
+	}
+	return !m.homesKnown
 }
 
-// isAcknowledged reports whether no other home runs or starts a job. For one that was
-// submitted before, that includes the runs of the homes' previous processes.
-func (m *Model) isAcknowledged(j *job) bool {
+// isUnreachable reports whether a home has acknowledged nothing for so long that first
+// submissions don't wait for it any more. Their runs then end as if it could start them.
+func (m *Model) isUnreachable(now time.Time, home string) bool {
+	since, ok := m.unansweredSince[home]
+	return ok && now.Sub(since) >= m.limits.MaxConfirmAge
+}
+
+// announceNow returns the command that announces a job at once.
+func (m *Model) announceNow(now time.Time, j *job) Cmd {
 	for home := range m.homes {
-		if j.acknowledged[home].IsZero() || (j.isResent() && !j.excluded[home]) {
-			return false
+		if m.unansweredSince[home].IsZero() {
+			m.unansweredSince[home] = now
 		}
 	}
-	return m.homesKnown
+	return AnnounceCmd{Job: j.ID}
 }
 
 // ask asks all other homes for the jobs that they coordinate: this home may not know what
@@ -125,33 +154,39 @@
 	m.unheardUntil = now.Add(m.limits.AnnouncementTTL)
 	var cmds []Cmd
 	for _, host := range slices.Sorted(maps.Keys(m.homes)) {
-		m.unheard[host] = true
-		cmds = append(cmds, AskCmd{
-			Host:  host,
-			Until: m.unheardUntil,
-		})
+		cmds = append(cmds, m.askHome(host))
 	}
 	return cmds
 }
 
+func (m *Model) askHome(host string) Cmd {
+	m.unheard[host] = true
+	return AskCmd{
+		Host:  host,
+		Until: m.unheardUntil,
+	}
+}
+
 // isUninformed reports whether another home may have announced jobs without this one knowing.
 func (m *Model) isUninformed(now time.Time) bool {
 	return len(m.unheard) > 0 && now.Before(m.unheardUntil)
 }
 
 // keeps reports whether this home doesn't leave a job to another home that announces it: a
-// run may exist, or a task may start and the own address precedes that of the other home.
-func (m *Model) keeps(now time.Time, id, host string) bool {
+// run may exist, or the own address precedes that of the other home, which leaves the job to
+// this one unless it runs it.
+func (m *Model) keeps(id, host string) bool {
 	if m.ending[id] != nil {
 		return true
 	}
 	j := m.jobs[id]
-	return j != nil && (j.running() || (m.isEligible(now, j) && m.self < host))
+	return j != nil && (j.running() || m.self < host)
 }
 
 // acknowledge records which announced jobs another home doesn't start, and leaves the others
 // to it.
 func (m *Model) acknowledge(now time.Time, msg AcknowledgedMsg) []Cmd {
+	delete(m.unansweredSince, msg.Host)
 	var cmds []Cmd
 	for _, id := range msg.Refused {
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
@@ -178,17 +213,25 @@
 	return cmds
 }
 
-// setHomes sets the other homes. One that is new asks for what was announced before it
-// starts anything, so announcements that it hasn't seen don't matter yet.
+// setHomes sets the other homes. One that is new here has acknowledged nothing: it may have
+// been a home before, in the views of others.
 func (m *Model) setHomes(now time.Time, msg HomesMsg) []Cmd {
-	homes := make(map[string]time.Time, len(msg.Hosts))
-	changed := len(msg.Hosts) != len(m.homes)
+	homes := make(map[string]bool, len(msg.Hosts))
 	for _, host := range msg.Hosts {
-		since, known := m.homes[host]
-		if !known {
-			since, changed = now, true
+		homes[host] = true
+	}
+	changed := !maps.Equal(homes, m.homes)
+	var added []string
+	for _, host := range msg.Hosts {
+		if !m.homes[host] {
+			added = append(added, host)
+		}
+	}
+	for home := range m.homes {
+		if _, ok := homes[home]; !ok {
+			m.recordOldRuns(now)
+			delete(m.unansweredSince, home)
 		}
-		homes[host] = since
 	}
 	m.homes, m.homesKnown = homes, true
 	maps.DeleteFunc(m.unheard, func(host string, _ bool) bool { _, ok := homes[host]; return !ok })
@@ -198,8 +241,13 @@
 		return nil
 	}
 	cmds := m.reconfirm(now, m.sortedJobs()...)
-	if joined {
+	switch {
+	case joined:
 		cmds = append(cmds, m.ask(now)...)
+	case m.member && now.Before(m.unheardUntil):
+		for _, host := range added {
+			cmds = append(cmds, m.askHome(host))
+		}
 	}
 	return append(cmds, m.dispatch(now)...)
 }
@@ -222,10 +270,11 @@
 // withoutStart returns the outcome of submitting an unknown job that must not be started
 // here.
 func (m *Model) withoutStart(now time.Time, msg SubmitMsg) (outcome work.Outcome, ok bool) {
-	if msg.Local {
+	host, announced := m.announcer(now, msg.Job.ID)
+	if announced && host == msg.AbsentAt {
 		delete(m.announcements, msg.Job.ID)
+		announced = false
 	}
-	host, announced := m.announcer(now, msg.Job.ID)
 	switch {
 	case msg.JoinOnly && now.Sub(m.startedAt) < m.limits.AnnouncementTTL:
 		// A previous process of this host may have announced the job, and its runs may
