--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -80,6 +80,7 @@
 	if err != nil || answer.Open == nil {
 		return false
 	}
+	s.Shard(service).log.Info("home answered", "home", home, "jobs", len(answer.Open.Jobs), "up", processAge(answer.Open.Up).String())
 	s.Shard(service).update(schedule.AnnouncedMsg{
 		Host:     home,
 		Jobs:     answer.Open.Jobs,
@@ -119,10 +120,23 @@
 		return
 	}
 	others := s.otherHomes(shard.service)
-	shard.update(schedule.HomesMsg{
+	msg := schedule.HomesMsg{
 		Hosts:  others,
 		Member: len(others) < len(s.plan(shard.service).AllHomes()),
-	})
+	}
+	shard.logHomes(msg)
+	shard.update(msg)
+}
+
+// logHomes logs the homes when they change.
+func (s *Shard) logHomes(msg schedule.HomesMsg) {
+	s.mu.Lock()
+	changed := msg.Member != s.loggedHomes.Member || !slices.Equal(msg.Hosts, s.loggedHomes.Hosts)
+	s.loggedHomes = msg
+	s.mu.Unlock()
+	if changed {
+		s.log.Info("homes changed", "others", msg.Hosts, "member", msg.Member)
+	}
 }
 
 // otherHomes returns the addresses of the other homes of a service.
@@ -149,6 +163,9 @@
 		Jobs: f.Open.Jobs,
 	})
 	refused := slices.DeleteFunc(slices.Clone(f.Open.Jobs), func(id string) bool { return slices.Contains(acknowledged, id) })
+	if len(refused) > 0 {
+		s.Shard(f.Open.Service).log.V(1).Info("announcement refused", "home", f.Open.Host, "jobs", refused)
+	}
 	return wire.Frame{Opened: &wire.Opened{
 		Refused: refused,
 		Up:      s.up(),
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -71,7 +71,8 @@
 	capacityCheckedAt time.Time // when reportedCapacity was last refreshed
 	capacityDirty     bool      // free capacity may have changed since then
 
-	joins map[string][]*joinCall // calls to homes that announced a job, by job ID
+	joins       map[string][]*joinCall // calls to homes that announced a job, by job ID
+	loggedHomes schedule.HomesMsg
 }
 
 // caller is a caller that waits for the outcome of a job.
