--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -57,6 +57,7 @@
 	virtualHost    = "desk.example"
 	initialVersion = 1
 	resubmitDelay  = 1300 * time.Millisecond
+	callerPatience = 8 * time.Second
 )
 
 func newPlatformFleet(t *testing.T, hosts, servers int, behavior standin.Behavior) *platformFleet {
@@ -202,12 +203,17 @@
 
 // call sends a request to a host's entry address.
 func (h *platformHost) call(method, path, body string) (status int, answer string, err error) {
+	return h.callWithin(callerPatience, method, path, body)
+}
+
+// callWithin is call for a caller that says how long it waits.
+func (h *platformHost) callWithin(wait time.Duration, method, path, body string) (status int, answer string, err error) {
 	req, err := http.NewRequest(method, h.entryURL+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = virtualHost
-	req.Header.Set("X-Rosemarywalk-Deadline", "8000")
+	req.Header.Set("X-Rosemarywalk-Deadline", fmt.Sprint(wait.Milliseconds()))
 	client := http.Client{
 		Transport: h.transport,
 		Timeout:   testTimeout,
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -27,6 +27,7 @@
 	soakHosts     = flag.Int("soakhosts", regressionSize.hosts, "number of hosts")
 	soakServers   = flag.Int("soakservers", regressionSize.servers, "number of backend servers")
 	soakCallers   = flag.Int("soakcallers", regressionSize.callers, "number of concurrent callers")
+	soakFalling   = flag.Bool("soakfalling", false, "whether callers say how long they still wait for the job, and not 8 s in each attempt")
 	soakDuration  = flag.Duration("soaklength", 6*time.Second, "time during which TestSoak injects faults, per seed")
 )
 
@@ -292,7 +293,7 @@
 		if s.options.abandonment != noAbandonment && rng.IntN(abandonOdds) == 0 {
 			s.submitAbandoned(n<<callerBits+caller, rng)
 		} else {
-			s.submitUntilAnswered(n<<callerBits+caller, jobBody(3), 0, true)
+			s.submitUntilAnswered(n<<callerBits+caller, jobBody(3), time.Now(), 0, true)
 		}
 	}
 }
@@ -301,6 +302,7 @@
 // job at other hosts until it gets a final answer.
 func (s *soak) submitAbandoned(job uint64, rng *rand.Rand) {
 	body := longJobBody()
+	submitted := time.Now()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.hosts[job%uint64(len(s.hosts))].entryURL, "http://"))
 	if err == nil {
 		_, _ = fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Rosemarywalk-Deadline: 8000\r\nContent-Length: %d\r\n\r\n%s",
@@ -313,17 +315,18 @@
 		}
 	}
 	time.Sleep(resubmitDelay)
-	s.submitUntilAnswered(job, body, 1, false)
+	s.submitUntilAnswered(job, body, submitted, 1, false)
 }
 
 // submitUntilAnswered submits a job to one host after another until it gets a final answer,
-// starting with the given try; allRefused says that all tries before were refused.
-func (s *soak) submitUntilAnswered(job uint64, body string, firstTry uint64, allRefused bool) {
+// starting with the given try. The job was first submitted at the given time; allRefused says
+// that all tries before were refused.
+func (s *soak) submitUntilAnswered(job uint64, body string, submitted time.Time, firstTry uint64, allRefused bool) {
 	const tries = 6
 	outcome := "none"
 	for try := firstTry; try < tries; try++ {
 		h := s.hosts[(job+try)%uint64(len(s.hosts))]
-		status, _, err := h.call(http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), body)
+		status, _, err := h.callWithin(callerPatience-s.waited(submitted), http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), body)
 		if err == nil && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 			outcome = fmt.Sprint(status)
 			allRefused = allRefused && status == http.StatusServiceUnavailable
@@ -341,6 +344,14 @@
 	}
 }
 
+// waited returns for how long a caller says that it has waited for a job.
+func (s *soak) waited(submitted time.Time) time.Duration {
+	if !*soakFalling {
+		return 0
+	}
+	return min(time.Since(submitted), callerPatience-time.Millisecond)
+}
+
 // versionRoute returns a route that exists only in the given configuration version.
 func versionRoute(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
