--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -82,7 +82,7 @@
 			h.refuse(w, http.StatusServiceUnavailable, core.ReasonDraining, "this host is shutting down; retry on another host", stopRetryDelay)
 			return
 		}
-		arrived := clock.Now()
+		arrived := server.Arrived(r.Context())
 		h.startGate.wait(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -21,9 +21,17 @@
 
 // Do submits a job to its home and returns its outcome; ok is false if ctx ended first,
 // and the caller gets no answer. Near the deadline the caller is answered even if the
-// home is silent.
+// home is silent. A job whose deadline has passed by then isn't submitted.
 func (s *Scheduler) Do(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
-	bounded, cancel := context.WithTimeout(ctx, job.Deadline.Add(-answerMargin).Sub(s.config.Now()))
+	left := job.Deadline.Add(-answerMargin).Sub(s.config.Now())
+	if left <= 0 {
+		return work.Outcome{
+			State:      work.Refused,
+			Reason:     core.ReasonDeadline,
+			RetryAfter: lateRetryAfter,
+		}, true
+	}
+	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	outcome, ok = s.submit(bounded, job)
 	if ok || ctx.Err() != nil {
@@ -40,6 +48,9 @@
 // deadline.
 const answerMargin = 20 * time.Millisecond
 
+// lateRetryAfter is the retry delay returned to callers whose requests came too late.
+const lateRetryAfter = 100 * time.Millisecond
+
 func (s *Scheduler) submit(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
 	for range maxHomeAttempts {
 		home, found := s.plan(job.Service).Home(job.ID, s.config.Roster.Self().Domain)
--- a/io/scheduler/submit_test.go
+++ b/io/scheduler/submit_test.go
@@ -108,7 +108,7 @@
 }
 
 // TestSilentHome checks that a caller is answered before its deadline when the home
-// doesn't answer.
+// doesn't answer, and at once if the deadline has passed.
 func TestSilentHome(t *testing.T) {
 	self := member.Host{
 		Address: "self",
@@ -134,16 +134,41 @@
 		Log:      logr.Discard(),
 		Reattach: 100 * time.Millisecond,
 	})
-	deadline := time.Now().Add(300 * time.Millisecond)
-	ctx, cancel := context.WithDeadline(t.Context(), deadline)
-	defer cancel()
-	outcome, ok := s.Do(ctx, work.Job{
-		ID:       "j",
-		Service:  "s",
-		Deadline: deadline,
-	})
-	assert.Assert(t, ok)
-	assert.Equal(t, outcome.State, work.Broken)
-	assert.Equal(t, outcome.Reason, core.ReasonDeadline)
-	assert.Equal(t, outcome.Home, "home")
+	tests := []struct {
+		name string
+		wait time.Duration
+		want work.Outcome
+	}{
+		{
+			name: "before the deadline",
+			wait: 300 * time.Millisecond,
+			want: work.Outcome{
+				State:  work.Broken,
+				Reason: core.ReasonDeadline,
+				Home:   "home",
+			},
+		},
+		{
+			name: "after the deadline",
+			want: work.Outcome{
+				State:      work.Refused,
+				Reason:     core.ReasonDeadline,
+				RetryAfter: lateRetryAfter,
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			deadline := time.Now().Add(test.wait)
+			ctx, cancel := context.WithDeadline(t.Context(), deadline)
+			defer cancel()
+			outcome, ok := s.Do(ctx, work.Job{
+				ID:       "j",
+				Service:  "s",
+				Deadline: deadline,
+			})
+			assert.Assert(t, ok)
+			assert.Equal(t, outcome, test.want)
+		})
+	}
 }
--- a/io/server/conn_test.go
+++ b/io/server/conn_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"rosemarywalk/io/clock"
 )
 
 // TestPeerOpen checks that a connection counts as open until its peer closes or resets it.
@@ -79,3 +81,43 @@
 		})
 	}
 }
+
+// TestArrived checks that a request is dated by when it arrived, however late it is read.
+func TestArrived(t *testing.T) {
+	const tolerance = 100 * time.Millisecond
+	tests := []struct {
+		name string
+		wait time.Duration
+		late time.Duration // how much too late the date may be
+	}{
+		{
+			name: "read at once",
+			late: longestTick,
+		},
+		{
+			name: "read late",
+			wait: 3 * tolerance,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			arrivals := make(chan time.Time, 1)
+			s := New("test", "", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				arrivals <- Arrived(r.Context())
+			}), logr.Discard())
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer s.Close()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+			assert.NilError(t, err)
+			sent := clock.Now()
+			time.Sleep(test.wait)
+			go func() { _ = s.http.Serve(listener) }()
+			late := (<-arrivals).Sub(sent)
+			assert.Assert(t, late <= test.late && late > -tolerance, "dated %s after it was sent", late)
+		})
+	}
+}
--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -44,11 +44,12 @@
 	home        *platformHost
 	other       *platformHost
 	faults      sync.WaitGroup
+	estimate    time.Duration // declared run time of jobs
 }
 
 func newResendFleet(t *testing.T, lent bool) *resendFleet {
 	t.Helper()
-	f := &resendFleet{}
+	f := &resendFleet{estimate: resendRunTime}
 	f.platformFleet = &platformFleet{wrapAddress: f.addProxy}
 	hosts := resendHosts
 	if lent {
@@ -165,7 +166,7 @@
 func (f *resendFleet) submitAtEntry(job int) attempt {
 	conn, err := net.Dial("tcp", f.callerProxy.Address())
 	assert.NilError(f.t, err)
-	body := longJobBody()
+	body := longJobBody(f.estimate)
 	_, err = fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Rosemarywalk-Deadline: 8000\r\nContent-Length: %d\r\n\r\n%s",
 		routePrefix, job, virtualHost, len(body), body)
 	assert.NilError(f.t, err)
@@ -187,8 +188,9 @@
 	return time.Now()
 }
 
-// longJobBody returns the body of a job whose task runs for resendRunTime.
-func longJobBody() string {
+// longJobBody returns the body of a job whose task runs for resendRunTime, and is declared to
+// run for estimate.
+func longJobBody(estimate time.Duration) string {
 	var b bytes.Buffer
 	_ = json.NewEncoder(&b).Encode(wire.Job{
 		TaskSpec:   resendRunTime.String(),
@@ -197,7 +199,7 @@
 			Count:      1,
 			Cpu:        100,
 			MemMb:      1,
-			EstimateMs: int(resendRunTime.Milliseconds()),
+			EstimateMs: int(estimate.Milliseconds()),
 		}},
 	})
 	return b.String()
@@ -209,7 +211,7 @@
 	for range resendTries {
 		time.Sleep(time.Until(ended.Add(resubmitDelay)))
 		var err error
-		status, _, err = f.other.call(http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), longJobBody())
+		status, _, err = f.other.call(http.MethodPost, fmt.Sprintf("%s%016x", routePrefix, job), longJobBody(f.estimate))
 		if err == nil && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 			return status
 		}
@@ -493,6 +495,27 @@
 	}
 }
 
+// TestLateReadSeemsPrompt: a paused entry reads jobs just before they are sent again elsewhere,
+// and takes them for jobs that have just been sent. They are declared too short to be announced
+// before they start.
+func TestLateReadSeemsPrompt(t *testing.T) {
+	resendTest{
+		jobs:         8,
+		whileSending: true,
+		before: func(f *resendFleet) {
+			f.estimate = resendRunTime / 8
+			f.entry.signal(syscall.SIGSTOP)
+		},
+		abandon: func(f *resendFleet, a attempt) time.Time {
+			f.background(func() {
+				time.Sleep(time.Until(a.sent.Add(resubmitDelay - 30*time.Millisecond)))
+				f.entry.signal(syscall.SIGCONT)
+			})
+			return a.sent
+		},
+	}.run(t)
+}
+
 // TestResentJobAtNewHome: a host that has just become a home gets a job that a home of another
 // failure domain runs, and of which that home could not tell it.
 func TestResentJobAtNewHome(t *testing.T) {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -300,7 +300,7 @@
 // submitAbandoned submits a job of long tasks, abandons the first attempt and submits the
 // job at other hosts until it gets a final answer.
 func (s *soak) submitAbandoned(job uint64, rng *rand.Rand) {
-	body := longJobBody()
+	body := longJobBody(resendRunTime)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.hosts[job%uint64(len(s.hosts))].entryURL, "http://"))
 	if err == nil {
 		_, _ = fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Rosemarywalk-Deadline: 8000\r\nContent-Length: %d\r\n\r\n%s",
