--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -192,7 +192,7 @@
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
 	var acknowledged []*job
-	awaited := false
+	awaited := false // by a job that hasn't started
 	for _, id := range msg.Jobs {
 		j := m.jobs[id]
 		if j == nil || !msg.SentAt.After(j.acknowledged[msg.Host]) {
@@ -221,20 +221,13 @@
 		homes[host] = true
 	}
 	changed := !maps.Equal(homes, m.homes)
-	var added []string
-	for _, host := range msg.Hosts {
-		if !m.homes[host] {
-			added = append(added, host)
-		}
-	}
+	added := slices.DeleteFunc(slices.Clone(msg.Hosts), func(host string) bool { return m.homes[host] })
 	for home := range m.homes {
-		if _, ok := homes[home]; !ok {
-			m.recordOldRuns(now)
-			delete(m.unansweredSince, home)
+		if !homes[home] {
+			m.removeHome(now, home)
 		}
 	}
 	m.homes, m.homesKnown = homes, true
-	maps.DeleteFunc(m.unheard, func(host string, _ bool) bool { _, ok := homes[host]; return !ok })
 	joined := msg.Member && !m.member
 	m.member = msg.Member
 	if !changed && !joined {
@@ -252,6 +245,12 @@
 	return append(cmds, m.dispatch(now)...)
 }
 
+func (m *Model) removeHome(now time.Time, home string) {
+	m.recordOldRuns(now)
+	delete(m.unansweredSince, home)
+	delete(m.unheard, home)
+}
+
 // expireAnnouncements deletes the announcements that were not renewed.
 func (m *Model) expireAnnouncements(now time.Time) {
 	for id, a := range m.announcements {
