--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -301,7 +301,7 @@
 // submitAbandoned submits a job of long tasks, abandons the first attempt and submits the
 // job at other hosts until it gets a final answer.
 func (s *soak) submitAbandoned(job uint64, rng *rand.Rand) {
-	body := longJobBody()
+	body := longJobBody(resendRunTime)
 	submitted := time.Now()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(s.hosts[job%uint64(len(s.hosts))].entryURL, "http://"))
 	if err == nil {
