--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -1256,6 +1256,10 @@
 			name:   "announcements lost",
 			faults: faults{AnnounceLoss: 1},
 		},
+		{
+			name:   "homes can't reach each other",
+			faults: faults{CutHomes: true},
+		},
 		{
 			name: "homes can't reach each other, resent",
 			faults: faults{
@@ -1338,10 +1342,6 @@
 		name   string
 		faults faults
 	}{
-		{
-			name:   "homes can't reach each other",
-			faults: faults{CutHomes: true},
-		},
 		{
 			name: "failure domains cut off from each other",
 			faults: faults{
