--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -109,12 +109,13 @@
 
 // awaitsAcknowledgement reports whether a job must not start yet because another home may
 // run it. For one that was submitted before, that includes the runs of the homes' previous
-// processes, and of homes that have just left.
+// processes, and of homes that have just left. If no other home is left, that holds for all
+// jobs, as this host is more likely cut off than the last one.
 func (m *Model) awaitsAcknowledgement(now time.Time, j *job) bool {
 	if !j.announceFirst {
 		return false
 	}
-	if j.isResent() && now.Before(m.oldRunsUntil) {
+	if (j.isResent() || len(m.homes) == 0) && now.Before(m.oldRunsUntil) {
 		return true
 	}
 	for home := range m.homes {
