--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -502,6 +502,7 @@
 					Jobs:    cmd.Jobs,
 					SentAt:  sent,
 					Refused: cmd.Refused,
+					Held:    slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(slices.Concat(cmd.Jobs, cmd.Refused), id) }),
 					Age:     age,
 				})
 			})
--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -115,6 +115,9 @@
 	if !j.announceFirst {
 		return false
 	}
+	if now.Before(j.heldUntil) {
+		return true
+	}
 	if (j.isResent() || len(m.homes) == 0) && now.Before(m.oldRunsUntil) {
 		return true
 	}
@@ -153,6 +156,7 @@
 		return nil
 	}
 	m.unheardUntil = now.Add(m.limits.AnnouncementTTL)
+	clear(m.unheard)
 	var cmds []Cmd
 	for _, host := range slices.Sorted(maps.Keys(m.homes)) {
 		cmds = append(cmds, m.askHome(host))
@@ -192,6 +196,11 @@
 	for _, id := range msg.Refused {
 		cmds = append(cmds, m.yield(now, id, msg.Host)...)
 	}
+	for _, id := range msg.Held {
+		if j := m.jobs[id]; j != nil {
+			j.heldUntil = now.Add(m.limits.AnnouncementTTL)
+		}
+	}
 	var acknowledged []*job
 	awaited := false // by a job that hasn't started
 	for _, id := range msg.Jobs {
@@ -249,7 +258,6 @@
 func (m *Model) removeHome(now time.Time, home string) {
 	m.recordOldRuns(now)
 	delete(m.unansweredSince, home)
-	delete(m.unheard, home)
 }
 
 // expireAnnouncements deletes the announcements that were not renewed.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -51,8 +51,9 @@
 	acknowledged map[string]time.Time // when the latest announcement was sent that another home acknowledged, by home
 	excluded     map[string]bool      // homes that have said that neither they nor their previous processes run it
 
-	announceFirst bool // starts when the other homes have acknowledged it
-	wasElsewhere  bool // another home announced it, and didn't know it any more
+	heldUntil     time.Time // until when the announcement of a third home may count that another one told of
+	announceFirst bool      // starts when the other homes have acknowledged it
+	wasElsewhere  bool      // another home announced it, and didn't know it any more
 
 	provisional bool // admitted only if capacity for all of its tasks becomes free
 }
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -49,6 +49,7 @@
 	SentAt time.Time // when the announcement was sent
 
 	Refused []string      // IDs of announced jobs that the other home coordinates itself
+	Held    []string      // IDs of those that a third home has announced to it
 	Age     time.Duration // of the other home's process; 0 if unknown
 }
 
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -45,6 +45,7 @@
 		Jobs:    without(jobs, answer.Opened.Refused),
 		SentAt:  sent,
 		Refused: without(answer.Opened.Refused, answer.Opened.Held),
+		Held:    answer.Opened.Held,
 		Age:     processAge(answer.Opened.Up),
 	})
 }
