--- a/io/server/conn.go
+++ b/io/server/conn.go
@@ -36,7 +36,7 @@
 // Arrived returns when the latest bytes of a request's connection reached the operating
 // system, on the clock of package clock. A process that was paused or starved reads them
 // later. It is the present if they were read within a timer tick, or the operating system
-// can't tell, and otherwise never too late for these bytes, apart from suspensions of the
+// doesn't know, and otherwise never too late for these bytes, apart from suspensions of the
 // machine. A handler calls it first: bytes of the body or of a next request that have
 // followed the header count too, and make it too late for the request.
 func Arrived(ctx context.Context) time.Time {
