io/scheduler: tests of announced jobs don't depend on how soon they announce

With a pause of 0.4 s put in that place it hung each time, and passes now.

Tasks of these tests are not done before the test says so. Checks and times are the same; product code is not touched.

--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -32,6 +32,7 @@
 	down       map[string]bool // addresses that can't be reached
 	frames     []wire.Frame    // all frames sent, in order
 	announced  chan string     // addresses that have received an announcement
+	hold       chan struct{}   // tasks are not done before this is closed
 }
 
 func (n *homesNetwork) to(address string, f wire.Frame) *Scheduler {
@@ -96,13 +97,14 @@
 func (n *homesNetwork) Reachable(string) {}
 
 // newHomes returns the homes of two failure domains, each with a backend server that runs
-// the task of job j.
+// the task of job j for a time, and until the network's hold is closed.
 func newHomes(t *testing.T, runTime time.Duration) (network *homesNetwork, starts map[string]chan string, stops chan string) {
 	t.Helper()
 	network = &homesNetwork{
 		schedulers: map[string]*Scheduler{},
 		down:       map[string]bool{},
 		announced:  make(chan string, 10),
+		hold:       make(chan struct{}),
 	}
 	starts, stops = map[string]chan string{}, make(chan string, 10)
 	addresses := []string{"a", "b"}
@@ -133,6 +135,7 @@
 				runTime: runTime,
 				starts:  starts[address],
 				stops:   stops,
+				hold:    network.hold,
 			},
 			Peers:  network,
 			Roster: r,
@@ -248,6 +251,7 @@
 				a.announce()
 				<-network.announced
 			}
+			close(network.hold)
 			network.mu.Lock()
 			network.down["a"] = test.down
 			network.mu.Unlock()
@@ -267,6 +271,7 @@
 // have an announcement of the other.
 func TestNotForwardedTwice(t *testing.T) {
 	network, starts, _ := newHomes(t, 10*time.Millisecond)
+	close(network.hold)
 	for address, other := range map[string]string{
 		"a": "b",
 		"b": "a",
@@ -309,6 +314,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			network, starts, stops := newHomes(t, time.Second)
+			defer close(network.hold)
 			a, b := network.schedulers["a"], network.schedulers["b"]
 			atA := a.Shard("s")
 			atA.update(schedule.SubmitMsg{
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -24,6 +24,7 @@
 	runTime time.Duration
 	starts  chan string
 	stops   chan string
+	hold    chan struct{} // a task is not done before this is closed, unless it is nil
 }
 
 func (f *fakeServer) Start(_ context.Context, cmd pool.StartCmd) pool.StartedMsg {
@@ -57,6 +58,9 @@
 	if cmd.Deadline == 0 {
 		return msg
 	}
+	if f.hold != nil {
+		<-f.hold
+	}
 	time.Sleep(f.runTime)
 	msg.Ended = []pool.ListedEnd{{
 		Number: cmd.LastEnd + 1,
--- a/io/scheduler/service_test.go
+++ b/io/scheduler/service_test.go
@@ -43,6 +43,7 @@
 			<-starts["a"]
 			a.announce()
 			<-network.announced
+			close(network.hold)
 			shard := second.Shard("other")
 			shard.jobs.Update(time.Now().Add(-time.Hour), schedule.TickMsg{})
 			shard.update(pool.AssignMsg{
@@ -97,6 +98,7 @@
 // its job, after homes that announced it one after the other didn't know it.
 func TestCallerAnsweredElsewhere(t *testing.T) {
 	network, _, _ := newHomes(t, time.Millisecond)
+	close(network.hold)
 	s := network.schedulers["a"]
 	peers := &absentPeers{shard: s.Shard(announcedJob().Service)}
 	s.config.Peers = peers
