--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// bootClock tells the time by the time since the machine was booted.
+// bootClock derives the time from the time since the machine was booted.
 type bootClock struct {
 	started   time.Time
 	base      time.Duration // sinceBoot when the clock was started
@@ -28,7 +28,7 @@
 var system = newBootClock(readBootTime)
 
 // readBootTime returns the time since the machine was booted, including suspensions if the
-// system can tell.
+// system counts them.
 func readBootTime() time.Duration {
 	var t unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -517,7 +517,7 @@
 }
 
 // TestResentJobAtNewHome: a host that has just become a home gets a job that a home of another
-// failure domain runs, and of which that home could not tell it.
+// failure domain runs, and whose announcement has not reached it.
 func TestResentJobAtNewHome(t *testing.T) {
 	resendTest{
 		before: func(f *resendFleet) {
--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -133,7 +133,7 @@
 }
 
 // dialFrom connects to a target from the source's own IP address if it is a loopback
-// address, so that the target can tell sources apart, too.
+// address, so that the target can distinguish sources, too.
 func dialFrom(source, target string) (net.Conn, error) {
 	var dialer net.Dialer
 	if ip := net.ParseIP(source); ip != nil && ip.IsLoopback() {
