review: case 1, TWICE by a first attempt that arrives late in a cut

Cause: a short job that seems to be a first attempt is started without a majority, and an attempt that was held up in the network seems to be one.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -38,6 +38,7 @@
 type Bed struct {
 	Record  *Record
 	Starts  *Starts
+	Checker *standin.RunChecker // of the runs at all backend servers
 	Store   *standin.Store
 	Hosts   []*Host
 	Servers []*Server
@@ -45,6 +46,9 @@
 	// RowBytes is the most bytes of a row that the store takes, 0 for any number.
 	RowBytes int
 
+	// Linked puts a link in front of each host's peer address and of its callers' address.
+	Linked bool
+
 	// Disturbed is false if the script runs without its disruption.
 	Disturbed bool
 
@@ -79,6 +83,7 @@
 			record: record,
 			seen:   map[Start]bool{},
 		},
+		Checker:   standin.NewRunChecker(),
 		Store:     standin.NewStore(),
 		Disturbed: os.Getenv("TROUBLE") != "0",
 		dir:       dir,
@@ -184,7 +189,7 @@
 		Server: standin.NewServer(id, standin.Behavior{
 			RunTime: time.Second,
 			Slots:   slots,
-		}, standin.NewRunChecker()),
+		}, b.Checker),
 		ID:      id,
 		Service: service,
 		Zone:    zone,
@@ -213,6 +218,9 @@
 	if err := checkFree(h.IP, portFront, portReadiness, portPeer, lastPeerPort, 9464); err != nil {
 		return nil, err
 	}
+	if err := b.addLinks(h); err != nil {
+		return nil, err
+	}
 	if err := h.writeSettings(); err != nil {
 		return nil, err
 	}
@@ -225,6 +233,39 @@
 	return h, h.Start()
 }
 
+// Isolate cuts a host off from the other hosts until the returned function is called. Its
+// callers, its backend servers and the store stay within its reach.
+func (b *Bed) Isolate(h *Host) (heal func()) {
+	b.Record.Add("%s is cut off from the other hosts", h.Name)
+	links := []*Link{h.Peer}
+	h.Peer.Hold("")
+	for _, other := range b.Hosts {
+		if other != h {
+			other.Peer.Hold(h.IP)
+			links = append(links, other.Peer)
+		}
+	}
+	return func() {
+		b.Record.Add("%s is not cut off any more", h.Name)
+		for _, l := range links {
+			l.Release()
+		}
+	}
+}
+
+// addLinks starts the links of a host.
+func (b *Bed) addLinks(h *Host) error {
+	if !b.Linked {
+		return nil
+	}
+	var err error
+	if h.Peer, err = b.NewLink(fmt.Sprintf("%s:%d", h.IP, lastPeerPort), fmt.Sprintf("%s:%d", h.IP, portPeer)); err != nil {
+		return err
+	}
+	h.Front, err = b.NewLink("127.0.0.1:0", fmt.Sprintf("%s:%d", h.IP, portFront))
+	return err
+}
+
 // checkFree reports an error if a port is in use.
 func checkFree(ip string, ports ...int) error {
 	for _, port := range ports {
--- a/review/bed/host.go
+++ b/review/bed/host.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -16,6 +17,9 @@
 	IP   string
 	Zone string
 
+	// Links to this host's peer address and to its callers' address, if the deployment has them.
+	Peer, Front *Link
+
 	bed          *Bed
 	settingsFile string
 	logFile      *os.File
@@ -96,6 +100,9 @@
 		"bounds.retransmit_ms":        "1300",
 		"platform.address":            h.bed.storeAddress,
 	})
+	if h.Peer != nil {
+		text = strings.Replace(text, "[peer]\n", "[peer]\nadvertise = "+h.Peer.Address()+"\n", 1)
+	}
 	h.settingsFile = filepath.Join(h.bed.dir, h.Name+".ini")
 	return os.WriteFile(h.settingsFile, []byte(text), 0o600)
 }
