--- a/review/3/main.go
+++ b/review/3/main.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -49,7 +50,7 @@
 	},
 }
 
-func main() { bed.Run("review/3", script) }
+func main() { bed.Run("review/3", os.Getenv("TROUBLE") != "0", script) }
 
 func script(b *bed.Bed) (broken bool, err error) {
 	b.RowBytes = rowBytes
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -61,12 +61,13 @@
 // VirtualHost is the name that the routes are bound to.
 const VirtualHost = "desk.example"
 
-// Run runs a script in the folder of a case and exits with its result.
-func Run(caseDir string, script func(b *Bed) (broken bool, err error)) {
-	os.Exit(run(caseDir, script))
+// Run runs a script in the folder of a case, with its disruption or without it, and exits with
+// its result.
+func Run(caseDir string, disturbed bool, script func(b *Bed) (broken bool, err error)) {
+	os.Exit(run(caseDir, disturbed, script))
 }
 
-func run(caseDir string, script func(b *Bed) (broken bool, err error)) int {
+func run(caseDir string, disturbed bool, script func(b *Bed) (broken bool, err error)) int {
 	record, err := NewRecord(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -85,7 +86,7 @@
 		},
 		Checker:   standin.NewRunChecker(),
 		Store:     standin.NewStore(),
-		Disturbed: os.Getenv("TROUBLE") != "0",
+		Disturbed: disturbed,
 		dir:       dir,
 		net:       fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250)),
 	}
