pool: logs by which proof a run counts as ended

'run ended' has 'proof' now, 'restarted' what showed it, and 'run stopped' and 'leases over' are events of their own. No decision changes. go test ./io/scheduler passes; of ./core/pool only TestLateRequestInCutRunsTwice fails, which is a known failure.

--- a/core/pool/cmd.go
+++ b/core/pool/cmd.go
@@ -50,6 +50,7 @@
 	Owner  string
 	Task   work.Task // Run is the number of the run that ended
 	End    work.End
+	Proof  Proof // of the end
 	Server string
 	Took   time.Duration // from the confirmation of the start until the end was learned
 	Reason core.Reason
--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -54,17 +54,17 @@
 // loss.
 func (m *Model) lose(now time.Time, s *server) []Cmd {
 	if s.entry.Draining {
-		return m.endAllRuns(now, s, work.EndLeaseExpired, core.ReasonLeaseExpired)
+		return m.endAllRuns(now, s, work.EndLeaseExpired, ProofLease, core.ReasonLeaseExpired)
 	}
 	lost := loss{Loss: s.newLoss(now)}
 	var cmds []Cmd
 	for _, r := range s.sortedRuns() {
 		if r.loss != (Loss{}) {
-			cmds = append(cmds, m.endInDoubt(now, s, r)...)
+			cmds = append(cmds, m.endInDoubt(now, s, r, ProofLease)...)
 			continue
 		}
 		lost.tasks = append(lost.tasks, r.task.Name())
-		cmds = append(cmds, m.endLost(now, s, r, lost.Loss, FateUnknown)...)
+		cmds = append(cmds, m.endLost(now, s, r, lost.Loss, FateUnknown, ProofLease)...)
 	}
 	if len(lost.tasks) == 0 {
 		return cmds
@@ -75,7 +75,7 @@
 
 // crash ends the runs of a process that another one has replaced. Runs that may be at the new
 // process instead stay in doubt.
-func (m *Model) crash(now time.Time, s *server) []Cmd {
+func (m *Model) crash(now time.Time, s *server, proof Proof) []Cmd {
 	planned := s.planned || s.entry.Draining
 	s.planned = false
 	lost := loss{Loss: s.newLoss(now)}
@@ -84,10 +84,10 @@
 		ended := s.born != 0 && r.listedBorn == s.born && !r.lost && r.pendingStarts == 0
 		switch {
 		case planned && ended:
-			cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, core.ReasonLeaseExpired)...)
+			cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, proof, core.ReasonLeaseExpired)...)
 		case ended:
 			lost.tasks = append(lost.tasks, r.task.Name())
-			cmds = append(cmds, m.endLost(now, s, r, lost.Loss, FateCrashed)...)
+			cmds = append(cmds, m.endLost(now, s, r, lost.Loss, FateCrashed, proof)...)
 		case !planned && r.loss == (Loss{}):
 			r.loss = lost.Loss
 		}
@@ -103,29 +103,29 @@
 	for _, r := range s.sortedRuns() {
 		r.listedBorn, r.lost, r.pendingStarts = s.born, false, 0
 	}
-	cmds := m.crash(now, s)
-	return append(cmds, m.endAllRuns(now, s, work.EndLeaseExpired, core.ReasonLeaseExpired)...)
+	cmds := m.crash(now, s, ProofReplaced)
+	return append(cmds, m.endAllRuns(now, s, work.EndLeaseExpired, ProofReplaced, core.ReasonLeaseExpired)...)
 }
 
 // endInDoubt ends a run that is not at the process that replaced a crashed one.
-func (m *Model) endInDoubt(now time.Time, s *server, r *run) []Cmd {
+func (m *Model) endInDoubt(now time.Time, s *server, r *run, proof Proof) []Cmd {
 	if r.loss == (Loss{}) {
-		return m.endRun(now, s, r, work.EndLeaseExpired, core.ReasonLeaseExpired)
+		return m.endRun(now, s, r, work.EndLeaseExpired, proof, core.ReasonLeaseExpired)
 	}
 	lost := loss{
 		Loss:  r.loss,
 		tasks: []string{r.task.Name()},
 	}
-	return append(m.endLost(now, s, r, r.loss, FateCrashed), lost.cmd(FateCrashed))
+	return append(m.endLost(now, s, r, r.loss, FateCrashed, proof), lost.cmd(FateCrashed))
 }
 
 // endLost ends a run with its server.
-func (m *Model) endLost(now time.Time, s *server, r *run, l Loss, fate Fate) []Cmd {
+func (m *Model) endLost(now time.Time, s *server, r *run, l Loss, fate Fate, proof Proof) []Cmd {
 	reason := core.ReasonLeaseExpired
 	if fate == FateCrashed {
 		reason = core.ReasonCrashed
 	}
-	cmds := m.endRun(now, s, r, work.EndLeaseExpired, reason)
+	cmds := m.endRun(now, s, r, work.EndLeaseExpired, proof, reason)
 	for i, cmd := range cmds {
 		if end, ok := cmd.(EndCmd); ok {
 			end.Loss, end.Fate = l, fate
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -195,7 +195,8 @@
 		s.planned = again && s.entry.Draining
 		s.entry, s.releasing = entry, false
 		if again && known {
-			return append(m.restarted(now, s, entry.StartedAtMillis), m.poll(now, s)...)
+			detail := fmt.Sprintf("by its entry, born %d before", s.born)
+			return append(m.restarted(now, s, entry.StartedAtMillis, ProofBorn, detail), m.poll(now, s)...)
 		}
 		if again {
 			s.born = entry.StartedAtMillis
@@ -242,8 +243,8 @@
 // its clock may read less, so orders to the earlier process that are late may still be
 // carried out there. They carry a lower token than all orders from now on, so the first lists
 // that the new process returns show which runs it has, and that it won't start the others.
-func (m *Model) restarted(now time.Time, s *server, born int64) []Cmd {
-	cmds := m.crash(now, s)
+func (m *Model) restarted(now time.Time, s *server, born int64, proof Proof, detail string) []Cmd {
+	cmds := m.crash(now, s, proof)
 	s.born, s.restartedAt = born, now
 	if s.phase != probing && s.phase != fenced {
 		s.phase = inspecting
@@ -264,7 +265,7 @@
 	return append(cmds, LogCmd{
 		Server: s.entry.ID,
 		Event:  "restarted",
-		Detail: fmt.Sprintf("born %d, token %d, %d runs in doubt", born, s.token, len(s.runs)),
+		Detail: fmt.Sprintf("born %d, token %d, %d runs in doubt, shown %s", born, s.token, len(s.runs), detail),
 	}, CapacityChangedCmd{})
 }
 
@@ -290,7 +291,7 @@
 	var cmds []Cmd
 	for _, r := range s.sortedRuns() {
 		if !r.startPending() {
-			cmds = append(cmds, m.endRun(now, s, r, work.EndUnknown, core.ReasonUnknown)...)
+			cmds = append(cmds, m.endRun(now, s, r, work.EndUnknown, ProofNone, core.ReasonUnknown)...)
 		}
 	}
 	if s.phase == fenced {
@@ -313,16 +314,16 @@
 	return r.state == starting && r.pendingStarts > 0 && !r.uncertain && r.confirmedAt.IsZero()
 }
 
-func (m *Model) endAllRuns(now time.Time, s *server, end work.End, reason core.Reason) []Cmd {
+func (m *Model) endAllRuns(now time.Time, s *server, end work.End, proof Proof, reason core.Reason) []Cmd {
 	var cmds []Cmd
 	for _, r := range s.sortedRuns() {
-		cmds = append(cmds, m.endRun(now, s, r, end, reason)...)
+		cmds = append(cmds, m.endRun(now, s, r, end, proof, reason)...)
 	}
 	return cmds
 }
 
 // endRun removes a run and notifies its owner.
-func (m *Model) endRun(now time.Time, s *server, r *run, end work.End, reason core.Reason) []Cmd {
+func (m *Model) endRun(now time.Time, s *server, r *run, end work.End, proof Proof, reason core.Reason) []Cmd {
 	name := r.task.Name()
 	s.remove(name)
 	if m.serverByTask[name] == s.entry.ID {
@@ -338,6 +339,7 @@
 			Owner:  r.owner,
 			Task:   r.task,
 			End:    end,
+			Proof:  proof,
 			Server: s.entry.ID,
 			Took:   took,
 			Reason: cmp.Or(r.stopReason, reason),
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"time"
 
 	"rosemarywalk/core"
@@ -67,6 +68,7 @@
 		Owner:  msg.Owner,
 		Task:   msg.Task,
 		End:    work.EndNotStarted,
+		Proof:  ProofRejected,
 		Reason: reason,
 	}
 }
@@ -143,7 +145,7 @@
 		return m.stopRun(now, s, r, core.ReasonUnconfirmed)
 	}
 	if deadline == 0 {
-		return m.endRun(now, s, r, work.EndNotStarted, core.ReasonUnconfirmed)
+		return m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonUnconfirmed)
 	}
 	r.sends++
 	r.pendingStarts++
@@ -201,10 +203,15 @@
 		return nil
 	}
 	if s.phase == fenced {
-		return m.endRun(now, s, r, work.EndUnknown, reason)
+		return m.endRun(now, s, r, work.EndUnknown, ProofNone, reason)
 	}
 	r.state, r.sends, r.stopReason = stopping, 0, reason
-	return append([]Cmd{m.stopCmd(now, s, r)}, m.poll(now, s)...)
+	cmds := []Cmd{m.stopCmd(now, s, r), LogCmd{
+		Server: s.entry.ID,
+		Event:  "run stopped",
+		Detail: fmt.Sprintf("%s run %d, %s", r.task.Name(), r.task.Run, reason),
+	}}
+	return append(cmds, m.poll(now, s)...)
 }
 
 func (m *Model) stopCmd(now time.Time, s *server, r *run) Cmd {
@@ -296,7 +303,7 @@
 	}
 	var cmds []Cmd
 	if s.clockRestarted(now, sent, clock) {
-		cmds = append(m.restarted(now, s, 0), m.poll(now, s)...)
+		cmds = append(m.restarted(now, s, 0, ProofClock, s.describeClock(now, sent, clock)), m.poll(now, s)...)
 	}
 	s.updateClock(now, sent, clock, m.maxLease())
 	return cmds
@@ -334,7 +341,7 @@
 		r.uncertain = true
 	case r.pendingStarts > 0 || r.uncertain || !r.confirmedAt.IsZero() || r.state != starting:
 	default:
-		return append(m.endRun(now, s, r, work.EndNotStarted, core.ReasonBusy), m.markFenced(now, s)...)
+		return append(m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonBusy), m.markFenced(now, s)...)
 	}
 	return m.markFenced(now, s)
 }
@@ -351,7 +358,7 @@
 		return m.replaced(now, s)
 	case Full, Busy, Invalid:
 		if r.pendingStarts == 0 && !r.uncertain && r.confirmedAt.IsZero() {
-			return m.endRun(now, s, r, work.EndNotStarted, core.ReasonBusy)
+			return m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonBusy)
 		}
 	case StaleRun, DeadlinePassed, NotSent, Fenced:
 	case Unanswered:
@@ -389,7 +396,7 @@
 		reason = core.ReasonBusy
 		s.health = s.health.WithFailure(now)
 	}
-	cmds := m.endRun(now, s, r, work.EndNotStarted, reason)
+	cmds := m.endRun(now, s, r, work.EndNotStarted, ProofRejected, reason)
 	if result == Full {
 		// The server has runs that this host does not know.
 		s.phase = inspecting
@@ -419,7 +426,7 @@
 		return nil
 	}
 	if result == NotSent && !r.uncertain {
-		cmds := m.endRun(now, s, r, work.EndNotStarted, core.ReasonConnect)
+		cmds := m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect)
 		return append(append(cmds, CapacityChangedCmd{}), m.poll(now, s)...)
 	}
 	if now.Sub(r.firstSent) >= m.limits.StartTimeout {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -123,7 +123,7 @@
 	var cmds []Cmd
 	again := msg.Born != 0 && s.born != 0 && msg.Born != s.born
 	if again {
-		cmds = append(cmds, m.restarted(now, s, msg.Born)...)
+		cmds = append(cmds, m.restarted(now, s, msg.Born, ProofBorn, fmt.Sprintf("by its lists, born %d before", s.born))...)
 	}
 	if msg.Born != 0 {
 		s.born = msg.Born
@@ -161,7 +161,7 @@
 	if r == nil || r.task.Run != e.Run {
 		return nil
 	}
-	return m.endRun(now, s, r, e.End, "")
+	return m.endRun(now, s, r, e.End, ProofListed, "")
 }
 
 // updateRunning updates the listed runs, and collects those that this host does
@@ -197,15 +197,15 @@
 		}
 		switch {
 		case r.inDoubt(s):
-			cmds = append(cmds, m.endInDoubt(now, s, r)...)
+			cmds = append(cmds, m.endInDoubt(now, s, r, ProofMissing)...)
 		case !r.confirmedAt.IsZero():
 			if msg.Sent.After(r.confirmedAt) {
-				cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, core.ReasonLeaseExpired)...)
+				cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, ProofMissing, core.ReasonLeaseExpired)...)
 			}
 		case r.stopConfirmed && msg.Sent.After(r.lastSent):
-			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, core.ReasonCanceled)...)
+			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofMissing, core.ReasonCanceled)...)
 		case msg.Clock > r.deadline && r.uncertain && msg.Sent.After(r.lastSent):
-			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, core.ReasonReset)...)
+			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofMissing, core.ReasonReset)...)
 		}
 	}
 	return cmds
@@ -310,6 +310,11 @@
 			continue
 		}
 		if s.misses > 0 && len(s.runs) > 0 && s.leasesExpired(now) {
+			cmds = append(cmds, LogCmd{
+				Server: s.entry.ID,
+				Event:  "leases over",
+				Detail: fmt.Sprintf("until %d, clock %d or more, read %d %s ago", s.maxDeadline, s.minClock(now), s.clock, now.Sub(s.clockAt)),
+			})
 			cmds = append(cmds, m.lose(now, s)...)
 			m.raiseToken(s)
 		}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -154,14 +155,28 @@
 	if s.clockAt.IsZero() || s.clockLost || sent.IsZero() {
 		return false
 	}
+	least, most := s.clockRange(now, sent)
+	return clock < least || clock > most
+}
+
+// clockRange returns between which readings the known clock must be in the answer to an order
+// sent at the given time.
+func (s *server) clockRange(now, sent time.Time) (least, most int64) {
 	const rounding = 2
 	rate := minClockRate
 	if sent.Before(s.clockAt) {
 		rate = maxClockRate
 	}
-	least := s.clock + int64(rate*float64(sent.Sub(s.clockAt).Milliseconds())) - rounding
-	most := s.clock + int64(maxClockRate*float64(now.Sub(s.clockSent).Milliseconds())) + rounding
-	return clock < least || clock > most
+	least = s.clock + int64(rate*float64(sent.Sub(s.clockAt).Milliseconds())) - rounding
+	most = s.clock + int64(maxClockRate*float64(now.Sub(s.clockSent).Milliseconds())) + rounding
+	return least, most
+}
+
+// describeClock tells what a reading of the clock shows beside what is known, for the log.
+func (s *server) describeClock(now, sent time.Time, clock int64) string {
+	least, most := s.clockRange(now, sent)
+	return fmt.Sprintf("by its clock, %d in an answer after %s, expected %d to %d, read %d %s ago",
+		clock, now.Sub(sent), least, most, s.clock, now.Sub(s.clockAt))
 }
 
 // estimateClock estimates the server's current clock. It lags by at most the
