--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -206,11 +206,14 @@
 		return m.endRun(now, s, r, work.EndUnknown, ProofNone, reason)
 	}
 	r.state, r.sends, r.stopReason = stopping, 0, reason
-	cmds := []Cmd{m.stopCmd(now, s, r), LogCmd{
-		Server: s.entry.ID,
-		Event:  "run stopped",
-		Detail: fmt.Sprintf("%s run %d, %s", r.task.Name(), r.task.Run, reason),
-	}}
+	cmds := []Cmd{m.stopCmd(now, s, r)}
+	if reason != core.ReasonSlow {
+		cmds = append(cmds, LogCmd{
+			Server: s.entry.ID,
+			Event:  "run stopped",
+			Detail: fmt.Sprintf("%s run %d, %s", r.task.Name(), r.task.Run, reason),
+		})
+	}
 	return append(cmds, m.poll(now, s)...)
 }
 
