core/pool: simulated servers in unusual but sound ways

They may now hide runs that are being stopped, draw a moment for each list and the clock, read the clock ahead or behind, pause, list hardly any progress, have an entry ahead of their process or one that names the address of another server. All are off by default; counts and seeds of the existing simulations are unchanged.

--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -499,3 +500,148 @@
 		assert.Equal(t, ends(b.cmds)[0].Proof, ProofReplaced)
 	})
 }
+
+// TestEndInferredRunsTwice guards against tasks that are started elsewhere while a server runs
+// them that behaves as the interface says, but otherwise than usual.
+func TestEndInferredRunsTwice(t *testing.T) {
+	lossy := Network{
+		Delay:    10 * time.Millisecond,
+		Loss:     0.1,
+		LateLoss: 0.5,
+	}
+	tests := []struct {
+		name       string
+		conditions conditions
+		floor      float64 // share of the jobs that must be done
+	}{
+		{
+			name:  "stopping runs listed as running",
+			floor: 0.9,
+			conditions: conditions{
+				Predicted: 100 * time.Millisecond,
+				Ways:      Ways{Stuck: 0.3},
+			},
+		},
+		{
+			name:  "stopping runs not listed",
+			floor: 0.9,
+			conditions: conditions{
+				Predicted: 100 * time.Millisecond,
+				Ways: Ways{
+					Stuck:        0.3,
+					HideStopping: true,
+				},
+			},
+		},
+		{
+			name:  "lists and clock of different moments",
+			floor: 0.9,
+			conditions: conditions{
+				Network: Network{
+					Delay:    10 * time.Millisecond,
+					Loss:     0.3,
+					LateLoss: 0.9,
+					StopLoss: 0.9,
+					Lateness: time.Second,
+				},
+				Ways: Ways{Moments: 30 * time.Millisecond},
+			},
+		},
+		{
+			name:  "clock behind",
+			floor: 0.9,
+			conditions: conditions{
+				Ways: Ways{ClockBehind: 30 * time.Millisecond},
+			},
+		},
+		{
+			name:  "clock ahead",
+			floor: 0.9,
+			conditions: conditions{
+				Ways: Ways{ClockAhead: 30 * time.Millisecond},
+			},
+		},
+		{
+			name:  "slowest clock",
+			floor: 0.9,
+			conditions: conditions{
+				Rate: minClockRate,
+			},
+		},
+		{
+			name:  "servers paused",
+			floor: 0.9,
+			conditions: conditions{
+				Pause: 1500 * time.Millisecond,
+			},
+		},
+		{
+			name:  "entries ahead of processes",
+			floor: 0.9,
+			conditions: conditions{
+				Restart: 4 * time.Second,
+				Down:    300 * time.Millisecond,
+				Listing: 300 * time.Millisecond,
+				Ahead:   time.Second,
+			},
+		},
+		{
+			name:  "another server at the listed address",
+			floor: 0.9,
+			conditions: conditions{
+				Ways: Ways{Elsewhere: "elsewhere:1"},
+				Move: 4 * time.Second,
+			},
+		},
+		{
+			name:  "all",
+			floor: 0.9,
+			conditions: conditions{
+				Ways: Ways{
+					Stuck:        0.3,
+					HideStopping: true,
+					Moments:      30 * time.Millisecond,
+					ClockBehind:  30 * time.Millisecond,
+					Elsewhere:    "elsewhere:1",
+				},
+				Predicted: 100 * time.Millisecond,
+				Pause:     500 * time.Millisecond,
+				Restart:   4 * time.Second,
+				Down:      300 * time.Millisecond,
+				Listing:   300 * time.Millisecond,
+				Ahead:     time.Second,
+				Move:      4 * time.Second,
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const seeds = 20
+			done, jobs, twice := 0, 0, 0
+			for seed := range uint64(seeds) {
+				c := test.conditions
+				if c.Network == (Network{}) {
+					c.Network = lossy
+				}
+				c.Limits = lifetimeLimits(700 * time.Millisecond)
+				c.Limits.MaxUnconfirmed, c.Limits.StopUnconfirmed = 0, 0
+				c.Rate = cmp.Or(c.Rate, 1-float64(seed%5)/4*(1-minClockRate))
+				c.Hosts = max(c.Hosts, 1)
+				c.Jobs = 50
+				c.JobInterval = 60 * time.Millisecond
+				c.Work = 500 * time.Millisecond
+				sim := newSimulation(seed, c)
+				sim.run()
+				jobs += c.Jobs
+				done += sim.ends[work.EndDone]
+				if len(sim.Twice) > 0 {
+					t.Logf("seed %d: %d twice, first %s", seed, len(sim.Twice), sim.Twice[0])
+				}
+				twice += len(sim.Twice)
+			}
+			t.Logf("%d of %d done, %d twice", done, jobs, twice)
+			assert.Equal(t, twice, 0)
+			assert.Assert(t, float64(done) >= test.floor*float64(jobs), "%d of %d done", done, jobs)
+		})
+	}
+}
--- a/core/pool/simulated_test.go
+++ b/core/pool/simulated_test.go
@@ -93,6 +93,7 @@
 	SimulatedTime
 
 	Network       Network
+	Ways          Ways
 	AnswerTimeout time.Duration
 	Servers       map[string]*SimulatedServer
 	RunTime       func(name string) time.Duration       // of a task
@@ -166,9 +167,11 @@
 			Sent:   cmd.Sent,
 			Result: Unanswered,
 		}
-		t.call(cmd.Server, 0, t.Network.Loss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
-			answer.Result, answer.Clock = s.start(cmd), s.clock()
-			reply(answer)
+		t.call(cmd.Server, cmd.Address, 0, t.Network.Loss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
+			s.handle(func() { answer.Result = s.start(cmd) }, func(clock int64) {
+				answer.Clock = clock
+				reply(answer)
+			})
 		})
 	case StopCmd:
 		answer := StoppedMsg{
@@ -178,9 +181,11 @@
 			Sent:   cmd.Sent,
 			Result: Unanswered,
 		}
-		t.call(cmd.Server, 0, t.Network.StopLoss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
-			answer.Result, answer.Clock = s.stop(cmd), s.clock()
-			reply(answer)
+		t.call(cmd.Server, cmd.Address, 0, t.Network.StopLoss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
+			s.handle(func() { answer.Result = s.stop(cmd) }, func(clock int64) {
+				answer.Clock = clock
+				reply(answer)
+			})
 		})
 	case PollCmd:
 		answer := PollResultMsg{
@@ -189,7 +194,7 @@
 			Sent:   t.Now,
 			Result: Unanswered,
 		}
-		t.call(cmd.Server, cmd.Wait, t.Network.Loss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
+		t.call(cmd.Server, cmd.Address, cmd.Wait, t.Network.Loss, answer, deliver, func(s *SimulatedServer, reply func(Msg)) {
 			s.poll(cmd, answer, reply)
 		})
 	case EndCmd, CapacityChangedCmd, LogCmd:
@@ -198,7 +203,11 @@
 
 // call carries an order out at a server and delivers its answer, or unanswered if there
 // is none in time.
-func (t *SimulatedServers) call(id string, wait time.Duration, loss float64, unanswered Msg, answer func(Msg), carryOut func(*SimulatedServer, func(Msg))) {
+func (t *SimulatedServers) call(id, address string, wait time.Duration, loss float64, unanswered Msg, answer func(Msg), carryOut func(*SimulatedServer, func(Msg))) {
+	if t.Ways.Elsewhere != "" && address == t.Ways.Elsewhere {
+		t.After(t.UpTo(t.Network.Delay), func() { answer(replacedAnswer(unanswered)) })
+		return
+	}
 	answered, sent := false, t.Now
 	deliver := func(msg Msg) {
 		if !answered {
@@ -221,13 +230,17 @@
 			// carries out one to its predecessor.
 			return
 		}
-		carryOut(s, func(msg Msg) {
-			if !t.Happens(t.Network.Loss) && !t.Now.Before(s.DownTo) {
-				t.After(t.UpTo(t.Network.Delay), func() {
-					s.recordAnswer(msg)
-					deliver(msg)
+		s.whenAwake(func() {
+			carryOut(s, func(msg Msg) {
+				s.whenAwake(func() {
+					if !t.Happens(t.Network.Loss) && !t.Now.Before(s.DownTo) {
+						t.After(t.UpTo(t.Network.Delay), func() {
+							s.recordAnswer(msg)
+							deliver(msg)
+						})
+					}
 				})
-			}
+			})
 		})
 	})
 }
@@ -250,11 +263,15 @@
 	last    map[string]int // number of the last run that ended or was stopped, by task name
 	ended   []ListedEnd
 	waiting []func()
+
+	pausedTo time.Time
 }
 
 type simulatedRun struct {
-	run  int
-	size work.Size
+	run      int
+	size     work.Size
+	stopping bool
+	stuck    bool // hardly any progress is listed
 }
 
 func (s *SimulatedServer) clock() int64 {
@@ -332,8 +349,9 @@
 		}
 	}
 	s.runs[name] = &simulatedRun{
-		run:  cmd.Task.Run,
-		size: cmd.Task.Size,
+		run:   cmd.Task.Run,
+		size:  cmd.Task.Size,
+		stuck: s.all.Ways.Stuck > 0 && s.all.Happens(s.all.Ways.Stuck),
 	}
 	s.recordStart(name, cmd.Sent)
 	s.endLater(s.all.RunTime(name), name, work.EndDone)
@@ -346,6 +364,7 @@
 	}
 	s.last[cmd.Name] = max(s.last[cmd.Name], cmd.Run)
 	if r := s.runs[cmd.Name]; r != nil && r.run <= cmd.Run {
+		r.stopping = true
 		s.endLater(s.all.UpTo(stopTime), cmd.Name, work.EndStopped)
 	}
 	return Accepted
@@ -361,28 +380,19 @@
 		s.extend(cmd.Deadline)
 	}
 	sent := false
+	seen := s.watch(cmd.Wait)
 	list := func() {
 		if sent || s.all.Servers[s.ID] != s {
 			return
 		}
 		sent = true
-		answer.Result, answer.Clock, answer.Born = Accepted, s.clock(), s.Born.UnixMilli()
-		for _, name := range slices.Sorted(maps.Keys(s.runs)) {
-			answer.Running = append(answer.Running, ListedRun{
-				Name:    name,
-				Run:     s.runs[name].run,
-				Percent: percentDone - 1,
-			})
-		}
-		for _, e := range s.ended {
-			if e.Number > cmd.LastEnd {
-				answer.Ended = append(answer.Ended, e)
-			}
-		}
+		answer.Result, answer.Born = Accepted, s.Born.UnixMilli()
+		answer.Running, answer.Ended, answer.Clock = seen()
+		answer.Ended = slices.DeleteFunc(answer.Ended, func(e ListedEnd) bool { return e.Number <= cmd.LastEnd })
 		reply(answer)
 	}
 	if cmd.Wait == 0 || len(s.ended) > cmd.LastEnd {
-		list()
+		s.afterHandling(list)
 		return
 	}
 	s.waiting = append(s.waiting, list)
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,11 +28,17 @@
 	Restart      time.Duration // longest time until a server starts again; 0 for never
 	Down         time.Duration // longest time that it is unreachable then
 	Listing      time.Duration // longest time until its new start is listed
+	Ahead        time.Duration // longest time that the new start is listed before the earlier process ends
+	Ways         Ways
+	Pause        time.Duration // longest time that a server handles nothing; 0 for no pauses
+	Move         time.Duration // longest time until an entry names another address for a while; 0 for never
+	Predicted    time.Duration // predicted run time; 0 for the longest one
 }
 
 const (
 	confirmInterval = 100 * time.Millisecond
 	tickInterval    = 20 * time.Millisecond
+	maxMisplaced    = 300 * time.Millisecond
 )
 
 // simulation runs pools against simulated servers on a simulated clock.
@@ -43,6 +50,7 @@
 	owner  int                      // index of the host that owns the servers
 	token  int64                    // of the owner
 	listed map[string]time.Time     // start of each server, as listed
+	moved  map[string]bool          // servers that are listed at an address where they aren't
 	jobs   map[string]*simulatedJob // by task name
 
 	violations []string // runs that lived too long
@@ -52,11 +60,12 @@
 
 func newSimulation(seed uint64, c conditions) *simulation {
 	servers := NewSimulatedServers(seed, c.Rate, "a", "b")
-	servers.Network, servers.AnswerTimeout = c.Network, c.Limits.AnswerTimeout
+	servers.Network, servers.Ways, servers.AnswerTimeout = c.Network, c.Ways, c.Limits.AnswerTimeout
 	sim := &simulation{
 		conditions:       c,
 		SimulatedServers: servers,
 		listed:           map[string]time.Time{},
+		moved:            map[string]bool{},
 		jobs:             map[string]*simulatedJob{},
 		ends:             map[work.End]int{},
 		reasons:          map[core.Reason]int{},
@@ -82,6 +91,14 @@
 			sim.After(sim.UpTo(c.Restart), func() { sim.restart(id) })
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(servers.Servers)) {
+		if c.Pause > 0 {
+			sim.pause(id)
+		}
+		if c.Move > 0 {
+			sim.move(id)
+		}
+	}
 	sim.After(0, func() { sim.assign(0, 1) })
 	for n := range c.Jobs {
 		sim.After(100*time.Millisecond+time.Duration(n)*c.JobInterval, func() { sim.submit(n) })
@@ -118,6 +135,9 @@
 	servers := entries(slices.Sorted(maps.Keys(sim.Servers))...)
 	for i := range servers {
 		servers[i].StartedAtMillis = sim.listed[servers[i].ID].UnixMilli()
+		if sim.moved[servers[i].ID] {
+			servers[i].Address = sim.conditions.Ways.Elsewhere
+		}
 	}
 	sim.hosts[sim.owner].deliver(AssignMsg{
 		Servers: servers,
@@ -125,9 +145,43 @@
 	})
 }
 
-// restart starts a server again under its ID, which is listed later.
+// pause pauses a server from time to time.
+func (sim *simulation) pause(id string) {
+	sim.After(sim.UpTo(time.Second), func() {
+		d := sim.UpTo(sim.Pause)
+		sim.Servers[id].Pause(d)
+		sim.After(d, func() { sim.pause(id) })
+	})
+}
+
+// move lists a server from time to time at an address where another one answers.
+func (sim *simulation) move(id string) {
+	sim.After(sim.UpTo(sim.Move), func() {
+		sim.moved[id] = true
+		sim.list()
+		sim.After(sim.UpTo(maxMisplaced), func() {
+			sim.moved[id] = false
+			sim.list()
+			sim.After(sim.Limits.RetakeDelay, sim.list)
+			sim.move(id)
+		})
+	})
+}
+
+// restart starts a server again under its ID, which is listed later or earlier.
 func (sim *simulation) restart(id string) {
 	down := sim.UpTo(sim.Down)
+	if sim.Ahead > 0 && sim.Happens(0.5) {
+		early := sim.UpTo(sim.Ahead)
+		sim.listed[id] = sim.Now.Add(early + down)
+		sim.list()
+		sim.After(early, func() { sim.restartNow(id, down) })
+		return
+	}
+	sim.restartNow(id, down)
+}
+
+func (sim *simulation) restartNow(id string, down time.Duration) {
 	sim.SimulatedServers.Restart(id, down)
 	born := sim.Servers[id].Born
 	sim.After(down+sim.UpTo(sim.Listing), func() {
@@ -155,7 +209,7 @@
 			Job:           fmt.Sprint("job-", n),
 			Run:           1,
 			Size:          work.Size{CPU: 4000},
-			PredictedTime: sim.Work,
+			PredictedTime: cmp.Or(sim.Predicted, sim.Work),
 		},
 		host:     sim.hosts[sim.Random.IntN(len(sim.hosts))],
 		work:     50*time.Millisecond + sim.UpTo(sim.Work),
