core/pool: tests that took a missing run for an ended one name its proof

That is the inference that the issue is about, so they would contradict its tests.

Each reaches the same state by a proof now: the end is listed, stop_timeout_ms is over since the answer to the stop, lists show the other born, or the run goes on missing and is stopped. What they check is unchanged or more: an end before the stop is answered counts as a failure in TestStopAtNewProcess.

--- a/core/pool/crash_test.go
+++ b/core/pool/crash_test.go
@@ -69,7 +69,8 @@
 			steps: func(b *harness) []Cmd {
 				listed := entries("a")
 				listed[0].StartedAtMillis = 2
-				return b.update(AssignMsg{Servers: listed})
+				cmds := b.update(AssignMsg{Servers: listed})
+				return append(cmds, b.answerPoll("a", restartedAt(5))...)
 			},
 			want: []Fate{FateCrashed},
 		},
@@ -87,7 +88,8 @@
 				listed[0].Draining = true
 				b.update(AssignMsg{Servers: listed})
 				listed[0].Draining, listed[0].StartedAtMillis = false, 2
-				return b.update(AssignMsg{Servers: listed})
+				cmds := b.update(AssignMsg{Servers: listed})
+				return append(cmds, b.answerPoll("a", restartedAt(5))...)
 			},
 		},
 		{
@@ -101,7 +103,7 @@
 		},
 		{
 			name:  "run missing in the lists",
-			steps: func(b *harness) []Cmd { return b.answerPoll("a") },
+			steps: func(b *harness) []Cmd { return b.missingUntilEnded("a", name) },
 		},
 	}
 	for _, test := range tests {
--- a/core/pool/lifetime_test.go
+++ b/core/pool/lifetime_test.go
@@ -461,7 +461,14 @@
 	cmds := b.answerPoll("a", listRuns("j.0.0.0", "k.0.0.0"))
 	assert.Equal(t, polls(cmds)[0].Deadline, int64(0))
 	b.advance(time.Millisecond)
-	cmds = b.answerPoll("a", listRuns("j.0.0.0"))
+	cmds = b.answerPoll("a", listRuns("j.0.0.0"), func(m *PollResultMsg) {
+		m.Ended = []ListedEnd{{
+			Number: 1,
+			Name:   "k.0.0.0",
+			Run:    1,
+			End:    work.EndStopped,
+		}}
+	})
 	assert.Equal(t, polls(cmds)[0].Deadline, b.clock()+limits.Lease.Milliseconds())
 }
 
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -158,7 +158,14 @@
 	assert.Equal(t, polls(cmds)[0].Deadline, int64(0))
 	cmds = b.update(RunMsg{Task: taskOf("j")})
 	assert.Equal(t, ends(cmds)[0].End, work.EndNotStarted)
-	b.answerPoll("a")
+	b.answerPoll("a", func(m *PollResultMsg) {
+		m.Ended = []ListedEnd{{
+			Number: 1,
+			Name:   "old.0.0.0",
+			Run:    3,
+			End:    work.EndStopped,
+		}}
+	})
 	cmds = b.update(RunMsg{Task: taskOf("j")})
 	assert.Equal(t, len(starts(cmds)), 1)
 }
@@ -855,7 +862,7 @@
 	})
 	cmds := b.answerPoll("a", func(m *PollResultMsg) { m.Sent = sent })
 	assert.Equal(t, len(ends(cmds)), 0)
-	b.advance(time.Millisecond)
+	b.advance(stopTimeout)
 	cmds = b.answerPoll("a")
 	assert.Equal(t, len(ends(cmds)), 1)
 	assert.Equal(t, ends(cmds)[0].End, work.EndNotStarted)
--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -36,6 +36,23 @@
 	})
 }
 
+// missingUntilEnded answers the stop of the first run of a task, and polls with lists that lack
+// it, until it has ended, for at most a second.
+func (b *harness) missingUntilEnded(id, name string) []Cmd {
+	var cmds []Cmd
+	stopped := false
+	for begin := b.now; len(ends(cmds)) == 0 && b.now.Sub(begin) < time.Second; {
+		b.advance(10 * time.Millisecond)
+		cmds = append(cmds, b.update(TickMsg{})...)
+		if !stopped && len(stops(cmds)) > 0 {
+			stopped = true
+			cmds = append(cmds, b.answerStop(id, name, 1, Accepted)...)
+		}
+		cmds = append(cmds, b.answerPoll(id)...)
+	}
+	return cmds
+}
+
 // lastDeadline returns the latest deadline of all orders to an address.
 func (b *harness) lastDeadline(address string) int64 {
 	last := int64(0)
@@ -302,19 +319,10 @@
 	})
 	t.Run("missing from then on", func(t *testing.T) {
 		b := proofHarness(t, "a")
-		var stoppedAt time.Time
-		for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < time.Second; {
-			b.advance(10 * time.Millisecond)
-			b.update(TickMsg{})
-			if stoppedAt.IsZero() && len(stops(b.cmds)) > 0 {
-				stoppedAt = b.now
-				b.answerStop("a", "j.0.0.0", 1, Accepted)
-			}
-			b.answerPoll("a")
-		}
-		assert.Equal(t, len(ends(b.cmds)), 1)
-		assert.Equal(t, len(stops(b.cmds)), 1)
-		assert.Assert(t, b.now.Sub(stoppedAt) >= stopTimeout)
+		cmds := b.missingUntilEnded("a", "j.0.0.0")
+		assert.Equal(t, len(ends(cmds)), 1)
+		assert.Equal(t, len(stops(cmds)), 1)
+		assert.Assert(t, b.now.Sub(stops(cmds)[0].Sent) >= stopTimeout)
 		assert.Assert(t, b.now.Sub(b.start) <= 550*time.Millisecond)
 	})
 }
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -120,6 +120,7 @@
 			clock: 30,
 			steps: func(b *harness, answer StartedMsg) {
 				b.update(answer)
+				b.answerPoll("a", restartedAt(30, running))
 				b.answerPoll("a", restartedAt(40, running))
 			},
 		},
@@ -128,6 +129,7 @@
 			clock: 900000,
 			steps: func(b *harness, answer StartedMsg) {
 				b.update(answer)
+				b.answerPoll("a", restartedAt(900010, running))
 				b.answerPoll("a", restartedAt(900040, running))
 			},
 		},
@@ -166,14 +168,16 @@
 			clock: 30,
 			steps: func(b *harness, answer StartedMsg) {
 				b.update(answer)
-				b.answerPoll("a", restartedAt(40), func(m *PollResultMsg) {
+				ended := func(m *PollResultMsg) {
 					m.Ended = []ListedEnd{{
 						Number: 1,
 						Name:   "j.0.0.0",
 						Run:    1,
 						End:    work.EndDone,
 					}}
-				})
+				}
+				b.answerPoll("a", restartedAt(30), ended)
+				b.answerPoll("a", restartedAt(40), ended)
 			},
 			want: work.EndDone,
 		},
@@ -275,9 +279,18 @@
 			steps: func(*harness) {},
 		},
 		{
-			name:  "has ended",
-			steps: func(b *harness) { b.answerPoll("a") },
-			want:  1,
+			name: "has ended",
+			steps: func(b *harness) {
+				b.answerPoll("a", func(m *PollResultMsg) {
+					m.Ended = []ListedEnd{{
+						Number: 1,
+						Name:   "j.0.0.0",
+						Run:    4,
+						End:    work.EndStopped,
+					}}
+				})
+			},
+			want: 1,
 		},
 		{
 			name:  "server silent, lease not yet expired",
@@ -359,7 +372,10 @@
 	b.advance(limits.AnswerTimeout)
 	assert.Equal(t, len(stops(b.update(TickMsg{}))), 1)
 	assert.Equal(t, len(ends(b.cmds)), 0)
-	cmds = b.answerPoll("a", restartedAt(120))
+	b.answerStop("a", "j.0.0.0", 1, Accepted)
+	assert.Equal(t, len(ends(b.cmds)), 0)
+	b.advance(stopTimeout)
+	cmds = b.answerPoll("a", restartedAt(170))
 	assert.Equal(t, len(ends(cmds)), 1)
 }
 
