core/pool: leases that end, in the simulation of unusual servers

Cause: polls without an answer extend the lease of a silent server, so no simulated lease was ever over, and clocks that are off couldn't show in it. A server that is gone keeps its runs as long as their callers are confirmed (TestSilentServerKeepsRuns).

One server is paused for up to 3 s under runs of up to 3 s now, with its clock as it is, up to 30 ms behind, and up to 8 ms ahead at full rate, which the drift that a lease allows for covers. More can't be sound without a margin: at rate 0.98 a reading ahead ends a lease too early by as much.

--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -510,6 +510,31 @@
 	})
 }
 
+// TestSilentServerKeepsRuns guards against runs that never end because polls without an answer
+// go on to extend the lease of a server that is gone.
+func TestSilentServerKeepsRuns(t *testing.T) {
+	b := lifetimeHarness(t, "a")
+	b.startAt("a", b.confirmedTask("j", 0))
+	b.advance(10 * time.Millisecond)
+	b.answerPoll("a", listRuns("j.0.0.0"))
+	asked := b.now
+	for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < 3*time.Second; {
+		b.advance(10 * time.Millisecond)
+		b.update(ConfirmMsg{
+			Owner: owner,
+			At:    b.now,
+		})
+		if b.now.Sub(asked) >= limits.AnswerTimeout+limits.PollWait {
+			b.answerPoll("a", func(m *PollResultMsg) { m.Result = Unanswered })
+			asked = b.now
+		}
+		b.update(TickMsg{})
+	}
+	assert.Equal(t, len(ends(b.cmds)), 1)
+	assert.Equal(t, ends(b.cmds)[0].Proof, ProofLease)
+	assert.Assert(t, b.clock() > b.lastDeadline("a:1"))
+}
+
 // TestEndInferredRunsTwice guards against tasks that are started elsewhere while a server runs
 // them that behaves as the interface says, but otherwise than usual.
 func TestEndInferredRunsTwice(t *testing.T) {
@@ -564,10 +589,11 @@
 			},
 		},
 		{
-			name:  "clock ahead",
+			name:  "clock ahead, nothing lost",
 			floor: 0.9,
 			conditions: conditions{
-				Ways: Ways{ClockAhead: 30 * time.Millisecond},
+				Network: Network{Delay: 10 * time.Millisecond},
+				Ways:    Ways{ClockAhead: 30 * time.Millisecond},
 			},
 		},
 		{
@@ -578,10 +604,34 @@
 			},
 		},
 		{
-			name:  "servers paused",
+			name:  "server paused",
+			floor: 0.9,
+			conditions: conditions{
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+			},
+		},
+		{
+			name:  "server paused, clock behind",
+			floor: 0.9,
+			conditions: conditions{
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+				Ways:        Ways{ClockBehind: 30 * time.Millisecond},
+			},
+		},
+		{
+			// The drift allowed for in a lease covers this at this rate.
+			name:  "server paused, clock ahead",
 			floor: 0.9,
 			conditions: conditions{
-				Pause: 1500 * time.Millisecond,
+				Rate:        1,
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+				Ways:        Ways{ClockAhead: 8 * time.Millisecond},
 			},
 		},
 		{
@@ -637,8 +687,8 @@
 				c.Rate = cmp.Or(c.Rate, 1-float64(seed%5)/4*(1-minClockRate))
 				c.Hosts = max(c.Hosts, 1)
 				c.Jobs = 50
-				c.JobInterval = 60 * time.Millisecond
-				c.Work = 500 * time.Millisecond
+				c.JobInterval = cmp.Or(c.JobInterval, 60*time.Millisecond)
+				c.Work = cmp.Or(c.Work, 500*time.Millisecond)
 				sim := newSimulation(seed, c)
 				sim.run()
 				jobs += c.Jobs
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -30,7 +30,7 @@
 	Listing      time.Duration // longest time until its new start is listed
 	Ahead        time.Duration // longest time that the new start is listed before the earlier process ends
 	Ways         Ways
-	Pause        time.Duration // longest time that a server handles nothing; 0 for no pauses
+	Pause        time.Duration // longest time that server a handles nothing; 0 for no pauses
 	Move         time.Duration // longest time until an entry names another address for a while; 0 for never
 	Predicted    time.Duration // predicted run time; 0 for the longest one
 }
@@ -91,11 +91,11 @@
 			sim.After(sim.UpTo(c.Restart), func() { sim.restart(id) })
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(servers.Servers)) {
-		if c.Pause > 0 {
-			sim.pause(id)
-		}
-		if c.Move > 0 {
+	if c.Pause > 0 {
+		sim.pause("a")
+	}
+	if c.Move > 0 {
+		for _, id := range slices.Sorted(maps.Keys(servers.Servers)) {
 			sim.move(id)
 		}
 	}
