--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -446,6 +446,79 @@
 	}
 }
 
+// TestOrphanForgotten guards against a task that is started while an unknown run of it is still
+// being stopped, as the pool has forgotten that run without a proof of its end.
+func TestOrphanForgotten(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps func(b *harness)
+	}{
+		{
+			name: "server released",
+			steps: func(b *harness) {
+				b.answerPoll("a", listRuns("j.0.0.0"), func(m *PollResultMsg) {
+					m.Ended = []ListedEnd{{
+						Number: 1,
+						Name:   "k.0.0.0",
+						Run:    1,
+						End:    work.EndDone,
+					}}
+				})
+				b.update(AssignMsg{
+					Servers: entries("b"),
+					Token:   7,
+				})
+			},
+		},
+		{
+			name:  "server taken over by another host",
+			steps: func(b *harness) { b.answerPoll("a", func(m *PollResultMsg) { m.Result = Fenced }) },
+		},
+		{
+			name: "clock behind",
+			steps: func(b *harness) {
+				b.update(StopMsg{
+					Name:  "k.0.0.0",
+					Owner: owner,
+				})
+				b.update(StoppedMsg{
+					Server: "a",
+					Name:   "k.0.0.0",
+					Run:    1,
+					Sent:   b.now,
+					Clock:  b.clock() - 30,
+				})
+			},
+		},
+		{
+			name: "entry ahead",
+			steps: func(b *harness) {
+				servers := entries("a", "b")
+				servers[0].StartedAtMillis = 2
+				b.update(AssignMsg{
+					Servers: servers,
+					Token:   7,
+				})
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newHarness(t, "a", "b")
+			b.startAt("a", taskOf("k"))
+			b.advance(100 * time.Millisecond)
+			b.answerPoll("a", listRuns("j.0.0.0", "k.0.0.0"))
+			assert.Equal(t, len(stops(b.cmds)), 1)
+			b.advance(time.Millisecond)
+			test.steps(b)
+			cmds := b.update(RunMsg{Task: taskOf("j")})
+			assert.Equal(t, len(starts(cmds)), 0)
+			b.advance(1100 * time.Millisecond)
+			assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 1)
+		})
+	}
+}
+
 // TestListsBeforeClock guards against a run that counts as never started because of lists that
 // were made before the deadline of its order, though the clock beside them was read after it.
 func TestListsBeforeClock(t *testing.T) {
