--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -36,6 +36,23 @@
 	})
 }
 
+// missingUntilEnded answers the stop of the first run of a task, and polls with lists that lack
+// it, until it has ended, for at most a second.
+func (b *harness) missingUntilEnded(id, name string) []Cmd {
+	var cmds []Cmd
+	stopped := false
+	for begin := b.now; len(ends(cmds)) == 0 && b.now.Sub(begin) < time.Second; {
+		b.advance(10 * time.Millisecond)
+		cmds = append(cmds, b.update(TickMsg{})...)
+		if !stopped && len(stops(cmds)) > 0 {
+			stopped = true
+			cmds = append(cmds, b.answerStop(id, name, 1, Accepted)...)
+		}
+		cmds = append(cmds, b.answerPoll(id)...)
+	}
+	return cmds
+}
+
 // lastDeadline returns the latest deadline of all orders to an address.
 func (b *harness) lastDeadline(address string) int64 {
 	last := int64(0)
@@ -302,19 +319,10 @@
 	})
 	t.Run("missing from then on", func(t *testing.T) {
 		b := proofHarness(t, "a")
-		var stoppedAt time.Time
-		for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < time.Second; {
-			b.advance(10 * time.Millisecond)
-			b.update(TickMsg{})
-			if stoppedAt.IsZero() && len(stops(b.cmds)) > 0 {
-				stoppedAt = b.now
-				b.answerStop("a", "j.0.0.0", 1, Accepted)
-			}
-			b.answerPoll("a")
-		}
-		assert.Equal(t, len(ends(b.cmds)), 1)
-		assert.Equal(t, len(stops(b.cmds)), 1)
-		assert.Assert(t, b.now.Sub(stoppedAt) >= stopTimeout)
+		cmds := b.missingUntilEnded("a", "j.0.0.0")
+		assert.Equal(t, len(ends(cmds)), 1)
+		assert.Equal(t, len(stops(cmds)), 1)
+		assert.Assert(t, b.now.Sub(stops(cmds)[0].Sent) >= stopTimeout)
 		assert.Assert(t, b.now.Sub(b.start) <= 550*time.Millisecond)
 	})
 }
@@ -438,6 +446,79 @@
 	}
 }
 
+// TestOrphanForgotten guards against a task that is started while an unknown run of it is still
+// being stopped, as the pool has forgotten that run without a proof of its end.
+func TestOrphanForgotten(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps func(b *harness)
+	}{
+		{
+			name: "server released",
+			steps: func(b *harness) {
+				b.answerPoll("a", listRuns("j.0.0.0"), func(m *PollResultMsg) {
+					m.Ended = []ListedEnd{{
+						Number: 1,
+						Name:   "k.0.0.0",
+						Run:    1,
+						End:    work.EndDone,
+					}}
+				})
+				b.update(AssignMsg{
+					Servers: entries("b"),
+					Token:   7,
+				})
+			},
+		},
+		{
+			name:  "server taken over by another host",
+			steps: func(b *harness) { b.answerPoll("a", func(m *PollResultMsg) { m.Result = Fenced }) },
+		},
+		{
+			name: "clock behind",
+			steps: func(b *harness) {
+				b.update(StopMsg{
+					Name:  "k.0.0.0",
+					Owner: owner,
+				})
+				b.update(StoppedMsg{
+					Server: "a",
+					Name:   "k.0.0.0",
+					Run:    1,
+					Sent:   b.now,
+					Clock:  b.clock() - 30,
+				})
+			},
+		},
+		{
+			name: "entry ahead",
+			steps: func(b *harness) {
+				servers := entries("a", "b")
+				servers[0].StartedAtMillis = 2
+				b.update(AssignMsg{
+					Servers: servers,
+					Token:   7,
+				})
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newHarness(t, "a", "b")
+			b.startAt("a", taskOf("k"))
+			b.advance(100 * time.Millisecond)
+			b.answerPoll("a", listRuns("j.0.0.0", "k.0.0.0"))
+			assert.Equal(t, len(stops(b.cmds)), 1)
+			b.advance(time.Millisecond)
+			test.steps(b)
+			cmds := b.update(RunMsg{Task: taskOf("j")})
+			assert.Equal(t, len(starts(cmds)), 0)
+			b.advance(1100 * time.Millisecond)
+			assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 1)
+		})
+	}
+}
+
 // TestListsBeforeClock guards against a run that counts as never started because of lists that
 // were made before the deadline of its order, though the clock beside them was read after it.
 func TestListsBeforeClock(t *testing.T) {
@@ -502,6 +583,31 @@
 	})
 }
 
+// TestSilentServerKeepsRuns guards against runs that never end because polls without an answer
+// go on to extend the lease of a server that is gone.
+func TestSilentServerKeepsRuns(t *testing.T) {
+	b := lifetimeHarness(t, "a")
+	b.startAt("a", b.confirmedTask("j", 0))
+	b.advance(10 * time.Millisecond)
+	b.answerPoll("a", listRuns("j.0.0.0"))
+	asked := b.now
+	for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < 3*time.Second; {
+		b.advance(10 * time.Millisecond)
+		b.update(ConfirmMsg{
+			Owner: owner,
+			At:    b.now,
+		})
+		if b.now.Sub(asked) >= limits.AnswerTimeout+limits.PollWait {
+			b.answerPoll("a", func(m *PollResultMsg) { m.Result = Unanswered })
+			asked = b.now
+		}
+		b.update(TickMsg{})
+	}
+	assert.Equal(t, len(ends(b.cmds)), 1)
+	assert.Equal(t, ends(b.cmds)[0].Proof, ProofLease)
+	assert.Assert(t, b.clock() > b.lastDeadline("a:1"))
+}
+
 // TestEndInferredRunsTwice guards against tasks that are started elsewhere while a server runs
 // them that behaves as the interface says, but otherwise than usual.
 func TestEndInferredRunsTwice(t *testing.T) {
@@ -556,10 +662,11 @@
 			},
 		},
 		{
-			name:  "clock ahead",
+			name:  "clock ahead, nothing lost",
 			floor: 0.9,
 			conditions: conditions{
-				Ways: Ways{ClockAhead: 30 * time.Millisecond},
+				Network: Network{Delay: 10 * time.Millisecond},
+				Ways:    Ways{ClockAhead: 30 * time.Millisecond},
 			},
 		},
 		{
@@ -570,10 +677,34 @@
 			},
 		},
 		{
-			name:  "servers paused",
+			name:  "server paused",
+			floor: 0.9,
+			conditions: conditions{
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+			},
+		},
+		{
+			name:  "server paused, clock behind",
+			floor: 0.9,
+			conditions: conditions{
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+				Ways:        Ways{ClockBehind: 30 * time.Millisecond},
+			},
+		},
+		{
+			// The drift allowed for in a lease covers this at this rate.
+			name:  "server paused, clock ahead",
 			floor: 0.9,
 			conditions: conditions{
-				Pause: 1500 * time.Millisecond,
+				Rate:        1,
+				JobInterval: 400 * time.Millisecond,
+				Work:        3 * time.Second,
+				Pause:       3 * time.Second,
+				Ways:        Ways{ClockAhead: 8 * time.Millisecond},
 			},
 		},
 		{
@@ -629,8 +760,8 @@
 				c.Rate = cmp.Or(c.Rate, 1-float64(seed%5)/4*(1-minClockRate))
 				c.Hosts = max(c.Hosts, 1)
 				c.Jobs = 50
-				c.JobInterval = 60 * time.Millisecond
-				c.Work = 500 * time.Millisecond
+				c.JobInterval = cmp.Or(c.JobInterval, 60*time.Millisecond)
+				c.Work = cmp.Or(c.Work, 500*time.Millisecond)
 				sim := newSimulation(seed, c)
 				sim.run()
 				jobs += c.Jobs
