--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -46,6 +46,7 @@
 	waitsRemaining  bool                        // hosts are set to callers that state what remains of their wait
 	slack           time.Duration               // of the jobs of all routes; 500 ms if 0
 	stretch         float64                     // the same; 4 if 0
+	bornListed      bool                        // entries of backend servers say when their processes started
 }
 
 // platformHost is a host process of the platform edition.
@@ -124,26 +125,43 @@
 }
 
 func (s *platformFleet) addServer(i int, behavior standin.Behavior) {
-	name := fmt.Sprintf("i-%d", i)
-	server := standin.NewServer(name, behavior, s.checker)
+	server := standin.NewServer(serverName(i), behavior, s.checker)
 	httpServer := httptest.NewServer(server.Router())
 	s.t.Cleanup(httpServer.Close)
 	s.t.Cleanup(server.Close)
 	s.servers = append(s.servers, server)
 	s.serverAddresses = append(s.serverAddresses, s.wrapAddress(strings.TrimPrefix(httpServer.URL, "http://")))
-	s.store.Put("servers", name, wire.ServerEntry{
+	born := 0
+	if s.bornListed {
+		born = int(server.Born().UnixMilli())
+	}
+	s.putServer(i, born, behavior.Slots)
+}
+
+// putServer writes the entry of a backend server to the store.
+func (s *platformFleet) putServer(i, born, slots int) {
+	s.store.Put("servers", serverName(i), wire.ServerEntry{
 		Service: service,
+		Born:    born,
 		Address: s.serverAddresses[i],
 		Zone:    domainInTurn(s.serverDomains, i),
 		State:   "ready",
 		Capacity: wire.Room{
-			Cpu:   1000 * behavior.Slots,
+			Cpu:   1000 * slots,
 			MemMb: 1000,
 		},
 		Labels: []string{"a", fmt.Sprintf("rack-%d", i)},
 	})
 }
 
+// restartServer ends the process of a backend server. The entry of the next one is written a
+// time after its start.
+func (s *platformFleet) restartServer(i, slots int, entryDelay time.Duration) {
+	born := s.servers[i].Crash()
+	time.Sleep(time.Until(born.Add(entryDelay)))
+	s.putServer(i, int(born.UnixMilli()), slots)
+}
+
 // domainInTurn returns the failure domain of the host or backend server with an index.
 func domainInTurn(domains []string, i int) string {
 	if len(domains) == 0 {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -288,17 +286,6 @@
 	s.t.Log("jobs by outcome:", s.outcomes)
 }
 
-// saveLogs writes the hosts' logs to soakLogDir if the seed failed.
-func (s *soak) saveLogs() {
-	if *soakLogDir == "" || (!s.t.Failed() && len(s.checker.Violations()) == 0) {
-		return
-	}
-	for _, h := range s.hosts {
-		file := filepath.Join(*soakLogDir, strings.ReplaceAll(s.t.Name(), "/", "-")+"-"+h.name+".log")
-		assert.Check(s.t, os.WriteFile(file, []byte(h.log.String()), 0o600))
-	}
-}
-
 // waitForRecovery waits until every host completes a job again.
 func (s *soak) waitForRecovery() {
 	const firstJob = 1 << 40
