pool: an unexpected clock is no proof of a restart

Callers saw: a task runs twice at once; the first run is ordered to stop a few ms before the second one starts, and works on for up to stop_timeout_ms.

Cause: an answer to a start or a stop whose clock_ms was off by more than 2 % and 2 ms counted as one of another process. All runs that the server had listed ended at once as crashed and were started elsewhere; its next lists, of the same born, showed them as unknown runs, which were ordered to stop.

Change: such an answer only puts the process in doubt. Its lists are requested at once, and their born decides. Until then the server gets no new tasks, no lease is extended, and leases are counted as long as another process may grant them. A reading that contradicts those before isn't used for leases, unless it is behind or the next lists are ahead, too.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -245,7 +245,7 @@
 // that the new process returns show which runs it has, and that it won't start the others.
 func (m *Model) restarted(now time.Time, s *server, born int64, proof Proof, detail string) []Cmd {
 	cmds := m.crash(now, s, proof)
-	s.born, s.restartedAt = born, now
+	s.born, s.restartedAt, s.doubtedAt = born, now, time.Time{}
 	if s.phase != probing && s.phase != fenced {
 		s.phase = inspecting
 	}
@@ -269,6 +269,29 @@
 	}, CapacityChangedCmd{})
 }
 
+// doubt requests the lists of a server whose process may be another one, to decide on it. Until
+// they arrive, the server gets no new tasks and its leases aren't extended.
+func (m *Model) doubt(now time.Time, s *server, detail string) []Cmd {
+	if !s.doubtedAt.IsZero() || !s.owned() {
+		return nil
+	}
+	s.doubtedAt = now
+	s.dropPoll()
+	cmds := []Cmd{CapacityChangedCmd{}, LogCmd{
+		Server: s.entry.ID,
+		Event:  "restart suspected",
+		Detail: detail,
+	}}
+	return append(cmds, m.poll(now, s)...)
+}
+
+// dropPoll makes the answer to the poll in flight count for nothing.
+func (s *server) dropPoll() {
+	s.pollInFlight = false
+	s.pollSerial++
+	s.nextPollAt = time.Time{}
+}
+
 // tokenStep is the distance between tokens of one host; those of different hosts differ in
 // the lower bits.
 const tokenStep = 1 << 11
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -51,7 +51,7 @@
 // stopped and whose lease may not have expired.
 func (m *Model) hasOrphan(now time.Time, name string) bool {
 	for _, s := range m.servers {
-		if s.leasesExpired(now) {
+		if s.leasesExpired(now, m.maxLease()) {
 			continue
 		}
 		for _, o := range s.orphans {
@@ -304,12 +304,13 @@
 	if r == nil || clock == 0 || sent.Before(s.restartedAt) && !sent.IsZero() {
 		return nil
 	}
-	var cmds []Cmd
-	if s.clockRestarted(now, sent, clock) {
-		cmds = append(m.restarted(now, s, 0, ProofClock, s.describeClock(now, sent, clock)), m.poll(now, s)...)
+	if s.clockUnexpected(now, sent, clock) {
+		return m.doubt(now, s, s.describeClock(now, sent, clock))
 	}
-	s.updateClock(now, sent, clock, m.maxLease())
-	return cmds
+	if s.doubtedAt.IsZero() {
+		s.updateClock(now, sent, clock, m.maxLease())
+	}
+	return nil
 }
 
 // inDoubt reports whether the run was ordered before a restart of its server was noticed.
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -14,7 +14,7 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && now.Sub(s.clockAt) < maxClockAge {
+	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
 	s.pollSerial++
@@ -50,7 +50,7 @@
 // pollWait returns how long the server may wait for an end before it answers the
 // next poll.
 func (m *Model) pollWait(s *server) time.Duration {
-	if s.misses > 0 || len(s.runs) == 0 {
+	if s.misses > 0 || len(s.runs) == 0 || !s.doubtedAt.IsZero() {
 		return 0
 	}
 	if m.lossRate >= highLossRate {
@@ -128,6 +128,7 @@
 	if msg.Born != 0 {
 		s.born = msg.Born
 	}
+	s.doubtedAt = time.Time{}
 	cmds = append(cmds, s.answeredAfterLoss(msg)...)
 	missed := s.misses > 0
 	m.recordCall(s, true)
@@ -309,7 +310,7 @@
 		if s.phase == fenced {
 			continue
 		}
-		if s.misses > 0 && len(s.runs) > 0 && s.leasesExpired(now) {
+		if s.misses > 0 && len(s.runs) > 0 && s.leasesExpired(now, m.maxLease()) {
 			cmds = append(cmds, LogCmd{
 				Server: s.entry.ID,
 				Event:  "leases over",
@@ -322,7 +323,7 @@
 			if r.state != stopping && m.stopDue(now, r.task.ConfirmedAt) {
 				cmds = append(cmds, m.stopRun(now, s, r, core.ReasonUnconfirmed)...)
 			}
-			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
+			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
 			if r.state == stopping && !r.stopConfirmed && now.Sub(r.lastSent) >= m.limits.AnswerTimeout {
--- a/core/pool/proof.go
+++ b/core/pool/proof.go
@@ -8,7 +8,6 @@
 	ProofListed   Proof = "listed"   // the server lists the end
 	ProofMissing  Proof = "missing"  // the server lists neither the run nor its end
 	ProofBorn     Proof = "born"     // another process of the server runs, by its lists or its entry
-	ProofClock    Proof = "clock"    // the server's clock reads what only that of another process can
 	ProofReplaced Proof = "replaced" // another server answers at the address
 	ProofLease    Proof = "lease"    // the lease is over
 	ProofRejected Proof = "rejected" // no order was carried out
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -129,7 +129,7 @@
 			clock: 900000,
 			steps: func(b *harness, answer StartedMsg) {
 				b.update(answer)
-				b.answerPoll("a", restartedAt(900010, running))
+				b.answerPoll("a", restartedAt(900005, running))
 				b.answerPoll("a", restartedAt(900040, running))
 			},
 		},
@@ -260,7 +260,7 @@
 			if !s.clockAt.IsZero() && now.Before(s.clockAt) {
 				now = s.clockAt
 			}
-			assert.Assert(t, !s.clockRestarted(now, sent, clock(read)))
+			assert.Assert(t, !s.clockUnexpected(now, sent, clock(read)))
 			s.updateClock(now, sent, clock(read), maxLease)
 		}
 	})
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -60,6 +60,7 @@
 	entry         listing.Server
 	born          int64     // start time of the process that answers, in Unix milliseconds; 0 if unknown
 	restartedAt   time.Time // when the latest restart of the process was noticed
+	doubtedAt     time.Time // since when the process may be another one, which the next lists decide; zero if it isn't in doubt
 	planned       bool      // that process was draining when it ended
 	token         int64
 	phase         phase
@@ -72,6 +73,7 @@
 	clockAt     time.Time // local time at which clock was received
 	clockSent   time.Time // local time at which the order was sent whose answer contained clock
 	clockLost   bool      // clock is that of an earlier process
+	clockAhead  bool      // the latest lists had a reading that is ahead of what is known
 	maxDeadline int64     // latest deadline of any order, on the server's clock
 	lastEnd     int       // number of the last end that was processed
 
@@ -132,26 +134,41 @@
 	return s.sorted
 }
 
-// updateClock records the server's clock from an answer to an order sent at the given time.
-// The first answer of a process proves that it rejects the orders of earlier owners from now
-// on; until then they may have been granted leases of up to maxLease.
+// updateClock records the server's clock from the lists requested at the given time, which
+// come from the process that is known to run. Its first ones prove that it rejects the orders
+// of earlier owners from now on; until then they may have been granted leases of up to
+// maxLease. A reading that contradicts those before is used if it is behind, or if the next one
+// is ahead, too, so that leases don't seem to end early.
 func (s *server) updateClock(now, sent time.Time, clock int64, maxLease time.Duration) {
 	s.misses = 0
 	if s.clockAt.IsZero() || s.clockLost {
-		s.clock, s.maxDeadline, s.clockLost = clock, clock+maxLease.Milliseconds(), false
-	}
-	if clock >= s.clock {
+		s.maxDeadline, s.clockLost, s.clockAhead = clock+maxLease.Milliseconds(), false, false
 		s.clock, s.clockAt, s.clockSent = clock, now, sent
+		return
+	}
+	least, most := s.clockRange(now, sent)
+	switch {
+	case clock > most && !s.clockAhead:
+		s.clockAhead = true
+		return
+	case clock > most:
+		// By the former readings, the leases last longer.
+		ahead := clock - most
+		s.maxDeadline = min(s.maxDeadline, clock+maxLease.Milliseconds()) + ahead
+	case clock >= least && clock < s.clock:
+		// The answer was overtaken.
+		return
 	}
+	s.clock, s.clockAt, s.clockSent, s.clockAhead = clock, now, sent, false
 }
 
 // maxClockRate is the rate of the fastest server clock that is allowed for, as seen by a host
 // whose own clock may be slow.
 const maxClockRate = 1.02
 
-// clockRestarted reports whether a reading of the clock, in the answer to an order sent at
-// the given time, can't come from the process whose clock is known.
-func (s *server) clockRestarted(now, sent time.Time, clock int64) bool {
+// clockUnexpected reports whether a reading of the clock, in the answer to an order sent at
+// the given time, contradicts the clock of the process that is known.
+func (s *server) clockUnexpected(now, sent time.Time, clock int64) bool {
 	if s.clockAt.IsZero() || s.clockLost || sent.IsZero() {
 		return false
 	}
@@ -193,10 +210,14 @@
 
 // leasesExpired reports whether all leases granted so far must have expired, even
 // if the server's clock is slow and it has not answered since.
-func (s *server) leasesExpired(now time.Time) bool {
+func (s *server) leasesExpired(now time.Time, maxLease time.Duration) bool {
 	if s.clockAt.IsZero() {
 		return false
 	}
+	if !s.doubtedAt.IsZero() && minClockRate*float64(now.Sub(s.doubtedAt)) <= float64(maxLease) {
+		// Another process measures the leases since then by another clock.
+		return false
+	}
 	return s.minClock(now) > s.maxDeadline
 }
 
@@ -207,10 +228,10 @@
 }
 
 // newDeadline returns the deadline for an order and records it in maxDeadline. It
-// returns 0 if no deadline is possible: the server's clock is unknown, or a run must have
-// ended by now.
+// returns 0 if no deadline is possible: the server's clock is unknown or may be that of
+// another process, or a run must have ended by now.
 func (m *Model) newDeadline(now time.Time, s *server) int64 {
-	if s.clockAt.IsZero() {
+	if s.clockAt.IsZero() || !s.doubtedAt.IsZero() {
 		return 0
 	}
 	clock := s.estimateClock(now)
@@ -277,7 +298,7 @@
 
 // acceptsWork reports whether new tasks may be placed on a server.
 func (m *Model) acceptsWork(now time.Time, s *server) bool {
-	return s.phase == ready && !s.releasing && !s.entry.Draining && s.misses <= m.allowedMisses() &&
+	return s.phase == ready && s.doubtedAt.IsZero() && !s.releasing && !s.entry.Draining && s.misses <= m.allowedMisses() &&
 		s.health.State(now) != health.Ejected && len(s.losses) == 0 && s.capacityKnown()
 }
 
