pool: lists that lack a run once don't prove its end

Callers saw: as before, a task runs twice at once.

Cause: a run that was missing in one answer's lists counted as ended. A server may leave a run that it is stopping out of both lists for up to stop_timeout_ms, may make its two lists at different moments, and may read clock_ms at another moment than it makes them.

Change: a missing run counts as ended when the server has answered a stop order for it, twice stop_timeout_ms has passed and lists requested after that lack it, or the leases were over when they were requested. One that isn't being stopped is ordered to stop when two lists in a row lack it. An order without an answer counts as never carried out when two lists in a row lack the run that were requested after its deadline.

Tests that took a missing run for an ended one (TestStartAtNewProcess, TestStopAtNewProcess, TestTaskInDoubtNotSuspected) reach the same state by these proofs, and check that nothing ends before.

--- a/core/pool/crash_test.go
+++ b/core/pool/crash_test.go
@@ -138,6 +138,7 @@
 	restarted := func(m *PollResultMsg) { m.Born, m.Clock = 2, 1 }
 	b.answerPoll("a", restarted)
 	b.advance(time.Millisecond)
+	assert.Equal(t, len(lossesOf(b.answerPoll("a", restarted))), 0)
 	cmds := b.answerPoll("a", restarted)
 	assert.Equal(t, len(lossesOf(cmds)), 1)
 	assert.Equal(t, lossesOf(cmds)[0].Fate, FateCrashed)
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -31,6 +31,9 @@
 	SlowdownWeight float64 // weight of a new run in a server's average slowdown
 	MaxSlowdown    float64 // average slowdown above which a server is used last
 
+	// StopTimeout is the longest time that servers take to stop a run, on their clocks.
+	StopTimeout time.Duration
+
 	// MaxUnconfirmed is the time after a task's ConfirmedAt by which its run must have
 	// ended, even if no further order reaches the server; 0 for no limit.
 	MaxUnconfirmed time.Duration
@@ -257,7 +260,7 @@
 	m.raiseToken(s)
 	for _, r := range s.sortedRuns() {
 		// The new process has not confirmed anything yet.
-		r.stopConfirmed, r.confirmedAt = false, time.Time{}
+		r.stoppedBy, r.confirmedAt, r.missing = time.Time{}, time.Time{}, false
 		if r.state == stopping {
 			cmds = append(cmds, m.stopCmd(now, s, r))
 		}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -151,6 +151,7 @@
 	r.pendingStarts++
 	r.lastSent = now
 	r.deadline = max(r.deadline, deadline)
+	r.missing = false
 	r.token = s.token
 	return []Cmd{StartCmd{
 		Server:   s.entry.ID,
@@ -230,6 +231,15 @@
 	}
 }
 
+// stopMargin is how much longer than by its clock a server may take to stop a run, as a factor:
+// its timers may be late.
+const stopMargin = 2
+
+// stoppedBy returns the time by which a run has stopped if its server answers a stop order now.
+func (m *Model) stoppedBy(now time.Time) time.Time {
+	return now.Add(stopMargin * m.limits.StopTimeout)
+}
+
 // findRun returns the server and the run that an answer refers to, or nil for
 // what is no longer known.
 func (m *Model) findRun(server, name string, number int) (*server, *run) {
@@ -383,7 +393,7 @@
 func (m *Model) staleRunNumber(now time.Time, s *server, r *run) []Cmd {
 	if r.uncertain {
 		// The server will not start this run any more; its lists show whether it ended.
-		r.stopConfirmed, r.lastSent = true, now
+		r.stoppedBy = m.stoppedBy(now)
 		return m.poll(now, s)
 	}
 	r.task.Run++
@@ -459,9 +469,8 @@
 	case Replaced:
 		return m.replaced(now, s)
 	case Accepted:
-		if r != nil {
-			// Lists requested before may have been made before the stop was carried out.
-			r.stopConfirmed, r.lastSent = true, now
+		if r != nil && r.stoppedBy.IsZero() && !(msg.Sent.Before(s.restartedAt) && !msg.Sent.IsZero()) {
+			r.stoppedBy = m.stoppedBy(now)
 		}
 		return m.poll(now, s)
 	case StaleRun, DeadlinePassed, Full, Busy, Invalid:
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -57,7 +57,7 @@
 		return m.limits.ShortPollWait
 	}
 	for _, r := range s.sortedRuns() {
-		if r.state != running || r.uncertain {
+		if r.state != running || r.uncertain || r.missing {
 			return m.limits.ShortPollWait
 		}
 	}
@@ -130,7 +130,7 @@
 	}
 	s.doubtedAt = time.Time{}
 	cmds = append(cmds, s.answeredAfterLoss(msg)...)
-	missed := s.misses > 0
+	missed, requestedAt := s.misses > 0, s.minClock(msg.Sent)
 	m.recordCall(s, true)
 	s.updateClock(now, msg.Sent, msg.Clock, m.maxLease())
 	if again {
@@ -143,7 +143,7 @@
 		cmds = append(cmds, m.recordListedEnd(now, s, e)...)
 	}
 	listed := m.updateRunning(now, s, msg)
-	cmds = append(cmds, m.endMissingRuns(now, s, msg, listed)...)
+	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
 	cmds = append(cmds, m.stopSlowRuns(now, s)...)
 	cmds = append(cmds, m.stopUnconfirmedRuns(now, s)...)
@@ -177,7 +177,7 @@
 			continue
 		}
 		listed[l.Name] = true
-		r.token, r.loss = s.token, Loss{}
+		r.token, r.loss, r.missing = s.token, Loss{}, false
 		r.percent, r.listedAt, r.listedBorn, r.uncertain = l.Percent, now, s.born, false
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = now
@@ -185,33 +185,64 @@
 		if r.state == starting {
 			r.state = running
 		}
+		if r.state == running {
+			r.stoppedBy = time.Time{}
+		}
 	}
 	return listed
 }
 
-// endMissingRuns ends runs that the lists prove not to be on the server.
-func (m *Model) endMissingRuns(now time.Time, s *server, msg PollResultMsg, listed map[string]bool) []Cmd {
+// endMissingRuns ends runs that the lists prove not to be on the server. Lists without a run
+// prove that it isn't there if it can't be on its way and isn't being stopped, and if those
+// before lacked it, too: a server may make the list of the running tasks and that of the ends
+// at different times, and the run may have ended in between. The lists were requested when the
+// server's clock read requestedAt or more.
+func (m *Model) endMissingRuns(now time.Time, s *server, msg PollResultMsg, requestedAt int64, listed map[string]bool) []Cmd {
 	var cmds []Cmd
 	for _, r := range s.sortedRuns() {
 		if listed[r.task.Name()] {
 			continue
 		}
+		missed := r.missing
 		switch {
+		case r.state == stopping || !r.stoppedBy.IsZero():
+			if s.maxDeadline < requestedAt {
+				cmds = append(cmds, m.endStopped(now, s, r, ProofLease)...)
+			} else if !r.stoppedBy.IsZero() && msg.Sent.After(r.stoppedBy) {
+				cmds = append(cmds, m.endStopped(now, s, r, ProofStopped)...)
+			}
 		case r.inDoubt(s):
-			cmds = append(cmds, m.endInDoubt(now, s, r, ProofMissing)...)
+			r.missing = true
+			if missed {
+				cmds = append(cmds, m.endInDoubt(now, s, r, ProofMissing)...)
+			}
 		case !r.confirmedAt.IsZero():
-			if msg.Sent.After(r.confirmedAt) {
-				cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, ProofMissing, core.ReasonLeaseExpired)...)
+			r.missing = msg.Sent.After(r.confirmedAt)
+			if missed {
+				// Its end is not listed, or was taken note of by an earlier owner.
+				cmds = append(cmds, m.stopRun(now, s, r, core.ReasonLeaseExpired)...)
+			}
+		case r.uncertain && r.deadline < requestedAt:
+			r.missing = true
+			if missed {
+				cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofMissing, core.ReasonReset)...)
 			}
-		case r.stopConfirmed && msg.Sent.After(r.lastSent):
-			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofMissing, core.ReasonCanceled)...)
-		case msg.Clock > r.deadline && r.uncertain && msg.Sent.After(r.lastSent):
-			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofMissing, core.ReasonReset)...)
 		}
 	}
 	return cmds
 }
 
+// endStopped ends a run that isn't listed after it must have stopped.
+func (m *Model) endStopped(now time.Time, s *server, r *run, proof Proof) []Cmd {
+	switch {
+	case r.inDoubt(s):
+		return m.endInDoubt(now, s, r, proof)
+	case r.confirmedAt.IsZero():
+		return m.endRun(now, s, r, work.EndNotStarted, proof, core.ReasonCanceled)
+	}
+	return m.endRun(now, s, r, work.EndLeaseExpired, proof, core.ReasonLeaseExpired)
+}
+
 // stopOrphans stops the runs of an earlier owner. The server becomes ready once
 // there are none.
 func (m *Model) stopOrphans(now time.Time, s *server, msg PollResultMsg) []Cmd {
@@ -326,7 +357,7 @@
 			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
-			if r.state == stopping && !r.stopConfirmed && now.Sub(r.lastSent) >= m.limits.AnswerTimeout {
+			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout {
 				cmds = append(cmds, m.stopCmd(now, s, r))
 			}
 		}
--- a/core/pool/proof.go
+++ b/core/pool/proof.go
@@ -6,7 +6,8 @@
 // The proofs of an end.
 const (
 	ProofListed   Proof = "listed"   // the server lists the end
-	ProofMissing  Proof = "missing"  // the server lists neither the run nor its end
+	ProofStopped  Proof = "stopped"  // the server lists neither the run nor its end after the time that it takes to stop
+	ProofMissing  Proof = "missing"  // the server lists neither, and can't start the run any more
 	ProofBorn     Proof = "born"     // another process of the server runs, by its lists or its entry
 	ProofReplaced Proof = "replaced" // another server answers at the address
 	ProofLease    Proof = "lease"    // the lease is over
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -51,7 +51,8 @@
 	listedBorn    int64 // start time of the process that last listed it; 0 for none
 	percent       int   // progress as last listed
 	listedAt      time.Time
-	stopConfirmed bool // the server answered a stop order
+	stoppedBy     time.Time // when it must have stopped, as the server answered a stop order; zero without an answer
+	missing       bool      // the latest lists lack it
 	stopReason    core.Reason
 }
 
