pool: an entry is no proof of a restart

Cause: an entry with a later born than the process that answers ended all of its listed runs at once.

Change: such an entry puts the process in doubt, as an unexpected clock does; the lists decide. The server gets no new tasks until its lists have the entry's born.

Tests that took the entry alone for the proof (TestLossReported, TestRestartOfIdleServer, TestRestartKeepsNewOwner) give the lists after it; a restart of an idle server that an entry shows costs two polls instead of one.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -195,11 +195,12 @@
 	if s != nil {
 		again := s.entry.StartedAtMillis != entry.StartedAtMillis && entry.StartedAtMillis > s.born
 		known := s.born != 0
-		s.planned = again && s.entry.Draining
+		if again {
+			s.planned = s.entry.Draining
+		}
 		s.entry, s.releasing = entry, false
 		if again && known {
-			detail := fmt.Sprintf("by its entry, born %d before", s.born)
-			return append(m.restarted(now, s, entry.StartedAtMillis, ProofBorn, detail), m.poll(now, s)...)
+			return m.doubt(now, s, fmt.Sprintf("by its entry, born %d, %d before", entry.StartedAtMillis, s.born))
 		}
 		if again {
 			s.born = entry.StartedAtMillis
@@ -246,8 +247,8 @@
 // its clock may read less, so orders to the earlier process that are late may still be
 // carried out there. They carry a lower token than all orders from now on, so the first lists
 // that the new process returns show which runs it has, and that it won't start the others.
-func (m *Model) restarted(now time.Time, s *server, born int64, proof Proof, detail string) []Cmd {
-	cmds := m.crash(now, s, proof)
+func (m *Model) restarted(now time.Time, s *server, born int64, detail string) []Cmd {
+	cmds := m.crash(now, s, ProofBorn)
 	s.born, s.restartedAt, s.doubtedAt = born, now, time.Time{}
 	if s.phase != probing && s.phase != fenced {
 		s.phase = inspecting
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -14,7 +14,8 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() && now.Sub(s.clockAt) < maxClockAge {
+	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() &&
+		!s.processExpected() && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
 	s.pollSerial++
@@ -123,7 +124,7 @@
 	var cmds []Cmd
 	again := msg.Born != 0 && s.born != 0 && msg.Born != s.born
 	if again {
-		cmds = append(cmds, m.restarted(now, s, msg.Born, ProofBorn, fmt.Sprintf("by its lists, born %d before", s.born))...)
+		cmds = append(cmds, m.restarted(now, s, msg.Born, fmt.Sprintf("by its lists, born %d before", s.born))...)
 	}
 	if msg.Born != 0 {
 		s.born = msg.Born
@@ -142,6 +143,9 @@
 	for _, e := range msg.Ended {
 		cmds = append(cmds, m.recordListedEnd(now, s, e)...)
 	}
+	if s.processExpected() && len(s.runs) == 0 {
+		s.nextPollAt = now.Add(m.limits.ProbeInterval)
+	}
 	listed := m.updateRunning(now, s, msg)
 	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
--- a/core/pool/proof.go
+++ b/core/pool/proof.go
@@ -8,7 +8,7 @@
 	ProofListed   Proof = "listed"   // the server lists the end
 	ProofStopped  Proof = "stopped"  // the server lists neither the run nor its end after the time that it takes to stop
 	ProofMissing  Proof = "missing"  // the server lists neither, and can't start the run any more
-	ProofBorn     Proof = "born"     // another process of the server runs, by its lists or its entry
+	ProofBorn     Proof = "born"     // another process of the server runs, by its lists
 	ProofReplaced Proof = "replaced" // another server answers at the address
 	ProofLease    Proof = "lease"    // the lease is over
 	ProofRejected Proof = "rejected" // no order was carried out
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -226,8 +226,8 @@
 	}
 }
 
-// TestRestartOfIdleServer checks that a restart of a server without runs costs one poll,
-// whether the list shows it or an answer.
+// TestRestartOfIdleServer checks that a restart of a server without runs that an entry shows
+// costs two polls: one whose answer confirms it, and one under a higher token.
 func TestRestartOfIdleServer(t *testing.T) {
 	b := newHarness(t, "a")
 	servers := entries("a")
@@ -237,6 +237,8 @@
 		Token:   7,
 	})
 	assert.Equal(t, len(polls(cmds)), 1)
+	cmds = b.answerPoll("a", restartedAt(4))
+	assert.Equal(t, len(polls(cmds)), 1)
 	assert.Assert(t, polls(cmds)[0].Token > 7)
 	cmds = b.answerPoll("a", restartedAt(5))
 	assert.Equal(t, len(polls(cmds)), 0)
@@ -341,6 +343,8 @@
 		Servers: servers,
 		Token:   newOwner + tokenStep,
 	})
+	assert.Equal(t, polls(cmds)[0].Token, int64(7))
+	cmds = b.answerPoll("a", restartedAt(5))
 	assert.Assert(t, polls(cmds)[0].Token > 7)
 	assert.Assert(t, polls(cmds)[0].Token < newOwner)
 }
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -309,6 +309,9 @@
 	return s.entry.StartedAtMillis == 0 || s.entry.StartedAtMillis == s.born
 }
 
+// processExpected reports whether the entry describes a later process than the one that answers.
+func (s *server) processExpected() bool { return s.born != 0 && s.entry.StartedAtMillis > s.born }
+
 // countRuns returns how many tasks of a job's step run on the server.
 func (s *server) countRuns(job string, step int) int {
 	n := 0
