pool: an unknown run that isn't listed any more may still be stopping

Cause: an unknown run that a server listed, and that was ordered to stop, counted as ended with the first lists that lacked it. Its task could then start on another server, though servers needn't list a run while they stop it.

Change: it is kept until its end is listed, the stop was answered and twice stop_timeout_ms has passed before the lists were requested, or the leases were over by then. An answered stop isn't sent again until that time.

Evidence: TestOrphanUnlistedWhileStopping failed and passes.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -240,6 +240,18 @@
 	return now.Add(stopMargin * m.limits.StopTimeout)
 }
 
+// stopAccepted records that the current process of a server has accepted a stop order.
+func (m *Model) stopAccepted(now time.Time, s *server, msg StoppedMsg) {
+	if r := s.runs[msg.Name]; r != nil && r.task.Run == msg.Run && r.stoppedBy.IsZero() {
+		r.stoppedBy = m.stoppedBy(now)
+	}
+	for _, o := range s.orphans {
+		if o.Name == msg.Name && o.Run == msg.Run && o.stoppedBy.IsZero() {
+			o.stoppedBy = m.stoppedBy(now)
+		}
+	}
+}
+
 // findRun returns the server and the run that an answer refers to, or nil for
 // what is no longer known.
 func (m *Model) findRun(server, name string, number int) (*server, *run) {
@@ -469,8 +481,8 @@
 	case Replaced:
 		return m.replaced(now, s)
 	case Accepted:
-		if r != nil && r.stoppedBy.IsZero() && !(msg.Sent.Before(s.restartedAt) && !msg.Sent.IsZero()) {
-			r.stoppedBy = m.stoppedBy(now)
+		if msg.Sent.IsZero() || !msg.Sent.Before(s.restartedAt) {
+			m.stopAccepted(now, s, msg)
 		}
 		return m.poll(now, s)
 	case StaleRun, DeadlinePassed, Full, Busy, Invalid:
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"rosemarywalk/core"
@@ -146,7 +147,7 @@
 	if s.processExpected() && len(s.runs) == 0 {
 		s.nextPollAt = now.Add(m.limits.ProbeInterval)
 	}
-	listed := m.updateRunning(now, s, msg)
+	listed := m.updateRunning(now, s, msg, requestedAt)
 	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
 	cmds = append(cmds, m.stopSlowRuns(now, s)...)
@@ -171,13 +172,14 @@
 
 // updateRunning updates the listed runs, and collects those that this host does
 // not know as orphans. It returns the names of the others.
-func (m *Model) updateRunning(now time.Time, s *server, msg PollResultMsg) map[string]bool {
+func (m *Model) updateRunning(now time.Time, s *server, msg PollResultMsg, requestedAt int64) map[string]bool {
 	listed := map[string]bool{}
+	unknown := s.orphans
 	s.orphans = nil
 	for _, l := range msg.Running {
 		r := s.runs[l.Name]
 		if r == nil || r.task.Run != l.Run {
-			s.orphans = append(s.orphans, l)
+			s.orphans = append(s.orphans, &orphan{ListedRun: l})
 			continue
 		}
 		listed[l.Name] = true
@@ -193,9 +195,29 @@
 			r.stoppedBy = time.Time{}
 		}
 	}
+	s.keepOrphans(unknown, msg, requestedAt)
 	return listed
 }
 
+// keepOrphans carries over what is known of orphans, and those that are no longer listed but
+// may still be stopping. The lists were requested when the server's clock read requestedAt or
+// more.
+func (s *server) keepOrphans(unknown []*orphan, msg PollResultMsg, requestedAt int64) {
+	leasesOver := s.maxDeadline < requestedAt
+	for _, o := range unknown {
+		same := func(other *orphan) bool { return other.Name == o.Name && other.Run == o.Run }
+		ended := func(e ListedEnd) bool { return e.Name == o.Name && e.Run == o.Run }
+		if i := slices.IndexFunc(s.orphans, same); i >= 0 {
+			s.orphans[i].stoppedBy = o.stoppedBy
+			continue
+		}
+		stopped := !o.stoppedBy.IsZero() && msg.Sent.After(o.stoppedBy)
+		if !stopped && !leasesOver && !slices.ContainsFunc(msg.Ended, ended) {
+			s.orphans = append(s.orphans, o)
+		}
+	}
+}
+
 // endMissingRuns ends runs that the lists prove not to be on the server. Lists without a run
 // prove that it isn't there if it can't be on its way and isn't being stopped, and if those
 // before lacked it, too: a server may make the list of the running tasks and that of the ends
@@ -268,6 +290,9 @@
 	}, CapacityChangedCmd{}}
 	s.phase = clearing
 	for _, o := range s.orphans {
+		if now.Before(o.stoppedBy) {
+			continue
+		}
 		cmds = append(cmds, StopCmd{
 			Server:  s.entry.ID,
 			Address: s.entry.Address,
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -56,6 +56,13 @@
 	stopReason    core.Reason
 }
 
+// orphan is a run on a server that this host doesn't know, and stops.
+type orphan struct {
+	ListedRun
+
+	stoppedBy time.Time // when it must have stopped, as the server answered a stop order; zero without an answer
+}
+
 // server is one backend server that this host owns or is taking over.
 type server struct {
 	entry         listing.Server
@@ -82,9 +89,9 @@
 	sorted []*run    // runs sorted by task name; nil if outdated
 	used   work.Size // capacity taken by the runs
 
-	suspects int         // runs of suspected tasks
-	orphans  []ListedRun // runs of an earlier owner, as last listed
-	losses   []loss      // whose fate is unknown
+	suspects int       // runs of suspected tasks
+	orphans  []*orphan // runs of an earlier owner that may not have ended
+	losses   []loss    // whose fate is unknown
 
 	pollSerial   int // serial number of the latest poll
 	pollInFlight bool
