pool: 421 from another address is no proof

Cause: 421 dropped a server with all its runs, also when an entry had just named another address, where the process that runs them never was.

Change: 421 counts only at the address from which the process last listed, for orders that were sent since the entry last changed it. Otherwise it counts as an order that was not carried out, and the leases decide.

Evidence: TestMisdirectedAtOtherAddress failed and passes.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -198,6 +198,9 @@
 		if again {
 			s.planned = s.entry.Draining
 		}
+		if entry.Address != s.entry.Address {
+			s.movedAt = now
+		}
 		s.entry, s.releasing = entry, false
 		if again && known {
 			return m.doubt(now, s, fmt.Sprintf("by its entry, born %d, %d before", entry.StartedAtMillis, s.born))
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -283,6 +283,9 @@
 }
 
 func (m *Model) startAnswered(now time.Time, s *server, r *run, msg StartedMsg) []Cmd {
+	if msg.Result == Replaced && s.orderMisdirected(msg.Sent) {
+		msg.Result = NotSent
+	}
 	r.pendingStarts--
 	r.lost = r.lost || msg.Result == Unanswered
 	inDoubt := r.inDoubt(s)
@@ -479,6 +482,10 @@
 		}
 		return m.markFenced(now, s)
 	case Replaced:
+		if s.orderMisdirected(msg.Sent) {
+			m.recordCall(s, false)
+			return []Cmd{CapacityChangedCmd{}}
+		}
 		return m.replaced(now, s)
 	case Accepted:
 		if msg.Sent.IsZero() || !msg.Sent.Before(s.restartedAt) {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	s.pollSerial++
-	s.pollInFlight = true
+	s.pollInFlight, s.polledAddress = true, s.entry.Address
 	cmd := PollCmd{
 		Server:  s.entry.ID,
 		Address: s.entry.Address,
@@ -84,7 +84,9 @@
 	case Fenced:
 		return m.markFenced(now, s)
 	case Replaced:
-		return m.replaced(now, s)
+		if !s.misdirected(s.polledAddress) {
+			return m.replaced(now, s)
+		}
 	case StaleRun, DeadlinePassed, Full, Busy, Invalid, NotSent, Unanswered:
 	}
 	m.recordCall(s, false)
@@ -130,7 +132,7 @@
 	if msg.Born != 0 {
 		s.born = msg.Born
 	}
-	s.doubtedAt = time.Time{}
+	s.doubtedAt, s.listedAddress = time.Time{}, s.polledAddress
 	cmds = append(cmds, s.answeredAfterLoss(msg)...)
 	missed, requestedAt := s.misses > 0, s.minClock(msg.Sent)
 	m.recordCall(s, true)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -68,6 +68,9 @@
 	entry         listing.Server
 	born          int64     // start time of the process that answers, in Unix milliseconds; 0 if unknown
 	restartedAt   time.Time // when the latest restart of the process was noticed
+	listedAddress string    // from which the process last returned its lists
+	polledAddress string    // to which the latest poll was sent
+	movedAt       time.Time // when the entry's address last changed
 	doubtedAt     time.Time // since when the process may be another one, which the next lists decide; zero if it isn't in doubt
 	planned       bool      // that process was draining when it ended
 	token         int64
@@ -316,6 +319,17 @@
 	return s.entry.StartedAtMillis == 0 || s.entry.StartedAtMillis == s.born
 }
 
+// misdirected reports whether an order to an address went where the process of the server has never
+// been seen. Another server that answers there says nothing about its runs.
+func (s *server) misdirected(address string) bool {
+	return len(s.runs) > 0 && address != s.listedAddress
+}
+
+// orderMisdirected reports the same for a start or a stop that was sent at the given time.
+func (s *server) orderMisdirected(sent time.Time) bool {
+	return s.misdirected(s.entry.Address) || len(s.runs) > 0 && sent.Before(s.movedAt) && !sent.IsZero()
+}
+
 // processExpected reports whether the entry describes a later process than the one that answers.
 func (s *server) processExpected() bool { return s.born != 0 && s.entry.StartedAtMillis > s.born }
 
