pool: unknown runs are remembered after their server is released

Cause: a server that is released, or that another host has taken over, was forgotten with its unknown runs that were still being stopped, and their tasks could start elsewhere at once.

Change: such a task isn't started until the longest lease is over.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +55,7 @@
 	lossRate     float64              // moving average of calls without an answer
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
+	orphanLeases map[string]time.Time // when the leases of unknown runs at servers that were removed are over, by task name
 }
 
 // New returns a pool without servers for a host in the given failure domain.
@@ -64,6 +66,7 @@
 		servers:      map[string]*server{},
 		fencedAt:     map[string]time.Time{},
 		serverByTask: map[string]string{},
+		orphanLeases: map[string]time.Time{},
 	}
 }
 
@@ -232,10 +235,11 @@
 
 // releaseIfEmpty removes a server that is being released or was fenced, once it
 // has no runs left.
-func (m *Model) releaseIfEmpty(_ time.Time, s *server) []Cmd {
+func (m *Model) releaseIfEmpty(now time.Time, s *server) []Cmd {
 	if !(s.releasing || s.phase == fenced) || len(s.runs) > 0 || m.servers[s.entry.ID] != s {
 		return nil
 	}
+	m.recordOrphanLeases(now, s)
 	m.remove(s)
 	if s.phase == fenced {
 		return nil
@@ -246,6 +250,16 @@
 	}}
 }
 
+// recordOrphanLeases records when the unknown runs at a server that is removed have ended, even
+// if it does not answer any more.
+func (m *Model) recordOrphanLeases(now time.Time, s *server) {
+	maps.DeleteFunc(m.orphanLeases, func(_ string, over time.Time) bool { return !now.Before(over) })
+	over := now.Add(time.Duration(float64(m.maxLease()) / minClockRate))
+	for _, o := range s.orphans {
+		m.orphanLeases[o.Name] = over
+	}
+}
+
 // restarted handles a new process of a server under the same ID. It has seen no token, and
 // its clock may read less, so orders to the earlier process that are late may still be
 // carried out there. They carry a lower token than all orders from now on, so the first lists
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -60,7 +60,7 @@
 			}
 		}
 	}
-	return false
+	return now.Before(m.orphanLeases[name])
 }
 
 func refuse(msg RunMsg, reason core.Reason) EndCmd {
