pool: a silent server's lease isn't extended by polls without an answer

Cause: each poll that got no answer extended the lease on the host's account, as it may have been carried out.

Change: polls extend the lease only while the server answers.

Evidence: TestSilentServerKeepsRuns failed and passes; the rows of TestEndInferredRunsTwice with a paused server have 1,000, 1,000 and 999 of 1,000 jobs done, after 974, 983 and 988, and no task twice.

--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -38,8 +38,9 @@
 		cmd.Wait = m.pollWait(s)
 	}
 	// The lease holds for all runs on the server. It is not extended without runs of
-	// this host, or beside runs of others, so that those can expire.
-	if s.phase == ready && len(s.runs) > 0 {
+	// this host, or beside runs of others, so that those can expire, nor while the server
+	// doesn't answer: the end of the lease is the only proof then.
+	if s.phase == ready && len(s.runs) > 0 && s.misses == 0 {
 		cmd.Deadline = m.newDeadline(now, s)
 	}
 	return []Cmd{cmd}
