core/pool: test of ends that a suspected restart makes a server forget

The poll that decides on a suspected restart goes out under the old token and with the old last_seen. A new process forgets its first ends by it, and a run that ended done there counts as lapsed.

--- /dev/null
+++ b/core/pool/proof_late_test.go
@@ -0,0 +1,83 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/work"
+)
+
+// relist lists the servers with a change to the first one.
+func (b *harness) relist(change func(*listing.Server)) {
+	var servers []listing.Server
+	for _, s := range b.model.sortedServers() {
+		servers = append(servers, s.entry)
+	}
+	change(&servers[0])
+	b.update(AssignMsg{
+		Servers: servers,
+		Token:   7,
+	})
+}
+
+func reborn(s *listing.Server) { s.StartedAtMillis = 2 }
+
+func moved(s *listing.Server) { s.Address = "elsewhere:1" }
+
+// unknown is a run that the pool doesn't know.
+var unknown = ListedRun{
+	Name: "j.0.0.0",
+	Run:  4,
+}
+
+// grantedHarness returns a harness whose limits name the longest lease.
+func grantedHarness(t testing.TB, servers ...string) *harness {
+	t.Helper()
+	l := limits
+	l.MaxLease = maxLease
+	return newHarnessWith(t, l, servers...)
+}
+
+// TestDoubtForgetsEnds guards against a run that is repeated after it has ended as done, because
+// the poll that decides on a suspected restart made the new process forget its ends.
+func TestDoubtForgetsEnds(t *testing.T) {
+	b := proofHarness(t, "a")
+	b.answerPoll("a", func(m *PollResultMsg) {
+		m.Ended = []ListedEnd{{
+			Number: 1,
+			Name:   "j.0.0.0",
+			Run:    1,
+			End:    work.EndDone,
+		}}
+	})
+	b.update(RunMsg{Task: taskOf("k")})
+	b.cmds = nil
+	b.relist(reborn)
+	forgotten := polls(b.cmds)[0].LastEnd
+	list := restartedAt(5)
+	if forgotten == 0 {
+		list = func(m *PollResultMsg) {
+			m.Born, m.Clock = 2, 5
+			m.Ended = []ListedEnd{{
+				Number: 1,
+				Name:   "k.0.0.0",
+				Run:    1,
+				End:    work.EndDone,
+			}}
+		}
+	}
+	b.answerPoll("a", list)
+	b.update(StartedMsg{
+		Server: "a",
+		Name:   "k.0.0.0",
+		Run:    1,
+		Result: Unanswered,
+	})
+	b.answerPoll("a", list)
+	b.answerPoll("a", list)
+	assert.Equal(t, len(ends(b.cmds)), 1)
+	assert.Equal(t, ends(b.cmds)[0].End, work.EndDone)
+}
