core/pool: test of leases extended after a restart was listed

maxDeadline is set by the lists that show a restart, which were requested under the old token. Orders under it can still extend leases until the new one has arrived.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -81,3 +81,15 @@
 	assert.Equal(t, len(ends(b.cmds)), 1)
 	assert.Equal(t, ends(b.cmds)[0].End, work.EndDone)
 }
+
+// TestLeaseUntilTokenRaised guards against an unknown run that counts as ended too early: an order
+// under the former token extended its lease after the lists that showed the restart.
+func TestLeaseUntilTokenRaised(t *testing.T) {
+	b := grantedHarness(t, "a", "b")
+	b.relist(reborn)
+	b.answerPoll("a", restartedAt(10))
+	b.advance(200 * time.Millisecond)
+	b.answerPoll("a", restartedAt(210, unknown))
+	b.advance(maxLease - 20*time.Millisecond)
+	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
+}
