core/pool: test of a clock read before the token was noted

The longest lease of an earlier owner counts from the reading of the clock, which may be of any moment of the request.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -93,3 +93,20 @@
 	b.advance(maxLease - 20*time.Millisecond)
 	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
 }
+
+// TestClockReadBeforeTakeover guards against the same after a takeover in which the server read
+// its clock long before it noted the token.
+func TestClockReadBeforeTakeover(t *testing.T) {
+	b := grantedHarness(t, "b")
+	b.update(AssignMsg{
+		Servers: entries("a", "b"),
+		Token:   7,
+	})
+	sent, clock := b.now, b.clock()
+	b.advance(70 * time.Millisecond)
+	list := func(m *PollResultMsg) { m.Running = []ListedRun{unknown} }
+	b.answerPoll("a", list, func(m *PollResultMsg) { m.Sent, m.Clock = sent, clock })
+	b.answerPoll("a", list)
+	b.advance(maxLease - 20*time.Millisecond)
+	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
+}
