core/pool: test of unknown runs dropped by a 421 from elsewhere

Only own runs make a 421 from an unseen address count for nothing, and replaced doesn't record the leases of unknown runs.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -110,3 +110,16 @@
 	b.advance(maxLease - 20*time.Millisecond)
 	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
 }
+
+// TestOrphanAtOtherAddressForgotten guards against a task that is started while an unknown run of
+// it goes on, because another server answered at an address where its server never was.
+func TestOrphanAtOtherAddressForgotten(t *testing.T) {
+	b := newHarness(t, "a", "b")
+	b.relist(reborn)
+	b.answerPoll("a", restartedAt(5))
+	b.answerPoll("a", restartedAt(10, unknown))
+	b.relist(moved)
+	b.answerPoll("a", restartedAt(15, unknown))
+	b.answerPoll("a", func(m *PollResultMsg) { m.Result = Replaced })
+	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
+}
