core/pool: test of a 421 at the former address

A 421 to a poll in flight ends all runs, also those ordered at the address that the entry names meanwhile.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -123,3 +123,15 @@
 	b.answerPoll("a", func(m *PollResultMsg) { m.Result = Replaced })
 	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
 }
+
+// TestReplacedAtFormerAddress guards against a run that is started elsewhere because another
+// server answers at the address that its server had before the run was ordered.
+func TestReplacedAtFormerAddress(t *testing.T) {
+	b := proofHarness(t, "a")
+	b.relist(moved)
+	b.startAt("a", taskOf("k"))
+	b.answerPoll("a", func(m *PollResultMsg) { m.Result = Replaced })
+	for _, end := range ends(b.cmds) {
+		assert.Assert(t, end.Task.Job != "k", "ended as %s, ordered at %s", end.Proof, starts(b.cmds)[1].Address)
+	}
+}
