core/pool: test of starts that are late again and again

A start that is answered as late is repeated at once; only unanswered ones are limited. TestLateStartRepeatedForever fails, and is listed as a known failure.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -162,3 +162,21 @@
 	})
 	assert.Equal(t, len(ends(b.cmds)), 1)
 }
+
+// TestLateStartRepeatedForever guards against a start that is repeated without end, and its task
+// that gets no other server, because each order arrives after its deadline.
+func TestLateStartRepeatedForever(t *testing.T) {
+	b := newHarness(t, "a")
+	b.update(RunMsg{Task: taskOf("j")})
+	for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < 2*limits.StartTimeout; {
+		b.advance(time.Millisecond)
+		b.update(StartedMsg{
+			Server: "a",
+			Name:   "j.0.0.0",
+			Run:    1,
+			Result: DeadlinePassed,
+			Clock:  b.clock(),
+		})
+	}
+	assert.Equal(t, len(ends(b.cmds)), 1, "%d starts", len(starts(b.cmds)))
+}
