--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -180,3 +180,31 @@
 	}
 	assert.Equal(t, len(ends(b.cmds)), 1, "%d starts", len(starts(b.cmds)))
 }
+
+// TestEndsListedInPart guards against a run that is repeated after it has ended as done, because
+// its end is not among the 500 that a server lists at once.
+func TestEndsListedInPart(t *testing.T) {
+	b := proofHarness(t, "a")
+	b.update(StopMsg{
+		Name:  "j.0.0.0",
+		Owner: owner,
+	})
+	b.answerStop("a", "j.0.0.0", 1, Accepted)
+	b.advance(stopMargin*stopTimeout + time.Millisecond)
+	list := func(from, to int) func(m *PollResultMsg) {
+		return func(m *PollResultMsg) {
+			for n := from; n <= to; n++ {
+				m.Ended = append(m.Ended, ListedEnd{
+					Number: n,
+					Name:   "earlier.0.0.0",
+					Run:    n,
+					End:    work.EndStopped,
+				})
+			}
+		}
+	}
+	b.answerPoll("a", list(1, 500))
+	b.answerPoll("a", list(501, 501), func(m *PollResultMsg) { m.Ended[0].Name, m.Ended[0].Run, m.Ended[0].End = "j.0.0.0", 1, work.EndDone })
+	assert.Equal(t, len(ends(b.cmds)), 1)
+	assert.Equal(t, ends(b.cmds)[0].End, work.EndDone)
+}
