core/pool: test of missing runs that are kept for ever

Lists alone don't end a run any more, polls extend its lease, and an answer to a stop is dropped if its clock is odd.

--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -208,3 +208,42 @@
 	assert.Equal(t, len(ends(b.cmds)), 1)
 	assert.Equal(t, ends(b.cmds)[0].End, work.EndDone)
 }
+
+// TestMissingRunKept guards against a run that is kept for ever though no list has it, because
+// polls go on to extend its lease while no stop order is accepted.
+func TestMissingRunKept(t *testing.T) {
+	tests := []struct {
+		name   string
+		result Result
+		ahead  int64
+	}{
+		{
+			name:   "stops refused",
+			result: Busy,
+		},
+		{
+			name:  "clock odd in each answer to a stop",
+			ahead: 30,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := proofHarness(t, "a")
+			for begin := b.now; len(ends(b.cmds)) == 0 && b.now.Sub(begin) < 10*time.Second; {
+				b.advance(10 * time.Millisecond)
+				for _, cmd := range stops(b.update(TickMsg{})) {
+					b.update(StoppedMsg{
+						Server: "a",
+						Name:   cmd.Name,
+						Run:    cmd.Run,
+						Sent:   cmd.Sent,
+						Result: test.result,
+						Clock:  b.clock() + test.ahead,
+					})
+				}
+				b.answerPoll("a")
+			}
+			assert.Equal(t, len(ends(b.cmds)), 1, "%d stops, lease until %d at %d", len(stops(b.cmds)), b.lastDeadline("a:1"), b.clock())
+		})
+	}
+}
