proof: the soak draws how backend servers behave

All backend servers of the soak were alike, so no seed met one that is sound and different.

TestSoakResends and TestSoakRemainingWaits draw for each server, again and again: how long a stop takes, how busy it is, when the clock is read and whether it is slow, the moments of the two lists, slow runs, pauses, and new processes (421 at first) whose entries come up to 3 s after their start. TestSoakServers draws besides that runs being stopped aren't listed, and that clocks are up to 30 ms off. The numbers are drawn from a stream of their own, so the faults of all seeds stay as they were.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,8 +40,19 @@
 	maxPause    time.Duration // processes are paused for up to this time, again and again; 0 for never
 	linkFaults  bool          // links to hosts fall silent or slow, again and again
 	restarts    bool          // hosts of one failure domain are stopped together, again and again, while the configuration changes
+	kinds       serverKinds
 }
 
+// serverKinds are the kinds of backend servers in a soak. Those that aren't all alike are also
+// paused and restarted.
+type serverKinds string
+
+const (
+	plainServers serverKinds = ""    // all alike
+	oddServers   serverKinds = "odd" // differ in times, in the moments of readings and lists, and in load
+	anyServers   serverKinds = "any" // also in stops that aren't listed and clocks that are a little off
+)
+
 // abandonment is how callers abandon some of their attempts.
 type abandonment string
 
@@ -130,9 +142,13 @@
 	proxies      []*proxy.Proxy
 	version      int             // newest configuration version
 	busyHosts    []bool          // hosts whose process is being paused, killed or stopped
+	busyServers  []bool          // the same for backend servers
 	seenVersions map[string]int  // newest configuration version seen, by process
 	outcomes     map[string]int  // number of jobs by outcome
 	refusedJobs  map[uint64]bool // jobs whose attempts were all refused as not run
+
+	behaviorMu sync.Mutex         // held for as long as a server is paused whose behavior changes
+	behaviors  []standin.Behavior // of backend servers, without the faults that drawFault draws
 }
 
 // TestSoak: under overlapping faults, no task has two concurrent runs, no task was
@@ -178,14 +194,20 @@
 func TestSoakSilentConnections(t *testing.T) { soakAbandonment(t, silentConnections) }
 
 // TestSoakResends: the same if links to hosts also fall silent or slow, processes are paused
-// for longer, and the hosts of one failure domain are restarted together.
+// for longer, the hosts of one failure domain are restarted together, and backend servers differ.
 func TestSoakResends(t *testing.T) { soakResends(t, drawnWaits) }
 
+// TestSoakServers: the same if backend servers also list no run that is being stopped, and if
+// their clocks read a little ahead or behind.
+func TestSoakServers(t *testing.T) { soakServerKinds(t, drawnWaits, anyServers) }
+
 // TestSoakRemainingWaits: the same if callers say how long they still wait and hosts' settings
 // say that they do.
 func TestSoakRemainingWaits(t *testing.T) { soakResends(t, remainingWaits) }
 
-func soakResends(t *testing.T, waits callerWaits) {
+func soakResends(t *testing.T, waits callerWaits) { soakServerKinds(t, waits, oddServers) }
+
+func soakServerKinds(t *testing.T, waits callerWaits, kinds serverKinds) {
 	for n := range *soakSeeds {
 		runSoak(t, *soakFirstSeed+uint64(n), "resends", soakOptions{
 			hosts:       *soakHosts,
@@ -196,6 +218,7 @@
 			maxPause:    longPause,
 			linkFaults:  true,
 			restarts:    true,
+			kinds:       kinds,
 		})
 	}
 }
@@ -221,6 +244,8 @@
 			rng:          rand.New(rand.NewPCG(seed, 0)),
 			version:      initialVersion,
 			busyHosts:    make([]bool, o.hosts),
+			busyServers:  make([]bool, o.servers),
+			behaviors:    slices.Repeat([]standin.Behavior{soakServerBehavior}, o.servers),
 			seenVersions: map[string]int{},
 			outcomes:     map[string]int{},
 			refusedJobs:  map[uint64]bool{},
@@ -228,6 +253,7 @@
 		s.platformFleet = &platformFleet{
 			wrapAddress:    s.addProxy,
 			waitsRemaining: o.waits == remainingWaits,
+			bornListed:     o.kinds != plainServers,
 		}
 		s.start(t, o.hosts, o.servers, soakServerBehavior)
 		for _, h := range s.hosts {
@@ -272,6 +298,9 @@
 	if s.options.restarts {
 		faults.Go(func() { s.restartDomains(s.newRNG(3), end) })
 	}
+	if s.options.kinds != plainServers {
+		faults.Go(func() { s.disturbServers(s.newRNG(4), end) })
+	}
 	for time.Now().Before(end) {
 		faults.Go(s.drawFault().run)
 		time.Sleep(time.Duration(s.rng.Int64N(int64(soakMaxPause))))
@@ -452,7 +481,7 @@
 	serverFault := func(b standin.Behavior) fault {
 		return fault{
 			description: fmt.Sprintf("server i-%d: %+v", server, b),
-			run:         func() { s.applyServerBehavior(s.servers[server], b, duration) },
+			run:         func() { s.applyServerFault(server, b, duration) },
 		}
 	}
 	faults := []fault{
@@ -497,11 +526,79 @@
 	s.store.SetFault("")
 }
 
-func (s *soak) applyServerBehavior(server *standin.Server, b standin.Behavior, length time.Duration) {
-	b.RunTime, b.Slots = soakServerBehavior.RunTime, soakServerBehavior.Slots
-	server.SetBehavior(b)
+// applyServerFault makes the runs of a backend server fail or hang, or its responses get lost.
+func (s *soak) applyServerFault(i int, fault standin.Behavior, length time.Duration) {
+	s.behaviorMu.Lock()
+	b := s.behaviors[i]
+	b.Fail, b.Hang, b.DropFraction = fault.Fail, fault.Hang, fault.DropFraction
+	s.servers[i].SetBehavior(b)
+	s.behaviorMu.Unlock()
 	time.Sleep(length)
-	server.SetBehavior(soakServerBehavior)
+	s.behaviorMu.Lock()
+	defer s.behaviorMu.Unlock()
+	s.servers[i].SetBehavior(s.behaviors[i])
+}
+
+// setServerBehavior changes the behavior of a backend server, and ends its faults.
+func (s *soak) setServerBehavior(i int, b standin.Behavior) {
+	s.behaviorMu.Lock()
+	defer s.behaviorMu.Unlock()
+	s.behaviors[i] = b
+	s.servers[i].SetBehavior(b)
+}
+
+// drawServerBehavior returns a random behavior of a backend server.
+func (s *soak) drawServerBehavior(rng *rand.Rand) standin.Behavior {
+	const slowFactor, maxLatency, maxDowntime, maxJitter = 6, 60 * time.Millisecond, 500 * time.Millisecond, 30 * time.Millisecond
+	draw := func(most time.Duration) time.Duration {
+		return time.Duration(rng.IntN(2)) * time.Duration(rng.Int64N(int64(most)))
+	}
+	moments := []standin.ClockMoment{standin.ClockAtEnd, standin.ClockAtArrival, standin.ClockAnytime}
+	b := soakServerBehavior
+	b.StopTime, b.Latency, b.ListGap = draw(stopTimeout), draw(maxLatency), draw(stopTimeout)
+	b.Downtime, b.Startup = draw(maxDowntime), draw(maxDowntime)
+	b.EndedFirst = rng.IntN(2) == 0
+	b.ClockMoment, b.ClockDrag = moments[rng.IntN(len(moments))], maxClockDrag*float64(rng.IntN(2))
+	if rng.IntN(4) == 0 {
+		b.RunTime *= slowFactor
+	}
+	if s.options.kinds == anyServers {
+		b.HideStopping, b.ClockJitter = rng.IntN(2) == 0, draw(maxJitter)
+	}
+	return b
+}
+
+// disturbServers changes the behavior of backend servers, pauses and restarts them, again and
+// again, until a given time.
+func (s *soak) disturbServers(rng *rand.Rand, end time.Time) {
+	const maxGap, maxPause, maxEntryDelay = 900 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second
+	for i := range s.servers {
+		s.setServerBehavior(i, s.drawServerBehavior(rng))
+	}
+	var faults sync.WaitGroup
+	for time.Now().Before(end) {
+		i, b := rng.IntN(len(s.servers)), s.drawServerBehavior(rng)
+		pause, entryDelay := time.Duration(rng.Int64N(int64(maxPause))), time.Duration(rng.Int64N(int64(maxEntryDelay)))
+		disturbances := []fault{
+			{
+				description: fmt.Sprintf("%+v", b),
+				run:         func() { s.setServerBehavior(i, b) },
+			},
+			{
+				description: fmt.Sprintf("paused for %s", pause),
+				run:         func() { s.servers[i].Pause(pause) },
+			},
+			{
+				description: fmt.Sprintf("restarted, its entry %s late", entryDelay),
+				run:         func() { s.restartServer(i, soakServerBehavior.Slots, entryDelay) },
+			},
+		}
+		f := disturbances[rng.IntN(len(disturbances))]
+		s.t.Logf("%s: i-%d: %s", time.Now().Format(time.StampMilli), i, f.description)
+		faults.Go(func() { s.withServer(i, f.run) })
+		time.Sleep(time.Duration(rng.Int64N(int64(maxGap))))
+	}
+	faults.Wait()
 }
 
 // publishNextConfig writes the next version of the configuration to the store.
@@ -514,16 +611,23 @@
 
 // withProcess runs do on a host, unless another call for the same host is in progress.
 func (s *soak) withProcess(host int, do func(h *platformHost)) {
+	s.unlessBusy(&s.busyHosts[host], func() { do(s.hosts[host]) })
+}
+
+// withServer runs do for a backend server, unless another call for it is in progress.
+func (s *soak) withServer(i int, do func()) { s.unlessBusy(&s.busyServers[i], do) }
+
+func (s *soak) unlessBusy(flag *bool, do func()) {
 	s.mu.Lock()
-	busy := s.busyHosts[host]
-	s.busyHosts[host] = true
+	busy := *flag
+	*flag = true
 	s.mu.Unlock()
 	if busy {
 		return
 	}
-	do(s.hosts[host])
+	do()
 	s.mu.Lock()
-	s.busyHosts[host] = false
+	*flag = false
 	s.mu.Unlock()
 }
 
