pool: a poll that decides on a restart takes note of no ends

Cause: it named the last end of the process before, so a new process forgot as many of its own, and a run that had ended done there counted as lapsed and was repeated.

Change: polls of a server in doubt take note of no ends.

Evidence: TestDoubtForgetsEnds, found by review, failed and passes.

--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -28,6 +28,10 @@
 		Token:   s.token,
 		LastEnd: s.lastEnd,
 	}
+	if !s.doubtedAt.IsZero() {
+		// Another process would forget its own ends.
+		cmd.LastEnd = 0
+	}
 	switch s.phase {
 	case probing:
 		cmd.Token = 0
