pool: earlier leases count from the moment at which the token was noted

Cause: after a takeover or a restart, orders under earlier tokens may be granted a lease until the server has noted the new one. The longest such lease was counted from the clock in the first lists, which may have been read long before, and after a restart from the lists under the old token.

Change: it is counted from the arrival of the first lists under the current token.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -270,7 +270,7 @@
 	if s.phase != probing && s.phase != fenced {
 		s.phase = inspecting
 	}
-	s.orphans, s.lastEnd = nil, 0
+	s.orphans, s.lastEnd, s.tokenNoted = nil, 0, false
 	if !s.clockAt.IsZero() {
 		s.clockLost = true
 		s.maxDeadline = max(s.maxDeadline, s.estimateClock(now)+m.maxLease().Milliseconds())
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -145,6 +145,7 @@
 	if again {
 		return append(cmds, m.poll(now, s)...)
 	}
+	s.tokenNoted = true
 	if missed {
 		cmds = append(cmds, CapacityChangedCmd{})
 	}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -84,6 +84,7 @@
 	clockAt     time.Time // local time at which clock was received
 	clockSent   time.Time // local time at which the order was sent whose answer contained clock
 	clockLost   bool      // clock is that of an earlier process
+	tokenNoted  bool      // the process has answered an order under this host's token
 	clockAhead  bool      // the latest lists had a reading that is ahead of what is known
 	maxDeadline int64     // latest deadline of any order, on the server's clock
 	lastEnd     int       // number of the last end that was processed
@@ -146,17 +147,21 @@
 }
 
 // updateClock records the server's clock from the lists requested at the given time, which
-// come from the process that is known to run. Its first ones prove that it rejects the orders
-// of earlier owners from now on; until then they may have been granted leases of up to
+// come from the process that is known to run. The first ones under a token prove that it rejects
+// earlier orders from now on; until then these may have been granted leases of up to
 // maxLease. A reading that contradicts those before is used if it is behind, or if the next one
 // is ahead, too, so that leases don't seem to end early.
 func (s *server) updateClock(now, sent time.Time, clock int64, maxLease time.Duration) {
 	s.misses = 0
+	granted := clock + int64(math.Ceil(maxClockRate*float64(now.Sub(sent).Milliseconds()))) + maxLease.Milliseconds()
 	if s.clockAt.IsZero() || s.clockLost {
-		s.maxDeadline, s.clockLost, s.clockAhead = clock+maxLease.Milliseconds(), false, false
+		s.maxDeadline, s.clockLost, s.clockAhead = granted, false, false
 		s.clock, s.clockAt, s.clockSent = clock, now, sent
 		return
 	}
+	if !s.tokenNoted {
+		s.maxDeadline = max(s.maxDeadline, granted)
+	}
 	least, most := s.clockRange(now, sent)
 	switch {
 	case clock > most && !s.clockAhead:
