pool: 421 ends neither unknown runs elsewhere nor runs ordered after a move

Cause: a server without runs of this host was dropped by any 421, with its unknown runs; and one at the former address also ended runs that were ordered at the new one.

--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -327,12 +327,22 @@
 // misdirected reports whether an order to an address went where the process of the server has never
 // been seen. Another server that answers there says nothing about its runs.
 func (s *server) misdirected(address string) bool {
-	return len(s.runs) > 0 && address != s.listedAddress
+	if len(s.runs)+len(s.orphans) == 0 {
+		return false
+	}
+	if address != s.entry.Address {
+		for _, r := range s.runs {
+			if !r.firstSent.Before(s.movedAt) {
+				return true
+			}
+		}
+	}
+	return address != s.listedAddress
 }
 
 // orderMisdirected reports the same for a start or a stop that was sent at the given time.
 func (s *server) orderMisdirected(sent time.Time) bool {
-	return s.misdirected(s.entry.Address) || len(s.runs) > 0 && sent.Before(s.movedAt) && !sent.IsZero()
+	return s.misdirected(s.entry.Address) || len(s.runs)+len(s.orphans) > 0 && sent.Before(s.movedAt) && !sent.IsZero()
 }
 
 // processExpected reports whether the entry describes a later process than the one that answers.
