pool: a stop rejected by the pool's own token is no takeover

Cause: a stop sent before the leases were over arrives after the poll with the raised token and is rejected; the host took that for another owner, dropped the server, and its next run ended as unknown.

Change: a rejection of a stop from before the token was raised is ignored, as after a restart.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -275,7 +275,7 @@
 		s.clockLost = true
 		s.maxDeadline = max(s.maxDeadline, s.estimateClock(now)+m.maxLease().Milliseconds())
 	}
-	m.raiseToken(s)
+	m.raiseToken(now, s)
 	for _, r := range s.sortedRuns() {
 		// The new process has not confirmed anything yet.
 		r.stoppedBy, r.confirmedAt, r.missing = time.Time{}, time.Time{}, false
@@ -320,7 +320,8 @@
 // raiseToken makes the server reject all orders sent so far, once it has received another
 // one. The answer to a poll sent before says nothing about that. The token stays below that
 // of a new owner, who draws a current one.
-func (m *Model) raiseToken(s *server) {
+func (m *Model) raiseToken(now time.Time, s *server) {
+	s.tokenAt = now
 	s.token += tokenStep
 	m.maxToken = max(m.maxToken, s.token)
 	s.pollInFlight = false
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -476,7 +476,7 @@
 	}
 	switch msg.Result {
 	case Fenced:
-		if msg.Sent.Before(s.restartedAt) {
+		if msg.Sent.Before(s.tokenAt) {
 			// A later order with a higher token came first.
 			return nil
 		}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -385,7 +385,7 @@
 				Detail: fmt.Sprintf("until %d, clock %d or more, read %d %s ago", s.maxDeadline, s.minClock(now), s.clock, now.Sub(s.clockAt)),
 			})
 			cmds = append(cmds, m.lose(now, s)...)
-			m.raiseToken(s)
+			m.raiseToken(now, s)
 		}
 		for _, r := range s.sortedRuns() {
 			if r.state != stopping && m.stopDue(now, r.task.ConfirmedAt) {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -74,6 +74,7 @@
 	doubtedAt     time.Time // since when the process may be another one, which the next lists decide; zero if it isn't in doubt
 	planned       bool      // that process was draining when it ended
 	token         int64
+	tokenAt       time.Time // when the token was raised; zero if it never was
 	phase         phase
 	releasing     bool // accepts no more tasks and is removed once it is empty
 	health        health.Server
