pool: a start that is late again and again is abandoned

Cause: a start answered as late was repeated at once without a limit: 1,001 orders in a second of a unit test, while the task got no other server.

Change: it is abandoned after pool.give, as one without an answer.

Evidence: TestLateStartRepeatedForever, found by review, failed and passes.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -311,7 +311,7 @@
 	case StaleRun:
 		return m.staleRunNumber(now, s, r)
 	case DeadlinePassed:
-		return m.sendStart(now, s, r)
+		return m.tooLate(now, s, r)
 	case Full, Busy, Invalid:
 		return m.rejected(now, s, r, msg.Result)
 	case NotSent, Unanswered:
@@ -415,6 +415,17 @@
 	return m.sendStart(now, s, r)
 }
 
+// tooLate repeats a start that arrived after its deadline, or abandons it after the time limit.
+func (m *Model) tooLate(now time.Time, s *server, r *run) []Cmd {
+	if now.Sub(r.firstSent) < m.limits.StartTimeout {
+		return m.sendStart(now, s, r)
+	}
+	if r.uncertain || r.pendingStarts > 0 {
+		return m.stopRun(now, s, r, core.ReasonReset)
+	}
+	return m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonReset)
+}
+
 func (m *Model) rejected(now time.Time, s *server, r *run, result Result) []Cmd {
 	if r.uncertain {
 		// An earlier order may have been carried out; the lists will show it.
