pool: a run whose end may be beyond the listed ones isn't missing

Cause: servers list 500 ends at once. A run whose end was not among them counted as stopped, and was repeated though it had ended done.

Change: lists with that many ends say nothing about runs that they lack.

Evidence: TestEndsListedInPart, found by review, failed and passes.

--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -219,13 +219,17 @@
 			s.orphans[i].stoppedBy = o.stoppedBy
 			continue
 		}
-		stopped := !o.stoppedBy.IsZero() && msg.Sent.After(o.stoppedBy)
+		stopped := !o.stoppedBy.IsZero() && msg.Sent.After(o.stoppedBy) && len(msg.Ended) < maxListedEnds
 		if !stopped && !leasesOver && !slices.ContainsFunc(msg.Ended, ended) {
 			s.orphans = append(s.orphans, o)
 		}
 	}
 }
 
+// maxListedEnds is the number of ends that a server lists at once, at most. The next lists have
+// the others.
+const maxListedEnds = 500
+
 // endMissingRuns ends runs that the lists prove not to be on the server. Lists without a run
 // prove that it isn't there if it can't be on its way and isn't being stopped, and if those
 // before lacked it, too: a server may make the list of the running tasks and that of the ends
@@ -233,6 +237,9 @@
 // server's clock read requestedAt or more.
 func (m *Model) endMissingRuns(now time.Time, s *server, msg PollResultMsg, requestedAt int64, listed map[string]bool) []Cmd {
 	var cmds []Cmd
+	if len(msg.Ended) >= maxListedEnds {
+		return nil
+	}
 	for _, r := range s.sortedRuns() {
 		if listed[r.task.Name()] {
 			continue
