pool: a run that no list has isn't kept while stops aren't accepted

Cause: such a run ends by an answered stop or by its lease. A server that refuses stops, or whose clock is odd in each answer to them, gave neither: the answers weren't used, and polls went on to extend the lease.

A server that accepts no stop for as long as a lease lasts gets no more leases.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -206,7 +206,7 @@
 	if s.phase == fenced {
 		return m.endRun(now, s, r, work.EndUnknown, ProofNone, reason)
 	}
-	r.state, r.sends, r.stopReason = stopping, 0, reason
+	r.state, r.sends, r.stopReason, r.stoppingSince = stopping, 0, reason, now
 	cmds := []Cmd{m.stopCmd(now, s, r)}
 	if reason != core.ReasonSlow {
 		cmds = append(cmds, LogCmd{
@@ -480,11 +480,14 @@
 	if s == nil {
 		return nil
 	}
+	var cmds []Cmd
 	if answeredByServer(msg.Result) {
-		if cmds := m.answered(now, s, r, msg.Sent, msg.Clock); cmds != nil {
-			return cmds
-		}
+		cmds = m.answered(now, s, r, msg.Sent, msg.Clock)
 	}
+	return append(cmds, m.stopAnswered(now, s, msg)...)
+}
+
+func (m *Model) stopAnswered(now time.Time, s *server, msg StoppedMsg) []Cmd {
 	switch msg.Result {
 	case Fenced:
 		if msg.Sent.Before(s.tokenAt) {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -43,8 +43,8 @@
 	}
 	// The lease holds for all runs on the server. It is not extended without runs of
 	// this host, or beside runs of others, so that those can expire, nor while the server
-	// doesn't answer: the end of the lease is the only proof then.
-	if s.phase == ready && len(s.runs) > 0 && s.misses == 0 {
+	// doesn't answer or accepts no stops: the end of the lease is the only proof then.
+	if s.phase == ready && len(s.runs) > 0 && s.misses == 0 && !m.stopOverdue(now, s) {
 		cmd.Deadline = m.newDeadline(now, s)
 	}
 	return []Cmd{cmd}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -51,6 +51,7 @@
 	listedBorn    int64 // start time of the process that last listed it; 0 for none
 	percent       int   // progress as last listed
 	listedAt      time.Time
+	stoppingSince time.Time // when the stop was first ordered
 	stoppedBy     time.Time // when it must have stopped, as the server answered a stop order; zero without an answer
 	missing       bool      // the latest lists lack it
 	stopReason    core.Reason
@@ -244,6 +245,16 @@
 	return s.clock + int64(math.Floor(minClockRate*float64(at.Sub(s.clockAt).Milliseconds())))
 }
 
+// stopOverdue reports whether a server has not accepted a stop for as long as its leases last.
+func (m *Model) stopOverdue(now time.Time, s *server) bool {
+	for _, r := range s.sortedRuns() {
+		if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.stoppingSince) > m.maxLease() {
+			return true
+		}
+	}
+	return false
+}
+
 // newDeadline returns the deadline for an order and records it in maxDeadline. It
 // returns 0 if no deadline is possible: the server's clock is unknown or may be that of
 // another process, or a run must have ended by now.
