pool: a start without an answer waits while its server is in doubt

Cause: in doubt there is no deadline for a start, so one without an answer was stopped as unconfirmed, and its task took longer to start elsewhere.

Change: it is repeated when the lists have decided, or abandoned after pool.give.

Evidence: TestStartStoppedInDoubt failed and passes.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -151,7 +151,7 @@
 	r.pendingStarts++
 	r.lastSent = now
 	r.deadline = max(r.deadline, deadline)
-	r.missing = false
+	r.missing, r.postponed = false, false
 	r.token = s.token
 	return []Cmd{StartCmd{
 		Server:   s.entry.ID,
@@ -469,10 +469,20 @@
 		cmds := m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect)
 		return append(append(cmds, CapacityChangedCmd{}), m.poll(now, s)...)
 	}
+	return append(m.repeatStart(now, s, r), CapacityChangedCmd{})
+}
+
+// repeatStart orders a start without an answer again, or stops the run after the time limit. It
+// waits while another process may answer.
+func (m *Model) repeatStart(now time.Time, s *server, r *run) []Cmd {
 	if now.Sub(r.firstSent) >= m.limits.StartTimeout {
-		return append(m.stopRun(now, s, r, core.ReasonReset), CapacityChangedCmd{})
+		return m.stopRun(now, s, r, core.ReasonReset)
 	}
-	return append(m.sendStart(now, s, r), CapacityChangedCmd{})
+	if !s.doubtedAt.IsZero() {
+		r.postponed = true
+		return nil
+	}
+	return m.sendStart(now, s, r)
 }
 
 func (m *Model) stopped(now time.Time, msg StoppedMsg) []Cmd {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -399,6 +399,10 @@
 			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
+			if r.state == starting && r.postponed && !r.inDoubt(s) && (s.doubtedAt.IsZero() || now.Sub(r.firstSent) >= m.limits.StartTimeout) {
+				r.postponed = false
+				cmds = append(cmds, m.repeatStart(now, s, r)...)
+			}
 			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout {
 				cmds = append(cmds, m.stopCmd(now, s, r))
 			}
--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -247,3 +247,23 @@
 		})
 	}
 }
+
+// TestStartStoppedInDoubt guards against a run that is stopped as unconfirmed because its start
+// got no answer while its server was in doubt.
+func TestStartStoppedInDoubt(t *testing.T) {
+	b := proofHarness(t, "a")
+	b.update(RunMsg{Task: taskOf("k")})
+	b.relist(reborn)
+	b.cmds = nil
+	b.update(StartedMsg{
+		Server: "a",
+		Name:   "k.0.0.0",
+		Run:    1,
+		Result: Unanswered,
+	})
+	b.update(TickMsg{})
+	assert.Equal(t, len(starts(b.cmds))+len(stops(b.cmds))+len(ends(b.cmds)), 0)
+	b.answerPoll("a", listRuns("j.0.0.0"))
+	assert.Equal(t, len(starts(b.update(TickMsg{}))), 1)
+	assert.Equal(t, len(stops(b.cmds)), 0)
+}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -46,6 +46,7 @@
 	confirmedAt   time.Time
 	deadline      int64 // latest deadline of its start orders, on the server's clock
 	token         int64 // of its latest start order
+	postponed     bool  // its start is repeated once its server isn't in doubt
 	lost          bool  // a start order got no answer and may still be carried out
 	loss          Loss  // of the process that may have run it, if it is in doubt
 	listedBorn    int64 // start time of the process that last listed it; 0 for none
