--- a/core/pool/deadly_test.go
+++ b/core/pool/deadly_test.go
@@ -79,6 +79,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			most, failed := 0, 0
 			for seed := range *seeds {
 				w := newDeadlyCluster(seed, test.faults)
@@ -205,6 +206,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			overfilled := 0
 			for seed := range *seeds {
 				w := newLoad(seed)
--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -1422,7 +1422,10 @@
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) { checkOnce(t, test.faults) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkOnce(t, test.faults)
+		})
 	}
 }
 
@@ -1548,8 +1551,12 @@
 	}
 	for _, test := range tests {
 		for _, mistaken := range []bool{false, true} {
-			test.faults.HalfOpen, test.faults.Mistaken = true, mistaken
-			t.Run(fmt.Sprint(test.name, ", mistaken: ", mistaken), func(t *testing.T) { checkOnce(t, test.faults) })
+			f := test.faults
+			f.HalfOpen, f.Mistaken = true, mistaken
+			t.Run(fmt.Sprint(test.name, ", mistaken: ", mistaken), func(t *testing.T) {
+				t.Parallel()
+				checkOnce(t, f)
+			})
 		}
 	}
 }
@@ -1624,7 +1631,10 @@
 	}
 	for _, test := range tests {
 		test.faults.HalfOpen = true
-		t.Run(test.name, func(t *testing.T) { checkOnce(t, test.faults) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkOnce(t, test.faults)
+		})
 	}
 }
 
@@ -1688,7 +1698,10 @@
 	}
 	for _, test := range tests {
 		test.faults.HalfOpen, test.faults.Mistaken = true, true
-		t.Run(test.name, func(t *testing.T) { checkSeeds(t, rare**seeds, test.faults) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkSeeds(t, rare**seeds, test.faults)
+		})
 	}
 }
 
@@ -1712,6 +1725,9 @@
 		f := test.faults
 		f.HalfOpen, f.First, f.Third, f.CutFirst = true, true, true, true
 		f.Cuts, f.MaxCut, f.LateRequest = 2, 4*time.Second, 3*time.Second
-		t.Run(test.name, func(t *testing.T) { checkSeeds(t, rare**seeds, f) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkSeeds(t, rare**seeds, f)
+		})
 	}
 }
--- a/core/pool/lifetime_test.go
+++ b/core/pool/lifetime_test.go
@@ -81,6 +81,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			done := 0
 			rapid.Check(t, func(t *rapid.T) {
 				c := test.conditions
--- a/core/pool/proof_test.go
+++ b/core/pool/proof_test.go
@@ -745,6 +745,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			const seeds = 20
 			done, jobs, twice := 0, 0, 0
 			for seed := range uint64(seeds) {
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -75,6 +75,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			done, twice := 0, 0
 			rapid.Check(t, func(t *rapid.T) {
 				c := test.conditions
