standin: the first list of a response may be made before it waits for an end

The two lists of a response were made at most 50 ms apart, after the wait. A server may make the first one when the request arrives. Behavior.EarlyList does so; TestOddServersRunTwice and the soak use it.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -557,7 +557,7 @@
 	b := soakServerBehavior
 	b.StopTime, b.Latency, b.ListGap = draw(stopTimeout), draw(maxLatency), draw(stopTimeout)
 	b.Downtime, b.Startup = draw(maxDowntime), draw(maxDowntime)
-	b.EndedFirst = rng.IntN(2) == 0
+	b.EndedFirst, b.EarlyList = rng.IntN(2) == 0, rng.IntN(4) == 0
 	b.ClockMoment, b.ClockDrag = moments[rng.IntN(len(moments))], maxClockDrag*float64(rng.IntN(2))
 	if rng.IntN(4) == 0 {
 		b.RunTime *= slowFactor
--- a/proof/twice_test.go
+++ b/proof/twice_test.go
@@ -96,7 +96,7 @@
 				StopTime:    stopTimeout,
 				ClockMoment: standin.ClockAtArrival,
 				ClockDrag:   maxClockDrag,
-				ListGap:     stopTimeout,
+				EarlyList:   true,
 			},
 			disturb: pauseServers,
 		},
