scheduler: idle hosts don't rebuild all lists 20 times a second

Each host, home or not, counts the votes every 50 ms and recomputes its servers every 500 ms. Each time it sorted all hosts, copied and filtered all rows four times over, copied the servers of the service, and hashed each server with each home, so this cost grew with hosts x log hosts and servers on every host.

What follows from the rows is computed as they are read, hosts are taken from the list that is sorted already, servers are kept by service, votes are looked up for the hosts of the own failure domain only, and a host that is no home takes no servers, so it compares none. Decisions are the same.

--- a/core/member/model.go
+++ b/core/member/model.go
@@ -426,14 +426,18 @@
 
 // Live returns the hosts that count as alive, this one included, sorted by address.
 func (m *Model) Live() []Host {
-	live := []Host{m.self}
-	for _, p := range m.peers {
-		if p.alive {
-			live = append(live, p.host)
+	live := make([]Host, 0, len(m.peers)+1)
+	self := 0
+	for _, p := range m.sorted() {
+		if !p.alive {
+			continue
+		}
+		live = append(live, p.host)
+		if p.host.Address < m.self.Address {
+			self = len(live)
 		}
 	}
-	slices.SortFunc(live, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
-	return live
+	return slices.Insert(live, self, m.self)
 }
 
 // FirstHome returns the peer address of the fittest live host in the own failure domain that is
--- a/core/owner/majority.go
+++ b/core/owner/majority.go
@@ -9,26 +9,42 @@
 	firstVotes = 3
 )
 
+// voter is a host of the failure domain whose votes are counted.
+type voter struct {
+	heard   bool // heartbeats arrive from it, and it takes no other host as the first home
+	current bool // its row is
+}
+
 // HeardVotes returns the votes of the hosts of a failure domain from which heartbeats arrive
 // and whose rows are current. A host whose own row isn't, so that others may go on without it,
 // has them only if it hears all hosts of the failure domain. Hosts that say that they take another
 // host as its first home have none: two homes that don't hear each other may both hear them.
 func (v View) HeardVotes(domain string) int {
-	heard := map[string]bool{}
+	voters := map[string]voter{}
+	for _, h := range v.Electorate {
+		if h.Domain == domain {
+			voters[h.Address] = voter{}
+		}
+	}
 	home := member.FirstHome(v.Hosts, domain)
 	for _, h := range v.Hosts {
-		heard[h.Address] = h.FirstHome == "" || home == "" || h.FirstHome == home
+		if voter, ok := voters[h.Address]; ok {
+			voter.heard = h.FirstHome == "" || home == "" || h.FirstHome == home
+			voters[h.Address] = voter
+		}
 	}
-	current := map[string]bool{}
 	for _, h := range v.Current {
-		current[h.Address] = true
+		if voter, ok := voters[h.Address]; ok {
+			voter.current = true
+			voters[h.Address] = voter
+		}
 	}
 	votes := 0
 	first := v.firstElector()
 	for _, h := range v.Electorate {
 		switch {
 		case h.Domain != domain:
-		case !heard[h.Address] || !current[h.Address]:
+		case !voters[h.Address].heard || !voters[h.Address].current:
 			if v.Unlisted {
 				return 0
 			}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -39,6 +39,9 @@
 
 // pickWeighted selects a host for a key by rendezvous hashing, weighted by cores.
 func pickWeighted(key string, hosts []member.Host) (member.Host, bool) {
+	if len(hosts) == 1 {
+		return hosts[0], true
+	}
 	var best member.Host
 	var lowest float64
 	for i, h := range hosts {
@@ -132,6 +135,10 @@
 // isolated host takes no new servers, and no host takes servers of another failure
 // domain that is alive but sends no heartbeats.
 func (v View) AssignedServers(self member.Host, owned []string, claims Claims) []listing.Server {
+	plan := v.Plan()
+	if !plan.isHome(self.Address) {
+		return nil
+	}
 	claimed := map[string]bool{}
 	for _, h := range v.Hosts {
 		if h.Address == self.Address {
@@ -141,7 +148,7 @@
 			claimed[id] = true
 		}
 	}
-	isolated, plan := v.Isolated(self.Domain), v.Plan()
+	isolated := v.Isolated(self.Domain)
 	var assigned []listing.Server
 	for _, s := range v.Servers {
 		owner, ok := plan.Owner(s)
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -58,6 +58,11 @@
 // AllHomes returns the homes of all failure domains, sorted by peer address.
 func (p Plan) AllHomes() []member.Host { return p.all }
 
+// isHome reports whether the host at an address is a home. No other host owns servers.
+func (p Plan) isHome(address string) bool {
+	return slices.ContainsFunc(p.all, func(h member.Host) bool { return h.Address == address })
+}
+
 // Home returns the home that coordinates a job submitted in a failure domain.
 func (p Plan) Home(job, domain string) (member.Host, bool) {
 	return pickWeighted(job, p.homesOrAll(domain))
--- a/io/roster/rows.go
+++ b/io/roster/rows.go
@@ -36,6 +36,9 @@
 	byName     map[string]row
 	readAt     time.Time // of the last read
 	firstRead  time.Time
+
+	// What follows from the rows as of the last read. Views share these slices.
+	live, electors, voters []listing.Host
 }
 
 // update replaces all rows. A row whose counter and address didn't change keeps its
@@ -82,6 +85,9 @@
 		}
 	}
 	hr.byName, hr.readAt = rows, now
+	hr.live = slices.Clip(hr.youngerThan(hr.staleAfter))
+	hr.electors = slices.Clip(hr.counted())
+	hr.voters = slices.Clip(hr.countedEverywhere())
 }
 
 // contains reports whether there is a row of the host at an address.
@@ -97,14 +103,16 @@
 // alive returns the hosts whose rows changed within staleAfter before the last read.
 // Age is measured to that read and not to now, so that rows don't age during an outage
 // of the store.
-func (hr *hostRows) alive() []listing.Host { return hr.youngerThan(hr.staleAfter) }
+func (hr *hostRows) alive() []listing.Host { return hr.live }
 
 // electorate returns the hosts that count for majorities: these stay longer, so that a host
 // that can't reach the store knows that it isn't counted any more before others drop it. After
 // an outage of the store they also stay until they had time to write their rows again. An
 // address counts once, as at most one process listens there; if its rows name several failure
 // domains, it counts in none of them.
-func (hr *hostRows) electorate() []listing.Host {
+func (hr *hostRows) electorate() []listing.Host { return hr.electors }
+
+func (hr *hostRows) counted() []listing.Host {
 	byAddress := map[string]listing.Host{}
 	for _, r := range hr.byName {
 		if r.unmoved >= hr.forget {
@@ -121,7 +129,9 @@
 
 // current returns those that count at all other hosts, too: these have read the rows since
 // it was new, and don't forget it yet.
-func (hr *hostRows) current() []listing.Host {
+func (hr *hostRows) current() []listing.Host { return hr.voters }
+
+func (hr *hostRows) countedEverywhere() []listing.Host {
 	return slices.DeleteFunc(hr.youngerThan(hr.unlisted), func(h listing.Host) bool {
 		seenAt := hr.byName[h.Name].seenAt
 		return !seenAt.IsZero() && hr.readAt.Sub(seenAt) < hr.outdated
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -56,11 +56,11 @@
 
 	mu                 sync.Mutex
 	shards             map[string]*Shard
-	servers            []listing.Server
-	ownershipDirty     bool                  // ownership must be recomputed
-	ownershipUpdatedAt time.Time             // when ownership was last computed
-	hostsListedAt      time.Time             // when this host's row was first seen in the list of hosts
-	plans              map[string]owner.Plan // by service, until hosts or servers change
+	servers            map[string][]listing.Server // by service; callers share the slices
+	ownershipDirty     bool                        // ownership must be recomputed
+	ownershipUpdatedAt time.Time                   // when ownership was last computed
+	hostsListedAt      time.Time                   // when this host's row was first seen in the list of hosts
+	plans              map[string]owner.Plan       // by service, until hosts or servers change
 }
 
 // New returns a Scheduler without shards.
@@ -88,7 +88,7 @@
 	if plan, ok := s.plans[service]; ok {
 		return plan
 	}
-	plan := s.config.Roster.View(s.serversOf(service)).Plan()
+	plan := s.config.Roster.View(s.servers[service]).Plan()
 	s.plans[service] = plan
 	return plan
 }
@@ -100,7 +100,7 @@
 	view := s.config.Roster.View(nil)
 	for service := range s.shards {
 		if _, ok := s.plans[service]; !ok {
-			view.Servers = s.serversOf(service)
+			view.Servers = s.servers[service]
 			s.plans[service] = view.Plan()
 		}
 	}
@@ -172,11 +172,13 @@
 
 // SetServers replaces the listed backend servers of all services.
 func (s *Scheduler) SetServers(servers []listing.Server) {
+	byService := map[string][]listing.Server{}
 	for _, server := range servers {
 		s.Shard(server.Service)
+		byService[server.Service] = append(byService[server.Service], server)
 	}
 	s.mu.Lock()
-	s.servers = servers
+	s.servers = byService
 	clear(s.plans)
 	s.mu.Unlock()
 	s.updateOwnership()
@@ -186,17 +188,7 @@
 func (s *Scheduler) Servers(service string) []listing.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.serversOf(service)
-}
-
-func (s *Scheduler) serversOf(service string) []listing.Server {
-	var servers []listing.Server
-	for _, server := range s.servers {
-		if server.Service == service {
-			servers = append(servers, server)
-		}
-	}
-	return servers
+	return s.servers[service]
 }
 
 // refreshOwnership recomputes which servers this host owns after a change, and
