--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -26,8 +26,9 @@
 
 // Capacity returns the free and the total capacity at the given time.
 func (m *Model) Capacity(now time.Time) Capacity {
-	var capacity Capacity
-	for _, s := range m.sortedServers() {
+	servers := m.sortedServers()
+	capacity := Capacity{Slots: make([]Slot, 0, len(servers))}
+	for _, s := range servers {
 		if !m.acceptsWork(now, s) {
 			continue
 		}
--- a/io/scheduler/homes_cost_test.go
+++ b/io/scheduler/cost_test.go
@@ -10,6 +10,8 @@
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
+	"rosemarywalk/core/pool"
+	"rosemarywalk/core/work"
 )
 
 // newLargeScheduler returns the scheduler of the last of 96 hosts in six failure domains, which
@@ -82,3 +84,27 @@
 		}
 	}
 }
+
+// TestClockReadPerOrder guards against a system call for the time with each order to start a
+// run, which has the time of the messages that led to it.
+func TestClockReadPerOrder(t *testing.T) {
+	s := newShard(&fakeServer{starts: make(chan string, 1)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, reads := s.now, 0
+	defer func() { s.now = now }()
+	s.now = func() time.Time {
+		reads++
+		return now()
+	}
+	effects := s.process(now(), []any{pool.RunMsg{
+		Task: work.Task{
+			Job:      "j",
+			Size:     work.Size{CPU: 500},
+			Deadline: now().Add(time.Hour),
+		},
+		Owner: ownerSelf,
+	}})
+	assert.Assert(t, len(effects) >= 2, "the log line and the order")
+	assert.Equal(t, reads, 0)
+}
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -130,7 +130,7 @@
 		switch msg := msg.(type) {
 		case pool.Msg:
 			for _, cmd := range s.pool.Update(now, msg) {
-				more, run, changed := s.runPoolCmd(cmd)
+				more, run, changed := s.runPoolCmd(now, cmd)
 				msgs, effects = append(msgs, more...), append(effects, run...)
 				capacityChanged = capacityChanged || changed
 			}
@@ -145,11 +145,11 @@
 }
 
 // runPoolCmd turns a command of the pool into messages and effects.
-func (s *Shard) runPoolCmd(cmd pool.Cmd) (msgs []any, run []effect, capacityChanged bool) {
+func (s *Shard) runPoolCmd(now time.Time, cmd pool.Cmd) (msgs []any, run []effect, capacityChanged bool) {
 	switch cmd := cmd.(type) {
 	case pool.StartCmd:
 		s.counters.Started()
-		return nil, append(s.logOrder(cmd), func() { go s.start(cmd) }), false
+		return nil, append(s.logOrder(now, cmd), func() { go s.start(cmd) }), false
 	case pool.StopCmd:
 		return nil, []effect{func() { go s.stop(cmd) }}, false
 	case pool.PollCmd:
@@ -187,7 +187,7 @@
 }
 
 // logOrder logs the first order to start a run.
-func (s *Shard) logOrder(cmd pool.StartCmd) []effect {
+func (s *Shard) logOrder(now time.Time, cmd pool.StartCmd) []effect {
 	if cmd.Repeated {
 		return nil
 	}
@@ -196,16 +196,16 @@
 		"for", cmd.Owner, "server", cmd.Server, "born", cmd.Born, "token", cmd.Token, "deadline", cmd.Deadline,
 	}
 	if cmd.Owner == ownerSelf {
-		fields = append(fields, s.historyFields(cmd.Task.Job)...)
+		fields = append(fields, s.historyFields(now, cmd.Task.Job)...)
 	}
 	return []effect{func() { s.log.Info("run ordered", fields...) }}
 }
 
 // historyFields returns log fields with what this home assumes about earlier attempts at a job
 // as it starts a task of it. The caller holds s.mu.
-func (s *Shard) historyFields(job string) []any {
-	first, guessed := s.jobs.IsFirst(s.now(), job)
-	return []any{"first", first, "guessed", guessed, "majority", s.jobs.HasMajority(s.now(), job)}
+func (s *Shard) historyFields(now time.Time, job string) []any {
+	first, guessed := s.jobs.IsFirst(now, job)
+	return []any{"first", first, "guessed", guessed, "majority", s.jobs.HasMajority(now, job)}
 }
 
 // logRunEnd logs the end of a run, and counts it if the run did not complete.
@@ -225,7 +225,7 @@
 	case schedule.RunCmd:
 		if cmd.Host != s.self {
 			decided := s.now()
-			fields := append([]any{"job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run, "to", cmd.Host}, s.historyFields(cmd.Task.Job)...)
+			fields := append([]any{"job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run, "to", cmd.Host}, s.historyFields(decided, cmd.Task.Job)...)
 			return nil, []effect{func() {
 				s.log.Info("run lent", fields...)
 				go s.lend(cmd, decided)
