schedule: jobs that await other homes ask for no reports of capacity

A home with any queued job asked its partners for a report of their free capacity every 25 ms instead of every 200 ms. Since jobs wait until other homes have acknowledged them, one is queued nearly always, so all homes reported to each other 40 times a second: more than half of all bytes on links between homes, and the decoding of 70 servers or so each time.

Now a home asks if a queued job waits for capacity, or if the jobs that await acknowledgements won't all fit into its own pool then.

--- a/core/schedule/capacity.go
+++ b/core/schedule/capacity.go
@@ -56,6 +56,22 @@
 	return sum
 }
 
+// LacksCapacity reports whether jobs wait here for capacity. Those that only wait until the other
+// homes have acknowledged them don't, if the own pool has room for all of them then.
+func (m *Model) LacksCapacity(now time.Time) bool {
+	var size work.Size
+	backlog := 0
+	for _, j := range m.queue {
+		if !m.awaitsAcknowledgement(now, j) {
+			return true
+		}
+		size = size.Max(j.largest())
+		backlog += j.backlog
+	}
+	own := m.pools[m.self]
+	return backlog > 0 && (own == nil || backlog > own.usable(size))
+}
+
 // bestSlot returns the index of the slot with the least free CPU that a task fits into,
 // or -1. Slow slots are used last.
 func (p *poolView) bestSlot(t work.Task) int {
--- a/core/schedule/report_test.go
+++ b/core/schedule/report_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -218,3 +219,69 @@
 		})
 	}
 }
+
+// TestAwaitingJobAsksForReports guards against frequent reports of the capacity of other hosts
+// while jobs only wait until other homes have acknowledged them.
+func TestAwaitingJobAsksForReports(t *testing.T) {
+	tests := []struct {
+		name     string
+		tasks    []int // of each job; the own pool fits eight
+		requires string
+		answered bool // by the other home
+		want     bool
+	}{
+		{
+			name: "no job",
+		},
+		{
+			name:  "the own pool has room",
+			tasks: []int{4, 4},
+		},
+		{
+			name:  "it has room for one of them only",
+			tasks: []int{4, 5},
+			want:  true,
+		},
+		{
+			name:     "acknowledged, and started",
+			tasks:    []int{4},
+			answered: true,
+		},
+		{
+			name:     "acknowledged, and no server fits",
+			tasks:    []int{1},
+			requires: "label that no server has",
+			answered: true,
+			want:     true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.limits.ShortJob = time.Second
+			m.Update(epoch, HomesMsg{
+				Hosts:   []string{otherHome},
+				Domains: map[string]string{otherHome: "d"},
+				Member:  true,
+			})
+			m.Update(epoch, AnnouncedMsg{
+				Host:     otherHome,
+				Complete: true,
+			})
+			for i, tasks := range test.tasks {
+				j := jobOf(fmt.Sprint(i), tasks)
+				j.Slack, j.Steps[0].Requires = time.Second, test.requires
+				assert.Equal(t, len(runs(m.Update(epoch, submit(j)))), 0)
+				if test.answered {
+					m.Update(epoch, AcknowledgedMsg{
+						Host:   otherHome,
+						Jobs:   []string{j.ID},
+						SentAt: epoch,
+						Age:    time.Hour,
+					})
+				}
+			}
+			assert.Equal(t, m.LacksCapacity(epoch), test.want)
+		})
+	}
+}
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -333,7 +333,7 @@
 			Suspect: optional(slot.Suspect),
 		})
 	}
-	report.Need = float64(free) < lowCapacityRatio*float64(capacity.TotalCPU) || s.jobs.Queued() > 0
+	report.Need = float64(free) < lowCapacityRatio*float64(capacity.TotalCPU) || s.jobs.LacksCapacity(now)
 	return report
 }
 
