schedule: a tick doesn't visit all retained outcomes

A home visited the outcomes of all jobs that ended in the last 5 s, about 1000 at 200 jobs/s, every 10 ms. They are deleted in the order in which they were added now, at the same times.

--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -88,10 +88,7 @@
 	}
 	switch outcome.State {
 	case work.Completed, work.Failed, work.Canceled:
-		m.finished[j.ID] = finishedJob{
-			outcome:   outcome,
-			expiresAt: now.Add(m.limits.OutcomeRetention),
-		}
+		m.retain(now, j.ID, outcome)
 	case work.Refused, work.Broken, work.Elsewhere:
 		// The outcome isn't retained, so that a resubmitted job runs.
 	}
@@ -181,18 +178,31 @@
 	}
 	if _, ok := m.finished[msg.ID]; !ok {
 		// The submission may still be in transit; it must not start.
-		m.finished[msg.ID] = finishedJob{
-			outcome:   outcome,
-			expiresAt: now.Add(m.limits.OutcomeRetention),
-		}
+		m.retain(now, msg.ID, outcome)
 	}
 	return nil
 }
 
-// expireOutcomes deletes the outcomes that need no longer be retained for resubmissions.
+// retain keeps the outcome of a job for resubmissions.
+func (m *Model) retain(now time.Time, id string, outcome work.Outcome) {
+	f := finishedJob{
+		outcome:   outcome,
+		expiresAt: now.Add(m.limits.OutcomeRetention),
+	}
+	m.finished[id] = f
+	m.retained = append(m.retained, retention{
+		id:        id,
+		expiresAt: f.expiresAt,
+	})
+}
+
+// expireOutcomes deletes the outcomes that need no longer be retained for resubmissions. An
+// outcome that replaced another one is retained by itself.
 func (m *Model) expireOutcomes(now time.Time) {
-	for id, f := range m.finished {
-		if now.After(f.expiresAt) {
+	for len(m.retained) > 0 && now.After(m.retained[0].expiresAt) {
+		id := m.retained[0].id
+		m.retained = m.retained[1:]
+		if now.After(m.finished[id].expiresAt) {
 			delete(m.finished, id)
 		}
 	}
--- a/core/schedule/fleet_test.go
+++ b/core/schedule/fleet_test.go
@@ -389,7 +389,7 @@
 		for _, s := range capacity.Slots {
 			free += s.Free.CPU
 		}
-		need := free < capacity.TotalCPU/5 || h.model.Queued() > 0
+		need := free < capacity.TotalCPU/5 || h.model.LacksCapacity(now)
 		var partners []string
 		for _, o := range r.homes {
 			if o != h {
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -36,6 +36,12 @@
 	expiresAt time.Time
 }
 
+// retention is until when an outcome is retained.
+type retention struct {
+	id        string // of the job
+	expiresAt time.Time
+}
+
 // Model is the scheduler of the jobs of one service that this host coordinates.
 type Model struct {
 	limits   Limits
@@ -47,6 +53,7 @@
 	hosts    []string               // keys of pools, sorted
 	runTimes map[string]runTimes    // by route
 	finished map[string]finishedJob // by job ID
+	retained []retention            // of finished, oldest first
 	demands  map[string]demand      // by route
 
 	startedAt     time.Time               // of the first message
