--- a/io/telemetry/writer_test.go
+++ b/io/telemetry/writer_test.go
@@ -1,7 +1,9 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +36,43 @@
 	assert.NilError(t, dropped.Write(&m))
 	assert.Assert(t, m.Counter.GetValue() >= maxQueuedLines-1, m.Counter.GetValue())
 }
+
+// blockedOutput records writes, each of which waits until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	writes  chan string
+}
+
+func (o *blockedOutput) Write(batch []byte) (int, error) {
+	<-o.release
+	o.writes <- string(batch)
+	return len(batch), nil
+}
+
+// TestWritePerLine guards against a write for each of the lines that wait together, and checks
+// that none is lost or moved.
+func TestWritePerLine(t *testing.T) {
+	const lines = 100
+	out := &blockedOutput{
+		release: make(chan struct{}),
+		writes:  make(chan string, lines),
+	}
+	w := newWriter(out, prometheus.NewCounter(prometheus.CounterOpts{Name: "dropped"}))
+	var want strings.Builder
+	for i := range lines {
+		line := fmt.Sprintln(i)
+		want.WriteString(line)
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	close(out.release)
+	var got strings.Builder
+	writes := 0
+	for ; got.Len() < want.Len(); writes++ {
+		got.WriteString(<-out.writes)
+	}
+	assert.Equal(t, got.String(), want.String())
+	assert.Assert(t, writes <= 2, "%d", writes)
+	w.drain()
+	assert.Equal(t, w.waiting.Load(), int64(0))
+}
