member: rank and first home without a list of all hosts

A host copied all live hosts 30 times a second to see whether it must read the store's lists, and sorted those of its failure domain, and 10 times a second to name its first home. It goes through those of its own failure domain instead.

--- a/core/member/model.go
+++ b/core/member/model.go
@@ -442,7 +442,41 @@
 
 // FirstHome returns the peer address of the fittest live host in the own failure domain that is
 // not shutting down, or "".
-func (m *Model) FirstHome() string { return FirstHome(m.Live(), m.self.Domain) }
+func (m *Model) FirstHome() string {
+	var first Host
+	for _, h := range m.ownDomain() {
+		if first.Address == "" || CompareFitness(h, first) < 0 {
+			first = h
+		}
+	}
+	return first.Address
+}
+
+// DomainRank returns this host's rank by fitness among the live hosts of its failure domain that
+// are not shutting down, and their number. A host that is shutting down has rank 0.
+func (m *Model) DomainRank() (rank, hosts int) {
+	domain := m.ownDomain()
+	for _, h := range domain {
+		if !m.self.Stopping && CompareFitness(h, m.self) < 0 {
+			rank++
+		}
+	}
+	return rank, len(domain)
+}
+
+// ownDomain returns the live hosts of the own failure domain that are not shutting down.
+func (m *Model) ownDomain() []Host {
+	var hosts []Host
+	if !m.self.Stopping {
+		hosts = append(hosts, m.self)
+	}
+	for _, p := range m.sorted() {
+		if p.alive && p.host.Domain == m.self.Domain && !p.host.Stopping {
+			hosts = append(hosts, p.host)
+		}
+	}
+	return hosts
+}
 
 // Holders returns the hosts that may hold tasks: this one, and all others, alive or
 // silent, that have not announced a shutdown. A silent host may only be partitioned
--- a/io/roster/lists.go
+++ b/io/roster/lists.go
@@ -31,30 +31,26 @@
 	role listing.ReaderRole
 }
 
-// rankInDomain returns this host's rank among the hosts of its failure domain that are
-// not stopping, and those hosts. A host that is stopping has rank 0.
-func (l *listSharer) rankInDomain() (rank int, domain []member.Host) {
+// domain returns the hosts of this host's failure domain that are not stopping.
+func (l *listSharer) domain() []member.Host {
 	self := l.roster.Self()
-	domain = slices.DeleteFunc(l.roster.Live(), func(h member.Host) bool {
+	return slices.DeleteFunc(l.roster.Live(), func(h member.Host) bool {
 		return h.Domain != self.Domain || h.Stopping
 	})
-	slices.SortFunc(domain, member.CompareFitness)
-	rank = slices.IndexFunc(domain, func(h member.Host) bool { return h.Address == self.Address })
-	return max(0, rank), domain
 }
 
 // shouldRead reports whether this host reads the store's lists itself.
 func (l *listSharer) shouldRead() bool {
-	rank, domain := l.rankInDomain()
+	rank, hosts := l.roster.domainRank()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.role.ShouldRead(time.Now(), rank, len(domain))
+	return l.role.ShouldRead(time.Now(), rank, hosts)
 }
 
 // publishUpdate sends an update to the other hosts of the failure domain, unless the
 // domain is so small that each host reads the lists itself.
 func (l *listSharer) publishUpdate(n watch.Update) {
-	_, domain := l.rankInDomain()
+	domain := l.domain()
 	l.mu.Lock()
 	shared := l.role.IsShared(len(domain))
 	l.mu.Unlock()
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -100,6 +100,14 @@
 	return r.model.Live()
 }
 
+// domainRank returns this host's rank by fitness among the live hosts of its failure domain that
+// are not stopping, and their number. A host that is stopping has rank 0.
+func (r *Roster) domainRank() (rank, hosts int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.model.DomainRank()
+}
+
 // View returns the live hosts and the given servers, to choose homes and owners.
 func (r *Roster) View(servers []listing.Server) owner.View {
 	r.mu.Lock()
