loop: periodic work of a process starts together

Heartbeats, checks of the reader's role, pings of each link and ticks of the scheduler had timers of their own phase, each of which woke the process. They start at multiples of their periods since the process started, never later than before: the first wait is the shorter one.

--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -15,15 +15,22 @@
 	lc.Append(fx.StartStopHook(func() { go f(ctx) }, func() { cancel() }))
 }
 
-// Every calls f immediately and then once per period, until ctx ends.
+// Every calls f immediately and then at each multiple of a period, until ctx ends.
 func Every(ctx context.Context, period time.Duration, f func(ctx context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		f(ctx)
+		timer.Reset(Next(period))
 		select {
 		case <-ctx.Done():
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
+
+var started = time.Now()
+
+// Next returns the time until the next multiple of a period since the process started. Periodic
+// work of several parts that starts then wakes the process once, not once for each part.
+func Next(period time.Duration) time.Duration { return period - time.Since(started)%period }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"rosemarywalk/io/clock"
+	"rosemarywalk/io/loop"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -201,7 +202,7 @@
 			case <-l.wake:
 			}
 		}
-		timer.Reset(l.pingTimeout / 2)
+		timer.Reset(loop.Next(l.pingTimeout / 2))
 		select {
 		case <-l.done:
 			return
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"rosemarywalk/io/loop"
 )
 
 // minOwnershipInterval is the minimum time between computations of ownership, so that a
@@ -25,7 +27,7 @@
 		if idle {
 			period, wake = idleInterval, s.wakeUp
 		}
-		timer.Reset(period)
+		timer.Reset(loop.Next(period))
 		select {
 		case <-ctx.Done():
 			return
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -13,6 +13,7 @@
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/route"
+	"rosemarywalk/io/loop"
 )
 
 // Watcher keeps the latest known configuration, backend servers and hosts.
@@ -163,7 +164,7 @@
 			// Updates from other hosts carry no position in this list, so the next
 			// read needs the full list.
 			position = 0
-			sleep(ctx, roleCheckInterval)
+			sleep(ctx, loop.Next(roleCheckInterval))
 			continue
 		}
 		next, err := read(ctx, position)
