--- a/core/member/model.go
+++ b/core/member/model.go
@@ -426,19 +426,57 @@
 
 // Live returns the hosts that count as alive, this one included, sorted by address.
 func (m *Model) Live() []Host {
-	live := []Host{m.self}
-	for _, p := range m.peers {
-		if p.alive {
-			live = append(live, p.host)
+	live := make([]Host, 0, len(m.peers)+1)
+	self := 0
+	for _, p := range m.sorted() {
+		if !p.alive {
+			continue
+		}
+		live = append(live, p.host)
+		if p.host.Address < m.self.Address {
+			self = len(live)
 		}
 	}
-	slices.SortFunc(live, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
-	return live
+	return slices.Insert(live, self, m.self)
 }
 
 // FirstHome returns the peer address of the fittest live host in the own failure domain that is
 // not shutting down, or "".
-func (m *Model) FirstHome() string { return FirstHome(m.Live(), m.self.Domain) }
+func (m *Model) FirstHome() string {
+	var first Host
+	for _, h := range m.ownDomain() {
+		if first.Address == "" || CompareFitness(h, first) < 0 {
+			first = h
+		}
+	}
+	return first.Address
+}
+
+// DomainRank returns this host's rank by fitness among the live hosts of its failure domain that
+// are not shutting down, and their number. A host that is shutting down has rank 0.
+func (m *Model) DomainRank() (rank, hosts int) {
+	domain := m.ownDomain()
+	for _, h := range domain {
+		if !m.self.Stopping && CompareFitness(h, m.self) < 0 {
+			rank++
+		}
+	}
+	return rank, len(domain)
+}
+
+// ownDomain returns the live hosts of the own failure domain that are not shutting down.
+func (m *Model) ownDomain() []Host {
+	var hosts []Host
+	if !m.self.Stopping {
+		hosts = append(hosts, m.self)
+	}
+	for _, p := range m.sorted() {
+		if p.alive && p.host.Domain == m.self.Domain && !p.host.Stopping {
+			hosts = append(hosts, p.host)
+		}
+	}
+	return hosts
+}
 
 // Holders returns the hosts that may hold tasks: this one, and all others, alive or
 // silent, that have not announced a shutdown. A silent host may only be partitioned
