schedule: an acknowledgement dispatches only if a job can start by it

A new job waits for the acknowledgements of all other homes. Each of them passed over the whole queue, although only the last one lets the job start.

Change: the queue is passed over when a job ceases to wait by the answer.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -270,7 +270,7 @@
 		}
 	}
 	var acknowledged []*job
-	awaited := false // by a job that hasn't started
+	startable := false // a job that waited for this answer
 	for _, id := range msg.Jobs {
 		j := m.jobs[id]
 		if _, known := m.homes[msg.Host]; !known || j == nil || !msg.SentAt.After(j.answers[msg.Host].sentAt) {
@@ -279,15 +279,16 @@
 		if j.answers == nil {
 			j.answers = map[string]answer{}
 		}
-		awaited = awaited || m.awaitsAcknowledgement(now, j)
+		awaited := m.awaitsAcknowledgement(now, j)
 		a := j.answers[msg.Host]
 		a.sentAt = msg.SentAt
 		a.votes, a.knows = msg.Votes, !m.isNew(msg.Age) && (m.limits.MajorityWait == 0 || msg.HomeFor >= m.limits.AnnouncementTTL)
 		j.answers[msg.Host] = a
+		startable = startable || (awaited && !m.awaitsAcknowledgement(now, j))
 		acknowledged = append(acknowledged, j)
 	}
 	cmds = append(cmds, m.reconfirm(now, acknowledged...)...)
-	if awaited {
+	if startable {
 		cmds = append(cmds, m.dispatch(now)...)
 	}
 	return cmds
