scheduler: new jobs that come close together share a frame to each home

Each new job was announced to each other home in a frame of its own, and acknowledged by another one.

Change: the first job is announced at once, and those that come within 5 ms after a frame go together into the next one. A job waits 5 ms at most. Which jobs are announced to whom stays as it is, and so do the time limits: an acknowledgement still counts from when the frame was sent. Nothing changes on the wire.

--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -154,7 +154,10 @@
 		reattach:     s.config.Reattach,
 	}
 	shard.shareLoss = func(msg schedule.LossMsg) { s.shareLoss(service, msg) }
-	shard.announce = func(cmd schedule.AnnounceCmd) { s.announceJobs(shard, s.config.Now(), []string{cmd.Job}) }
+	shard.announcer = &announcer{
+		now:  s.config.Now,
+		send: func(jobs []string) { s.announceJobs(shard, s.config.Now(), jobs) },
+	}
 	return shard
 }
 
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -53,7 +53,7 @@
 	now          func() time.Time
 	wake         func() // called when the shard needs ticks
 	ask          func(schedule.AskCmd)
-	announce     func(schedule.AnnounceCmd)
+	announcer    *announcer
 	shareLoss    func(schedule.LossMsg)
 	counters     *telemetry.Counters
 	log          logr.Logger
@@ -257,7 +257,7 @@
 			At:    cmd.At,
 		}}, nil
 	case schedule.AnnounceCmd:
-		return nil, []effect{func() { s.announce(cmd) }}
+		return nil, []effect{func() { s.announcer.add(cmd.Job) }}
 	case schedule.AskCmd:
 		return nil, []effect{func() { go s.ask(cmd) }}
 	case schedule.LogCmd:
