schedule: spare capacity isn't summed up for jobs that wait for acknowledgements

In an overload late jobs queue while they wait for the acknowledgements of other homes. Each pass over the queue, one for each message, summed up the free capacity of all backend servers for each of them, before it saw that the job mustn't start yet. So the work grew with the queue, and the queue with the work.

Change: whether there is spare capacity for a late job is asked last. A late job that mustn't start yet holds back no other one that may.

Test: TestUnacknowledgedHoldsBackOthers.

--- a/core/schedule/announce_test.go
+++ b/core/schedule/announce_test.go
@@ -1320,3 +1320,31 @@
 		assert.Check(t, len(r.twice) == 0, "seed %d: %v", seed, r.twice)
 	}
 }
+
+// TestUnacknowledgedHoldsBackOthers guards against a late job that waits for an acknowledgement,
+// and keeps the late jobs behind it from capacity that suffices for these.
+func TestUnacknowledgedHoldsBackOthers(t *testing.T) {
+	const large, small, free, total, fraction = 16000, 1000, 24000, 32000, 0.6
+	m := newAnnouncingModel(self)
+	m.limits.ShortJob, m.limits.DemotedFreeFraction = bounds.ShortJob, fraction
+	m.Update(epoch, HomesMsg{Hosts: []string{otherHome}})
+	capacity := poolWith(1)
+	capacity.TotalCPU, capacity.Slots[0].Free.CPU = total, free
+	m.Update(epoch, CapacityMsg{
+		Host:     self,
+		Capacity: capacity,
+	})
+	for id, cpu := range []int{large, small} {
+		job := jobOf(strconv.Itoa(id), 1)
+		job.First, job.Slack, job.Steps[0].Size.CPU = true, time.Second, cpu
+		assert.Equal(t, len(runs(m.Update(epoch, submit(job)))), 0)
+		m.demote(m.jobs[job.ID])
+	}
+	started := runs(m.Update(epoch, AcknowledgedMsg{
+		Host:   otherHome,
+		Jobs:   []string{"1"},
+		SentAt: epoch,
+	}))
+	assert.Equal(t, len(started), 1)
+	assert.Equal(t, started[0].Task.Job, "1")
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -284,9 +284,6 @@
 	var cmds []Cmd
 	var unplaced unplaceable
 	for _, j := range m.queue {
-		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
-			break
-		}
 		if !m.isEligible(now, j) {
 			continue
 		}
@@ -299,6 +296,9 @@
 		if m.awaitsAcknowledgement(now, j) {
 			continue
 		}
+		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
+			break
+		}
 		for _, t := range j.tasks {
 			if !j.runnable(now, t) {
 				continue
