schedule: the homes of each failure domain are grouped once

Each acknowledgement counts votes for each of its jobs, and each pass over the queue for each job that needs a majority. Each count built a map of the failure domains.

Change: the other homes are grouped by failure domain when they change. The votes that are counted stay the same; the existing tests cover them.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -312,6 +312,9 @@
 		}
 	}
 	m.homes, m.homesKnown = homes, true
+	if changed {
+		m.homesByDomain = groupByDomain(homes)
+	}
 	for _, home := range added {
 		m.heardAt[home] = now
 	}
--- a/core/schedule/majority.go
+++ b/core/schedule/majority.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -34,18 +35,34 @@
 // ownVotes reports whether this host counts the votes of its failure domain itself: it is a
 // home, or there is none, as when the last host of a failure domain stops.
 func (m *Model) ownVotes() bool {
-	for _, domain := range m.homes {
-		if domain == m.domain {
+	for _, homes := range m.homesByDomain {
+		if m.homes[homes[0]] == m.domain {
 			return m.member
 		}
 	}
 	return true
 }
 
+// groupByDomain returns the homes of each failure domain, given the domain of each.
+func groupByDomain(domains map[string]string) [][]string {
+	var groups [][]string
+	index := map[string]int{}
+	for _, home := range slices.Sorted(maps.Keys(domains)) {
+		i, ok := index[domains[home]]
+		if !ok {
+			i = len(groups)
+			index[domains[home]] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], home)
+	}
+	return groups
+}
+
 // votesByDomain returns the votes of the failure domains, the own one first if this host counts
 // these itself. All homes of another failure domain must vote for this one.
 func (m *Model) votesByDomain(of func(home string) domainVotes) []domainVotes {
-	var all []domainVotes
+	all := make([]domainVotes, 0, 1+len(m.homesByDomain))
 	own := m.ownVotes()
 	if own {
 		all = append(all, domainVotes{
@@ -53,22 +70,19 @@
 			at:    m.votedAt,
 		})
 	}
-	domains := map[string]domainVotes{}
-	for home, domain := range m.homes {
-		if own && domain == m.domain {
+	for _, homes := range m.homesByDomain {
+		if own && m.homes[homes[0]] == m.domain {
 			continue
 		}
-		v := of(home)
-		if other, ok := domains[domain]; ok {
-			v.votes = min(v.votes, other.votes)
-			if other.at.Before(v.at) {
-				v.at = other.at
+		votes := of(homes[0])
+		for _, home := range homes[1:] {
+			v := of(home)
+			votes.votes = min(votes.votes, v.votes)
+			if v.at.Before(votes.at) {
+				votes.at = v.at
 			}
 		}
-		domains[domain] = v
-	}
-	for _, v := range domains {
-		all = append(all, v)
+		all = append(all, votes)
 	}
 	return all
 }
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -57,6 +57,7 @@
 	suspects      suspects
 	submissions   int               // number of jobs submitted so far
 	homes         map[string]string // failure domains of the other homes
+	homesByDomain [][]string        // the other homes of each failure domain
 	homesKnown    bool              // homes was set
 
 	unansweredSince map[string]time.Time // when the first announcement was made that a home has not answered, by home
