--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -64,6 +64,7 @@
 	suspects      suspects
 	submissions   int               // number of jobs submitted so far
 	homes         map[string]string // failure domains of the other homes
+	homesByDomain [][]string        // the other homes of each failure domain
 	homesKnown    bool              // homes was set
 
 	unansweredSince map[string]time.Time // when the first announcement was made that a home has not answered, by home
@@ -291,9 +292,6 @@
 	var cmds []Cmd
 	var unplaced unplaceable
 	for _, j := range m.queue {
-		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
-			break
-		}
 		if !m.isEligible(now, j) {
 			continue
 		}
@@ -306,6 +304,9 @@
 		if m.awaitsAcknowledgement(now, j) {
 			continue
 		}
+		if j.demoted && !j.started && !m.hasSpare(j.largest()) {
+			break
+		}
 		for _, t := range j.tasks {
 			if !j.runnable(now, t) {
 				continue
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -53,7 +53,8 @@
 
 	// Held while the homes are passed to the shards, so that an earlier view can't replace a
 	// later one.
-	homesUpdate sync.Mutex
+	homesUpdate    sync.Mutex
+	homesUpdatedAt time.Time // when they were last passed
 
 	mu                 sync.Mutex
 	shards             map[string]*Shard
@@ -156,7 +157,10 @@
 		reattach:     s.config.Reattach,
 	}
 	shard.shareLoss = func(msg schedule.LossMsg) { s.shareLoss(service, msg) }
-	shard.announce = func(cmd schedule.AnnounceCmd) { s.announceJobs(shard, s.config.Now(), []string{cmd.Job}) }
+	shard.announcer = &announcer{
+		now:  s.config.Now,
+		send: func(jobs []string) { s.announceJobs(shard, s.config.Now(), jobs) },
+	}
 	return shard
 }
 
