--- a/io/scheduler/announcer.go
+++ b/io/scheduler/announcer.go
@@ -7,7 +7,7 @@
 
 // announceGap is the shortest time between two frames to a home that announce new jobs of a
 // shard. A job waits that long at most before it is announced.
-const announceGap = 3 * time.Millisecond
+const announceGap = 2 * time.Millisecond
 
 // announcer collects the jobs of a shard that are to be announced at once: those that come
 // close together share one frame to each other home.
