schedule: a home whose process was paused counts as a new one

Cause: a home that was paused misses what other homes announce meanwhile. When it continues it asks the homes it knows for their jobs, but not one of its own failure domain that is shutting down, and its own votes counted at once, as for one that had heard everything.

Change: after a pause that counts as a stall, a home is as young as one that has just become a home: its own failure domain's votes count for its jobs, and those it gives for others, when all runs that it may not know are over.

Evidence: TestStalledHomeStartsUnheardJob failed and passes.

--- a/core/schedule/majority_test.go
+++ b/core/schedule/majority_test.go
@@ -802,3 +802,28 @@
 	assert.Equal(t, len(answers(send("later"))), 0)
 	assert.Equal(t, len(runs(acknowledge("later", owner.HostVotes))), 1)
 }
+
+// TestStalledHomeStartsUnheardJob guards against a second run of a job at a home whose process was
+// paused while a home of its own failure domain that has left since announced the first one.
+func TestStalledHomeStartsUnheardJob(t *testing.T) {
+	m, homes := newVotingModel(1)
+	m.Update(epoch, homes)
+	m.Update(epoch, StallMsg{})
+	job := jobOf("j", 1)
+	job.Slack, job.Deadline = time.Minute, epoch.Add(time.Minute)
+	msg := submit(job)
+	msg.ConfirmedAt = epoch
+	started := len(runs(m.Update(epoch, msg)))
+	for at := epoch; at.Before(epoch.Add(bounds.AnnouncementTTL + 100*time.Millisecond)); at = at.Add(100 * time.Millisecond) {
+		cmds := m.Update(at, ConfirmMsg{Callers: []Confirmation{{
+			Caller: msg.Caller,
+			At:     at,
+		}}})
+		cmds = append(cmds, m.Update(at, homes)...)
+		cmds = append(cmds, m.Update(at, TickMsg{})...)
+		if started += len(runs(cmds)); at.Sub(epoch) < bounds.AnnouncementTTL {
+			assert.Equal(t, started, 0)
+		}
+	}
+	assert.Equal(t, started, 1)
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -145,6 +145,8 @@
 	case LentEndMsg:
 		m.recordLentEnd(now, msg)
 	case StallMsg:
+		// It may have missed what homes announced that have left since, as a new home has.
+		m.memberSince = now
 		return append(m.giveUpRemote(now), m.ask(now)...)
 	case TickMsg:
 		m.expireOutcomes(now)
