--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -208,7 +208,7 @@
 	return least, most
 }
 
-// describeClock tells what a reading of the clock shows beside what is known, for the log.
+// describeClock describes a reading of the clock beside the expected one, for the log.
 func (s *server) describeClock(now, sent time.Time, clock int64) string {
 	least, most := s.clockRange(now, sent)
 	return fmt.Sprintf("by its clock, %d in an answer after %s, expected %d to %d, read %d %s ago",
