core/schedule: runs whose end is unknown outlast the slowest clock

Without resubmit, or with leases longer than an announcement counts, a job could be started while a run of it whose end was unknown still held its lease: the home counted the lease by its own clock, and a server's may be 2 % slow. Own and lent runs now count as ended when the longest lease is over on the slowest clock allowed.

TestUnknownEndOnSlowClock failed before, for own and for lent runs.

--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 		return nil
 	}
 	if msg.End == work.EndUnknown {
-		expired := now.Add(max(m.limits.MaxLease, m.limits.AnnouncementTTL))
+		expired := m.unknownExpiry(now)
 		if endsAt.IsZero() || expired.Before(endsAt) {
 			e.runs[name] = expired
 		}
@@ -58,6 +59,13 @@
 	return m.submitDeferred(now, msg.Task.Job)
 }
 
+// unknownExpiry returns when a run counts as ended whose end is unknown since now: its lease is
+// over on the slowest clock allowed, and other homes don't count the job as announced any more.
+func (m *Model) unknownExpiry(now time.Time) time.Time {
+	lease := time.Duration(math.Ceil(float64(m.limits.MaxLease) / (1 - maxClockDrift)))
+	return now.Add(max(lease, m.limits.AnnouncementTTL))
+}
+
 // submitDeferred submits a job again to this home once all of its runs have ended.
 func (m *Model) submitDeferred(now time.Time, id string) []Cmd {
 	e := m.ending[id]
--- a/core/schedule/ending_test.go
+++ b/core/schedule/ending_test.go
@@ -226,3 +226,48 @@
 		})
 	}
 }
+
+// TestUnknownEndOnSlowClock guards against a job that is started while a run of it whose end is
+// unknown still holds its lease, as its server's clock is slow.
+func TestUnknownEndOnSlowClock(t *testing.T) {
+	const lease = 2 * announcementTTL
+	slow := epoch.Add(lease + 2*lease/98)
+	tests := []struct {
+		name string
+		end  func(m *Model)
+		held func(m *Model, now time.Time) bool
+	}{
+		{
+			name: "own run",
+			end: func(m *Model) {
+				run := runs(m.Update(epoch, submit(jobOf("j", 1))))[0]
+				m.Update(epoch, CallerGoneMsg{Caller: "caller-j"})
+				m.Update(epoch, ended(run, work.EndUnknown))
+			},
+			held: func(m *Model, now time.Time) bool {
+				m.Update(now, TickMsg{})
+				return len(m.ending) > 0
+			},
+		},
+		{
+			name: "lent run",
+			end: func(m *Model) {
+				lend(m, thirdHome)
+				endLent(m, epoch, work.EndUnknown)
+			},
+			held: func(m *Model, now time.Time) bool {
+				_, lent := m.lentTo(now, "j")
+				return lent
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newAnnouncingModel(self)
+			m.limits.MaxLease = lease
+			test.end(m)
+			assert.Assert(t, test.held(m, slow))
+			assert.Assert(t, !test.held(m, slow.Add(time.Millisecond)))
+		})
+	}
+}
--- a/core/schedule/lending.go
+++ b/core/schedule/lending.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if _, ok := l.runs[msg.Owner]; ok && msg.End == work.EndUnknown {
-		l.runs[msg.Owner] = now.Add(max(m.limits.MaxLease, m.limits.AnnouncementTTL))
+		l.runs[msg.Owner] = m.unknownExpiry(now)
 		return
 	}
 	delete(l.runs, msg.Owner)
