core/pool: lists count for a run in doubt once the token was noted

A task could be started elsewhere while the new process of its server ran it. A run ordered before a restart counts as absent after two lists without it. The first one could be that of the request that carried the higher token: a server may make its lists before it notes the token, and carry out the late order in between. Both lists must now be requested after an answer under the token.

TestListsBeforeTokenNoted failed before (the run ended with the second list). TestStartAtNewProcess (two rows), TestUnansweredStart (one) and TestTaskInDoubtNotSuspected expected the end with the second list; they now expect none until the third one.

--- a/core/pool/crash_test.go
+++ b/core/pool/crash_test.go
@@ -139,6 +139,7 @@
 	b.answerPoll("a", restarted)
 	b.advance(time.Millisecond)
 	assert.Equal(t, len(lossesOf(b.answerPoll("a", restarted))), 0)
+	assert.Equal(t, len(lossesOf(b.answerPoll("a", restarted))), 0)
 	cmds := b.answerPoll("a", restarted)
 	assert.Equal(t, len(lossesOf(cmds)), 1)
 	assert.Equal(t, lossesOf(cmds)[0].Fate, FateCrashed)
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -233,6 +233,7 @@
 			steps: func(b *harness) []Cmd {
 				b.answerPoll("a", func(m *PollResultMsg) { m.Born = 2 })
 				assert.Equal(b.t, len(ends(b.answerPoll("a", func(m *PollResultMsg) { m.Born = 2 }))), 0)
+				assert.Equal(b.t, len(ends(b.answerPoll("a", func(m *PollResultMsg) { m.Born = 2 }))), 0)
 				return b.answerPoll("a", func(m *PollResultMsg) { m.Born = 2 })
 			},
 			want: work.EndLeaseExpired,
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -145,6 +145,7 @@
 	if again {
 		return append(cmds, m.poll(now, s)...)
 	}
+	tokenNoted := s.tokenNoted
 	s.tokenNoted = true
 	if missed {
 		cmds = append(cmds, CapacityChangedCmd{})
@@ -156,7 +157,7 @@
 		s.nextPollAt = now.Add(m.limits.ProbeInterval)
 	}
 	listed := m.updateRunning(now, s, msg, requestedAt)
-	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, listed)...)
+	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, tokenNoted, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
 	cmds = append(cmds, m.stopSlowRuns(now, s)...)
 	cmds = append(cmds, m.stopUnconfirmedRuns(now, s)...)
@@ -232,8 +233,9 @@
 // prove that it isn't there if it can't be on its way and isn't being stopped, and if those
 // before lacked it, too: a server may make the list of the running tasks and that of the ends
 // at different times, and the run may have ended in between. The lists were requested when the
-// server's clock read requestedAt or more.
-func (m *Model) endMissingRuns(now time.Time, s *server, msg PollResultMsg, requestedAt int64, listed map[string]bool) []Cmd {
+// server's clock read requestedAt or more. Those requested before the server noted the token may
+// precede an order under a lower one.
+func (m *Model) endMissingRuns(now time.Time, s *server, msg PollResultMsg, requestedAt int64, tokenNoted bool, listed map[string]bool) []Cmd {
 	var cmds []Cmd
 	if len(msg.Ended) >= maxListedEnds {
 		return nil
@@ -251,7 +253,7 @@
 				cmds = append(cmds, m.endStopped(now, s, r, ProofStopped)...)
 			}
 		case r.inDoubt(s):
-			r.missing = true
+			r.missing = tokenNoted
 			if missed {
 				cmds = append(cmds, m.endInDoubt(now, s, r, ProofMissing)...)
 			}
--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -267,3 +267,31 @@
 	assert.Equal(t, len(starts(b.update(TickMsg{}))), 1)
 	assert.Equal(t, len(stops(b.cmds)), 0)
 }
+
+// TestListsBeforeTokenNoted guards against a run that is started elsewhere while a new process
+// of its server runs it, as one of the two lists without it was made before the process noted
+// the token that keeps the order out.
+func TestListsBeforeTokenNoted(t *testing.T) {
+	b := newHarness(t, "a")
+	b.update(RunMsg{Task: taskOf("j")})
+	b.update(StartedMsg{
+		Server: "a",
+		Name:   "j.0.0.0",
+		Run:    1,
+		Result: Unanswered,
+	})
+	b.answerPoll("a", restartedAt(5))
+	b.advance(10 * time.Millisecond)
+	b.answerPoll("a", restartedAt(15))
+	// The order is carried out after that list was made, and before the token is noted.
+	b.advance(10 * time.Millisecond)
+	b.answerPoll("a", restartedAt(25))
+	assert.Equal(t, len(ends(b.cmds)), 0)
+	b.advance(10 * time.Millisecond)
+	b.answerPoll("a", restartedAt(35, ListedRun{
+		Name: "j.0.0.0",
+		Run:  1,
+	}))
+	assert.Equal(t, len(ends(b.cmds))+len(stops(b.cmds)), 0)
+	assert.Equal(t, len(b.model.servers["a"].runs), 1)
+}
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -161,8 +161,9 @@
 				answer.Result = Fenced
 				b.update(answer)
 				b.answerPoll("a", restartedAt(40))
-				assert.Equal(b.t, len(ends(b.cmds)), 0)
 				b.answerPoll("a", restartedAt(50))
+				assert.Equal(b.t, len(ends(b.cmds)), 0)
+				b.answerPoll("a", restartedAt(60))
 			},
 			want: work.EndLeaseExpired,
 		},
@@ -192,8 +193,9 @@
 				b.update(answer)
 				b.answerPoll("a", restartedAt(20))
 				b.answerPoll("a", restartedAt(40))
-				assert.Equal(b.t, len(ends(b.cmds)), 0)
 				b.answerPoll("a", restartedAt(50))
+				assert.Equal(b.t, len(ends(b.cmds)), 0)
+				b.answerPoll("a", restartedAt(60))
 			},
 			want: work.EndLeaseExpired,
 		},
