core/schedule, io/scheduler: only lists turn a loss into a crash

A task could be suspected, or fail its job, for a crash that never was: an entry with a later start than the lost process made the loss a crash at once, though entries may be ahead of their process. The home that owns the server now decides by the start of the process that last returned its lists, as for ends of runs, and reports it to all other homes.

TestEntryCountsAsCrash replaces TestLossResolvedByList, which expected the fault. It demands that an entry settles nothing, and that lists settle the loss at both homes; on the code before it failed at the entry.

--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// StartedAt returns the start of the process that last returned the lists of a server of this
+// host, in Unix milliseconds; 0 if it isn't known.
+func (m *Model) StartedAt(server string) int64 {
+	if s := m.servers[server]; s != nil {
+		return s.listedBorn
+	}
+	return 0
+}
+
 // lose ends all runs of a server that is silent until its leases ran out. A planned end is no
 // loss.
 func (m *Model) lose(now time.Time, s *server) []Cmd {
--- a/core/pool/homes_test.go
+++ b/core/pool/homes_test.go
@@ -685,8 +685,9 @@
 		}
 	}
 	h.update(msg)
-	for _, msg := range h.jobs.Replaced(h.w.listedBorn) {
+	for _, msg := range h.jobs.Replaced(h.pool.StartedAt) {
 		h.update(msg)
+		h.shareLoss(msg)
 	}
 }
 
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -69,6 +69,7 @@
 type server struct {
 	entry         listing.Server
 	born          int64     // start time of the process that answers, in Unix milliseconds; 0 if unknown
+	listedBorn    int64     // start time of the process that last returned its lists; 0 if none did or it didn't say
 	restartedAt   time.Time // when the latest restart of the process was noticed
 	listedAddress string    // from which the process last returned its lists
 	polledAddress string    // to which the latest poll was sent
--- a/core/schedule/suspect.go
+++ b/core/schedule/suspect.go
@@ -232,8 +232,9 @@
 	return losses
 }
 
-// Replaced returns the losses of unknown fate that a list of the servers' processes proves to
-// be crashes, given the start of each process in Unix milliseconds by server ID.
+// Replaced returns the losses of unknown fate that prove to be crashes, given the start of the
+// process that last returned its lists in Unix milliseconds, or 0, by server ID. An entry in the
+// list of servers proves none, as it may be ahead of its process.
 func (m *Model) Replaced(startedAt func(server string) int64) []LossMsg {
 	var replaced []LossMsg
 	for _, l := range m.Losses() {
--- a/core/schedule/suspect_test.go
+++ b/core/schedule/suspect_test.go
@@ -161,7 +161,7 @@
 	assert.Equal(t, len(runs(m.Update(epoch, lossOf("s", pool.FateAlive)))), 1)
 }
 
-// TestReplaced checks that the list of servers shows whether a lost server has crashed.
+// TestReplaced checks that a later process of a lost server shows that it has crashed.
 func TestReplaced(t *testing.T) {
 	m := newModel(1)
 	m.Update(epoch, lossOf("s", pool.FateUnknown, "j.0.0.0"))
--- a/io/scheduler/crash.go
+++ b/io/scheduler/crash.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"rosemarywalk/core/listing"
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/io/wire"
@@ -26,11 +25,14 @@
 		Fate:  cmd.Fate,
 		Tasks: cmd.Tasks,
 	}
-	return []any{msg}, []effect{func() {
-		s.log.Info(lossEvents[cmd.Fate], "server", cmd.Loss.Server, "born", cmd.Loss.StartedAt,
-			"seen", cmd.Loss.SeenAt, "tasks", cmd.Tasks)
-		s.shareLoss(msg)
-	}}
+	return []any{msg}, []effect{func() { s.reportLoss(msg) }}
+}
+
+// reportLoss logs a loss, and sends it to all homes.
+func (s *Shard) reportLoss(msg schedule.LossMsg) {
+	s.log.Info(lossEvents[msg.Fate], "server", msg.Loss.Server, "born", msg.Loss.StartedAt,
+		"seen", msg.Loss.SeenAt, "tasks", msg.Tasks)
+	s.shareLoss(msg)
 }
 
 // shareTimeout is how long a home that doesn't answer is sent a loss.
@@ -88,20 +90,15 @@
 	return lossesToWire(s.jobs.Losses())
 }
 
-// resolveLosses records which lost servers have crashed according to the list of servers.
-func (s *Shard) resolveLosses(servers []listing.Server) {
-	startedAt := func(id string) int64 {
-		i := slices.IndexFunc(servers, func(server listing.Server) bool { return server.ID == id })
-		if i < 0 {
-			return 0
-		}
-		return servers[i].StartedAtMillis
-	}
+// resolveLosses reports which lost servers have crashed, as another process has returned the
+// lists of a server that this host owns now.
+func (s *Shard) resolveLosses() {
 	s.mu.Lock()
-	replaced := s.jobs.Replaced(startedAt)
+	replaced := s.jobs.Replaced(s.pool.StartedAt)
 	s.mu.Unlock()
 	for _, msg := range replaced {
 		s.update(msg)
+		s.reportLoss(msg)
 	}
 }
 
--- a/io/scheduler/crash_test.go
+++ b/io/scheduler/crash_test.go
@@ -52,23 +52,38 @@
 	assert.DeepEqual(t, b.Shard("s").losses(), a.Shard("s").losses())
 }
 
-// TestLossResolvedByList checks that a list of servers with another process settles a loss.
-func TestLossResolvedByList(t *testing.T) {
+// TestEntryCountsAsCrash guards against tasks that count as the cause of a crash, because an
+// entry names a later process than the one that was lost. The lists of such a process settle
+// the loss, at all homes.
+func TestEntryCountsAsCrash(t *testing.T) {
 	network, _, _ := newHomes(t, time.Millisecond)
-	shard := network.schedulers["a"].Shard("s")
-	lost := crashOf("server")
+	a, b := network.schedulers["a"], network.schedulers["b"]
+	a.config.Servers.(*fakeServer).born = 2
+	lost := crashOf("server-a")
 	lost.Fate = pool.FateUnknown
-	shard.update(lost)
-	list := func(born int64) []listing.Server {
-		return []listing.Server{{
-			ID:              "server",
-			StartedAtMillis: born,
-		}}
+	for _, s := range []*Scheduler{a, b} {
+		s.Shard("s").update(lost)
+	}
+	list := func(born int64) {
+		a.Shard("s").update(pool.AssignMsg{
+			Servers: []listing.Server{{
+				ID:              "server-a",
+				StartedAtMillis: born,
+			}},
+			Token: 1,
+		})
+		a.Shard("s").resolveLosses()
+	}
+	list(2)
+	assert.Equal(t, a.Shard("s").losses()[0].Fate, int(pool.FateUnknown))
+	list(3) // requests the lists
+	deadline := time.Now().Add(5 * time.Second)
+	for b.Shard("s").losses()[0].Fate != int(pool.FateCrashed) && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+		a.Shard("s").resolveLosses()
 	}
-	shard.resolveLosses(list(1))
-	assert.Equal(t, shard.losses()[0].Fate, int(pool.FateUnknown))
-	shard.resolveLosses(list(2))
-	assert.Equal(t, shard.losses()[0].Fate, int(pool.FateCrashed))
+	assert.Equal(t, a.Shard("s").losses()[0].Fate, int(pool.FateCrashed))
+	assert.Equal(t, b.Shard("s").losses()[0].Fate, int(pool.FateCrashed))
 }
 
 // TestLentLossOnWire checks that the loss of a server and the suspicion of a task keep their
--- a/io/scheduler/lent_test.go
+++ b/io/scheduler/lent_test.go
@@ -22,6 +22,7 @@
 
 // fakeServer runs one task for a fixed time, and records starts and stops.
 type fakeServer struct {
+	born    int64
 	runTime time.Duration
 	starts  chan string
 	stops   chan string
@@ -55,6 +56,7 @@
 		Serial: cmd.Serial,
 		Sent:   time.Now(),
 		Clock:  1,
+		Born:   f.born,
 	}
 	if cmd.Deadline == 0 {
 		return msg
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -227,7 +227,7 @@
 	for _, shard := range s.all() {
 		view := s.config.Roster.View(s.Servers(shard.service))
 		homes = max(homes, len(s.plan(shard.service).Homes(self.Domain)))
-		shard.resolveLosses(s.Servers(shard.service))
+		shard.resolveLosses()
 		mine := view.AssignedServers(self, shard.Held(), claims)
 		shard.update(pool.AssignMsg{
 			Servers: mine,
