core/pool: a start without an answer outlasts status 421

A task could be started elsewhere while a later process under its server's ID ran it. When another server answered at the address, all runs of the server counted as ended, also those whose start had got no answer: that order may arrive later, and a process of the same ID take it. Such runs now stay in doubt as after a restart: until lists of a later process under a higher token, or until the longest lease is over since then. A start that only the other server answered has not run, and counts neither as lapsed nor as under a crash. A process in doubt also gets the time to stop before its leases count as over.

TestRejected expected lapsed for a start that the other server had refused; it now expects that it never started.

--- a/core/pool/crash.go
+++ b/core/pool/crash.go
@@ -82,15 +82,15 @@
 	return append(cmds, lost.cmd(FateUnknown))
 }
 
-// crash ends the runs of a process that another one has replaced. Runs that may be at the new
-// process instead stay in doubt.
+// crash ends the runs of a process that is gone. Runs that may be at a later process instead
+// stay in doubt: an order is unanswered, or that process may have answered it.
 func (m *Model) crash(now time.Time, s *server, proof Proof) []Cmd {
 	planned := s.planned || s.entry.Draining
 	s.planned = false
 	lost := loss{Loss: s.newLoss(now)}
 	var cmds []Cmd
 	for _, r := range s.sortedRuns() {
-		ended := s.born != 0 && r.listedBorn == s.born && !r.lost && r.pendingStarts == 0
+		ended := r.ordersAnswered() && (proof == ProofReplaced || s.born != 0 && r.listedBorn == s.born)
 		switch {
 		case planned && ended:
 			cmds = append(cmds, m.endRun(now, s, r, work.EndLeaseExpired, proof, core.ReasonLeaseExpired)...)
@@ -107,15 +107,6 @@
 	return append(cmds, s.settleLosses(FateCrashed)...)
 }
 
-// replacedRuns ends all runs of a server whose address now belongs to another one.
-func (m *Model) replacedRuns(now time.Time, s *server) []Cmd {
-	for _, r := range s.sortedRuns() {
-		r.listedBorn, r.lost, r.pendingStarts = s.born, false, 0
-	}
-	cmds := m.crash(now, s, ProofReplaced)
-	return append(cmds, m.endAllRuns(now, s, work.EndLeaseExpired, ProofReplaced, core.ReasonLeaseExpired)...)
-}
-
 // endInDoubt ends a run that is not at the process that replaced a crashed one.
 func (m *Model) endInDoubt(now time.Time, s *server, r *run, proof Proof) []Cmd {
 	if r.loss == (Loss{}) {
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -338,6 +338,14 @@
 	return nil
 }
 
+// ordersAnswered reports whether no start order of the run can be carried out any more.
+func (r *run) ordersAnswered() bool { return !r.lost && r.pendingStarts == 0 }
+
+// neverStarted reports whether all start orders of the run were answered and none was accepted.
+func (r *run) neverStarted() bool {
+	return r.state == starting && r.confirmedAt.IsZero() && r.ordersAnswered()
+}
+
 // inDoubt reports whether the run was ordered before a restart of its server was noticed.
 // The lists decide on it.
 func (r *run) inDoubt(s *server) bool { return r.token < s.token }
@@ -355,6 +363,9 @@
 		}
 	case NotSent, Unanswered:
 		m.recordCall(s, false)
+		if r.neverStarted() {
+			return append(m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect), m.poll(now, s)...)
+		}
 	case Fenced, StaleRun, DeadlinePassed, Full, Busy, Invalid, Replaced:
 	}
 	return m.poll(now, s)
@@ -444,15 +455,28 @@
 	return append(cmds, m.poll(now, s)...)
 }
 
-// replaced drops a server whose address now belongs to another one.
+// replaced drops a server whose address now belongs to another one. A process may come later
+// under the server's ID and carry out starts that got no answer, so these stay in doubt.
 func (m *Model) replaced(now time.Time, s *server) []Cmd {
-	cmds := m.replacedRuns(now, s)
-	m.remove(s)
-	m.fencedAt[s.entry.ID] = now
-	return append(cmds, LogCmd{
+	var cmds []Cmd
+	for _, r := range s.sortedRuns() {
+		if r.neverStarted() {
+			cmds = append(cmds, m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect)...)
+		}
+	}
+	cmds = append(cmds, m.crash(now, s, ProofReplaced)...)
+	cmds = append(cmds, LogCmd{
 		Server: s.entry.ID,
 		Event:  "replaced",
+		Detail: fmt.Sprintf("%d runs in doubt", len(s.runs)),
 	}, CapacityChangedCmd{})
+	s.replaced, s.orphans = true, nil
+	if len(s.runs) == 0 {
+		return append(cmds, m.releaseIfEmpty(now, s)...)
+	}
+	m.recordCall(s, false)
+	s.doubtedAt, s.nextPollAt = now, now.Add(m.limits.ProbeInterval)
+	return append(cmds, m.reclaim(now, s)...)
 }
 
 // unanswered repeats a start, which is idempotent, or abandons it after the time
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -137,7 +137,7 @@
 	if msg.Born != 0 {
 		s.born = msg.Born
 	}
-	s.doubtedAt, s.listedAddress, s.listedBorn = time.Time{}, s.polledAddress, msg.Born
+	s.doubtedAt, s.listedAddress, s.listedBorn, s.replaced = time.Time{}, s.polledAddress, msg.Born, false
 	cmds = append(cmds, s.answeredAfterLoss(msg)...)
 	missed, requestedAt := s.misses > 0, s.minClock(msg.Sent)
 	m.recordCall(s, true)
--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -295,3 +295,111 @@
 	assert.Equal(t, len(ends(b.cmds))+len(stops(b.cmds)), 0)
 	assert.Equal(t, len(b.model.servers["a"].runs), 1)
 }
+
+// TestUnansweredStartAtReplacedServer guards against a task that is started elsewhere while a
+// later process under its server's ID runs it, because another server had answered at the
+// address before.
+func TestUnansweredStartAtReplacedServer(t *testing.T) {
+	replaced := func(m *PollResultMsg) { m.Result = Replaced }
+	running := ListedRun{
+		Name: "k.0.0.0",
+		Run:  1,
+	}
+	answer := func(b *harness, result Result) {
+		b.update(StartedMsg{
+			Server: "a",
+			Name:   "k.0.0.0",
+			Run:    1,
+			Result: result,
+		})
+	}
+	tests := []struct {
+		name  string
+		steps func(b *harness)
+		want  Proof // of the end; "" if the run goes on
+	}{
+		{
+			name: "no answer yet",
+			steps: func(b *harness) {
+				b.answerPoll("a", replaced)
+			},
+		},
+		{
+			name: "a later process lists it",
+			steps: func(b *harness) {
+				answer(b, Unanswered)
+				b.answerPoll("a", replaced)
+				for clock := int64(5); clock < 50; clock += 10 {
+					b.advance(limits.ProbeInterval)
+					b.update(TickMsg{})
+					b.answerPoll("a", restartedAt(clock, running))
+				}
+				assert.Equal(b.t, len(b.model.servers["a"].runs), 1)
+			},
+		},
+		{
+			name: "a later process doesn't list it",
+			steps: func(b *harness) {
+				answer(b, Unanswered)
+				b.answerPoll("a", replaced)
+				for clock := int64(5); clock < 50; clock += 10 {
+					b.advance(limits.ProbeInterval)
+					b.update(TickMsg{})
+					b.answerPoll("a", restartedAt(clock))
+				}
+			},
+			want: ProofMissing,
+		},
+		{
+			name: "for less than a lease",
+			steps: func(b *harness) {
+				answer(b, Unanswered)
+				for begin := b.now; b.now.Sub(begin) < maxLease+stopTimeout; b.advance(10 * time.Millisecond) {
+					b.update(TickMsg{})
+					b.answerPoll("a", replaced)
+				}
+			},
+		},
+		{
+			name: "for longer than a lease",
+			steps: func(b *harness) {
+				answer(b, Unanswered)
+				for begin := b.now; b.model.servers["a"] != nil && b.now.Sub(begin) < maxLease+3*stopTimeout; b.advance(10 * time.Millisecond) {
+					b.answerPoll("a", replaced)
+					b.update(TickMsg{})
+				}
+				assert.Assert(b.t, b.model.servers["a"] == nil)
+			},
+			want: ProofLease,
+		},
+		{
+			name: "the other server answered it",
+			steps: func(b *harness) {
+				b.answerPoll("a", replaced)
+				answer(b, Replaced)
+				assert.Assert(b.t, b.model.servers["a"] == nil)
+			},
+			want: ProofRejected,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := grantedHarness(t, "a")
+			b.startAt("a", taskOf("j"))
+			b.advance(10 * time.Millisecond)
+			b.answerPoll("a", listRuns("j.0.0.0"))
+			b.update(RunMsg{Task: taskOf("k")})
+			b.cmds = nil
+			test.steps(b)
+			proofs := map[string]Proof{}
+			for _, end := range ends(b.cmds) {
+				proofs[end.Task.Job] = end.Proof
+			}
+			want := map[string]Proof{"j": ProofReplaced}
+			if test.want != "" {
+				want["k"] = test.want
+			}
+			assert.DeepEqual(t, proofs, want)
+		})
+	}
+}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -75,6 +75,7 @@
 	polledAddress string    // to which the latest poll was sent
 	movedAt       time.Time // when the entry's address last changed
 	doubtedAt     time.Time // since when the process may be another one, which the next lists decide; zero if it isn't in doubt
+	replaced      bool      // another server answers at its address; runs there may be started by a later process
 	planned       bool      // that process was draining when it ended
 	token         int64
 	tokenAt       time.Time // when the token was raised; zero if it never was
@@ -234,7 +235,7 @@
 	if s.clockAt.IsZero() {
 		return false
 	}
-	if !s.doubtedAt.IsZero() && minClockRate*float64(now.Sub(s.doubtedAt)) <= float64(m.maxLease()) {
+	if !s.doubtedAt.IsZero() && minClockRate*float64(now.Sub(s.doubtedAt)) <= float64(m.maxLease()+m.limits.StopTimeout) {
 		// Another process measures the leases since then by another clock.
 		return false
 	}
@@ -344,11 +345,14 @@
 }
 
 // misdirected reports whether an order to an address went where the process of the server has never
-// been seen. Another server that answers there says nothing about its runs.
+// been seen, or is known not to be. Another server that answers there says nothing about its runs.
 func (s *server) misdirected(address string) bool {
 	if len(s.runs)+len(s.orphans) == 0 {
 		return false
 	}
+	if s.replaced {
+		return true
+	}
 	if address != s.entry.Address {
 		for _, r := range s.runs {
 			if !r.firstSent.Before(s.movedAt) {
