schedule: a job under whose tasks servers crash is broken, not failed

Callers got 200 with the state failed for jobs that could be done: tasks that were twice on servers that crashed, or were only ordered there. A crash proves nothing about a task that isn't alone there, and only ends that servers list as failed count as attempts.

The job is given up as broken now, for the same reason, and still isn't started again. TestCrashesReportedAsFailed failed before.

--- a/core/schedule/suspect.go
+++ b/core/schedule/suspect.go
@@ -167,7 +167,7 @@
 	return crashed+unresolved > 0, crashed+unresolved >= maxCrashes
 }
 
-// recordLoss records a loss of a server or its fate, and fails the jobs of the tasks that now
+// recordLoss records a loss of a server or its fate, and gives up the jobs of the tasks that now
 // count as culprits.
 func (m *Model) recordLoss(now time.Time, msg LossMsg) []Cmd {
 	var cmds []Cmd
@@ -198,9 +198,11 @@
 	})
 }
 
+// crashesOutcome is broken, not failed: a task may have shared its servers with others that
+// crashed them, and only ends that servers list as failed count as its attempts.
 func crashesOutcome() work.Outcome {
 	return work.Outcome{
-		State:  work.Failed,
+		State:  work.Broken,
 		Reason: core.ReasonCrashes,
 	}
 }
--- a/core/schedule/suspect_test.go
+++ b/core/schedule/suspect_test.go
@@ -141,7 +141,46 @@
 	assert.Equal(t, crashesOutcome().Reason, core.ReasonCrashes)
 }
 
-// TestRunningCulprit checks that a home that learns of crashes fails a job that it runs.
+// TestCrashesReportedAsFailed guards against a job that is reported as failed although none of
+// its runs has: its servers crashed under runs that may not even have started.
+func TestCrashesReportedAsFailed(t *testing.T) {
+	tests := []struct {
+		name string
+		end  work.End
+	}{
+		{
+			name: "lost runs",
+			end:  work.EndLeaseExpired,
+		},
+		{
+			name: "runs that never started",
+			end:  work.EndNotStarted,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel(4)
+			job := jobOf("j", 1)
+			job.MaxAttempts = 2
+			cmds := m.Update(epoch, submit(job))
+			now := epoch
+			for _, server := range []string{"s", "t"} {
+				end := ended(runs(cmds)[0], test.end)
+				end.Server = server
+				end.Loss, end.Fate = lossOf(server, 0).Loss, pool.FateCrashed
+				cmds = m.Update(now, end)
+				now = now.Add(time.Second)
+				if len(answers(cmds)) == 0 && len(runs(cmds)) == 0 {
+					cmds = m.Update(now, TickMsg{})
+				}
+			}
+			assert.Equal(t, answers(cmds)[0].Outcome.State, work.Broken)
+			assert.Equal(t, answers(cmds)[0].Outcome.Reason, core.ReasonCrashes)
+		})
+	}
+}
+
+// TestRunningCulprit checks that a home that learns of crashes gives up a job that it runs.
 func TestRunningCulprit(t *testing.T) {
 	m := newModel(4)
 	m.Update(epoch, submit(jobOf("j", 2)))
