scheduler: find jobs whose queue has moved to another service

A DELETE for a job that was submitted before its queue moved to another service got 410, and the job went on; a GET got 410 too. Requests about a job looked only into the shard of the service that the queue has now. They now look into the shards of all services, and for the job of the queue that they name: jobs carry their queue (host and prefix), which stays when its route's name and service change. A job of another queue with that ID is neither shown nor canceled.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -18,6 +18,9 @@
 	MaxAttempts int           // failed runs of one task after which its job fails
 }
 
+// Queue returns what callers know a route by: the host and the path prefix of its requests.
+func (r Route) Queue() string { return r.Host + r.Prefix }
+
 // Limits bounds the requests of callers.
 type Limits struct {
 	MaxBodyBytes   int           // maximum body size in bytes
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -88,7 +88,7 @@
 	}
 	switch outcome.State {
 	case work.Completed, work.Failed, work.Canceled:
-		m.retain(now, j.ID, outcome)
+		m.retain(now, j.Queue, j.ID, outcome)
 	case work.Refused, work.Broken, work.Elsewhere:
 		// The outcome isn't retained, so that a resubmitted job runs.
 	}
@@ -174,18 +174,22 @@
 		Reason: core.ReasonCanceled,
 	}
 	if j != nil {
+		if !sameQueue(j.Queue, msg.Queue) {
+			return nil
+		}
 		return m.finish(now, j, outcome)
 	}
 	if _, ok := m.finished[msg.ID]; !ok {
 		// The submission may still be in transit; it must not start.
-		m.retain(now, msg.ID, outcome)
+		m.retain(now, msg.Queue, msg.ID, outcome)
 	}
 	return nil
 }
 
 // retain keeps the outcome of a job for resubmissions.
-func (m *Model) retain(now time.Time, id string, outcome work.Outcome) {
+func (m *Model) retain(now time.Time, queue, id string, outcome work.Outcome) {
 	f := finishedJob{
+		queue:     queue,
 		outcome:   outcome,
 		expiresAt: now.Add(m.limits.OutcomeRetention),
 	}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -32,6 +32,7 @@
 
 // finishedJob is the outcome of a job that has ended.
 type finishedJob struct {
+	queue     string
 	outcome   work.Outcome
 	expiresAt time.Time
 }
@@ -189,20 +190,51 @@
 	return n
 }
 
-// State returns the state of a job, if this host has the job or its outcome.
-func (m *Model) State(id string) (state string, ok bool) {
-	if j := m.jobs[id]; j != nil {
+// State returns the state of a queue's job, if this host has the job or its outcome.
+func (m *Model) State(queue, id string) (state string, ok bool) {
+	if j := m.jobs[id]; j != nil && sameQueue(j.Queue, queue) {
 		if j.started {
-			return "running", true
+			return StateRunning, true
 		}
-		return "queued", true
+		return StateQueued, true
 	}
-	if f, ok := m.finished[id]; ok {
+	if f, ok := m.finished[id]; ok && sameQueue(f.queue, queue) {
 		return string(f.outcome.State), true
 	}
 	return "", false
 }
 
+// States of a job that hasn't ended.
+const (
+	StateQueued  = "queued"
+	StateRunning = "running"
+)
+
+// LaterState returns that of two states of one job which is more recent, as far as they tell: a
+// job that hasn't ended may have been submitted again since it did elsewhere. Unknown is "".
+func LaterState(a, b string) string {
+	if stateRank(b) > stateRank(a) {
+		return b
+	}
+	return a
+}
+
+func stateRank(state string) int {
+	switch state {
+	case "":
+		return 0
+	case StateQueued:
+		return 2
+	case StateRunning:
+		return 3
+	}
+	return 1
+}
+
+// sameQueue reports whether two queues are the same as far as is known. Hosts of an older
+// version don't name them.
+func sameQueue(a, b string) bool { return a == b || a == "" || b == "" }
+
 func (m *Model) submit(now time.Time, msg SubmitMsg) []Cmd {
 	id := msg.Job.ID
 	if f, ok := m.finished[id]; ok {
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -75,8 +75,8 @@
 // because only the host that received the job knows the caller.
 type WithdrawMsg struct{ ID string }
 
-// CancelMsg cancels a job for all its callers.
-type CancelMsg struct{ ID string }
+// CancelMsg cancels a queue's job for all its callers.
+type CancelMsg struct{ Queue, ID string }
 
 // CapacityMsg reports the free capacity of a host's pool, the own one included. The
 // scheduler takes ownership of the slots and modifies them.
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -61,6 +61,7 @@
 // ended.
 type Job struct {
 	ID          string
+	Queue       string // to which it was submitted; the service and the name of its route may change
 	Route       string
 	Service     string
 	Spec        string // passed to each task unchanged
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -77,6 +77,15 @@
 	id      string
 }
 
+// query returns the query for the job that a request names.
+func (r request) query() scheduler.Query {
+	return scheduler.Query{
+		Queue:   r.route.Queue(),
+		Service: r.route.Service,
+		ID:      r.id,
+	}
+}
+
 func (h *Handler) withRoute(serve func(http.ResponseWriter, *http.Request, request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if h.rejecting.Load() {
@@ -176,6 +185,7 @@
 	arrived := req.arrived.Add(-elapsed)
 	return work.Job{
 		ID:          req.id,
+		Queue:       req.route.Queue(),
 		Route:       req.route.Name,
 		Service:     req.route.Service,
 		Spec:        s.Spec,
@@ -211,12 +221,12 @@
 		h.format.WritePending(w, h.scheduler.Waiting(req.route.Name)+h.roster.Waiting(req.route.Name))
 		return
 	}
-	state := h.scheduler.Find(r.Context(), req.route.Service, req.id, false)
+	state := h.scheduler.Find(r.Context(), req.query(), false)
 	h.format.WriteState(w, state)
 }
 
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request, req request) {
-	state := h.scheduler.Find(r.Context(), req.route.Service, req.id, true)
+	state := h.scheduler.Find(r.Context(), req.query(), true)
 	h.log.Info("cancel", "job", req.id, "route", req.route.Name, "state", state)
 	h.format.WriteState(w, state)
 }
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -68,6 +68,10 @@
 		n.announced <- address
 		return answer, nil
 	}
+	if f.Find != nil {
+		answer, _ := s.ServeFind(ctx, f)
+		return answer, nil
+	}
 	if f.Crash != nil {
 		answer, _ := s.ServeCrash(ctx, f)
 		return answer, nil
--- a/io/scheduler/start_test.go
+++ b/io/scheduler/start_test.go
@@ -147,7 +147,10 @@
 					Job:    job,
 					Caller: id,
 				})
-				return shard.find(id, false)
+				return s.findLocally(Query{
+					Service: "s",
+					ID:      id,
+				}, false)
 			}
 			assert.Equal(t, submit("before"), "running")
 			test.change(s)
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -147,6 +146,7 @@
 	resent := !j.First
 	submit := &wire.Submit{
 		Job:      j.ID,
+		Queue:    &j.Queue,
 		Route:    j.Route,
 		Service:  j.Service,
 		Spec:     j.Spec,
@@ -199,6 +199,7 @@
 func jobFromWire(s *wire.Submit, now time.Time) work.Job {
 	job := work.Job{
 		ID:          s.Job,
+		Queue:       queueFromWire(s.Queue),
 		Route:       s.Route,
 		Service:     s.Service,
 		Spec:        s.Spec,
@@ -224,67 +225,3 @@
 	}
 	return job
 }
-
-// Find returns the state of a job on this or any other host, and cancels the job there
-// on request.
-func (s *Scheduler) Find(ctx context.Context, service, id string, cancel bool) (state string) {
-	state = s.Shard(service).find(id, cancel)
-	otherHosts := s.otherHosts()
-	answers := make(chan string, len(otherHosts))
-	for _, address := range otherHosts {
-		go func() { answers <- s.findOn(ctx, address, service, id, cancel) }()
-	}
-	for range otherHosts {
-		if answer := <-answers; state == "" {
-			state = answer
-		}
-	}
-	return state
-}
-
-// otherHosts returns the addresses of the other hosts that send heartbeats or that are
-// alive according to the store; a host that has just started hasn't received heartbeats
-// from all of them yet.
-func (s *Scheduler) otherHosts() []string {
-	view := s.config.Roster.View(nil)
-	var addresses []string
-	for _, h := range view.Hosts {
-		addresses = append(addresses, h.Address)
-	}
-	for _, h := range view.Listed {
-		addresses = append(addresses, h.Address)
-	}
-	slices.Sort(addresses)
-	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == s.config.Self })
-}
-
-func (s *Scheduler) findOn(ctx context.Context, host, service, id string, cancel bool) string {
-	ctx, release := context.WithTimeout(ctx, sendTimeout)
-	defer release()
-	answer, err := s.config.Peers.Call(ctx, host, wire.Frame{Find: &wire.Find{
-		Job:     id,
-		Service: service,
-		Cancel:  cancel,
-	}})
-	if err != nil || answer.Found == nil {
-		return ""
-	}
-	return answer.Found.State
-}
-
-// ServeFind returns the state of a job on this host.
-func (s *Scheduler) ServeFind(_ context.Context, f wire.Frame) (wire.Frame, bool) {
-	return wire.Frame{Found: &wire.Found{
-		State: s.Shard(f.Find.Service).find(f.Find.Job, f.Find.Cancel),
-	}}, true
-}
-
-func (s *Shard) find(id string, cancel bool) string {
-	s.mu.Lock()
-	state, _ := s.jobs.State(id)
-	s.mu.Unlock()
-	if cancel {
-		s.update(schedule.CancelMsg{ID: id})
-	}
-	return state
-}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -171,6 +171,9 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Queue of the job. Versions without it mean the job of any queue.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// Service of the job.
 	Service string `cbor:"service" json:"service"`
 }
@@ -804,6 +807,9 @@
 	// Priority; 0 is the highest.
 	Priority int `cbor:"priority" json:"priority"`
 
+	// Queue of the job. Versions without it don't tell queues apart.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// The opposite of first, for versions that don't know that field.
 	Resent *bool `cbor:"resent,omitempty" json:"resent,omitempty,omitzero"`
 
