schedule: don't show a canceled ID that nobody submitted

After a DELETE for an unknown ID, answered 410, a GET for it was answered 200 with "cancelled" for 5 s at each host: the request to cancel was kept as the outcome of a job, so that a submission still in transit wouldn't start. A submission that meets one is answered as before, and is shown as canceled from then on.

TestUnsubmittedShownAsCanceled failed before ("canceled" instead of no state). TestCanceled and newRetainingModel put a canceled ID into the model by a CancelMsg without a job; now the submission itself says that its cancelling came first, with the same checks.

--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -167,23 +167,25 @@
 	return cmds
 }
 
+// cancel ends a queue's job. A submission of it that is held back doesn't start.
 func (m *Model) cancel(now time.Time, msg CancelMsg) []Cmd {
+	if e := m.ending[msg.ID]; e != nil {
+		for i, held := range e.deferred {
+			e.deferred[i].Canceled = held.Canceled || sameQueue(held.Job.Queue, msg.Queue)
+		}
+	}
 	j := m.jobs[msg.ID]
-	outcome := work.Outcome{
+	if j == nil || !sameQueue(j.Queue, msg.Queue) {
+		return nil
+	}
+	return m.finish(now, j, canceledOutcome())
+}
+
+func canceledOutcome() work.Outcome {
+	return work.Outcome{
 		State:  work.Canceled,
 		Reason: core.ReasonCanceled,
 	}
-	if j != nil {
-		if !sameQueue(j.Queue, msg.Queue) {
-			return nil
-		}
-		return m.finish(now, j, outcome)
-	}
-	if _, ok := m.finished[msg.ID]; !ok {
-		// The submission may still be in transit; it must not start.
-		m.retain(now, msg.Queue, msg.ID, outcome)
-	}
-	return nil
 }
 
 // retain keeps the outcome of a job for resubmissions.
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -244,6 +244,14 @@
 			Outcome: f.outcome,
 		}}
 	}
+	if msg.Canceled {
+		m.retain(now, msg.Job.Queue, id, canceledOutcome())
+		return []Cmd{AnswerCmd{
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: canceledOutcome(),
+		}}
+	}
 	if m.suspects.culprit(id) != "" {
 		return []Cmd{AnswerCmd{
 			Caller:  msg.Caller,
--- a/core/schedule/model_test.go
+++ b/core/schedule/model_test.go
@@ -257,8 +257,9 @@
 	cmds := m.Update(epoch, CancelMsg{ID: "j"})
 	assert.Equal(t, len(halts(cmds)), 3)
 	assert.Equal(t, answers(cmds)[0].Outcome.State, work.Canceled)
-	m.Update(epoch, CancelMsg{ID: "k"})
-	cmds = m.Update(epoch, submit(jobOf("k", 3)))
+	late := submit(jobOf("k", 3))
+	late.Canceled = true
+	cmds = m.Update(epoch, late)
 	assert.Equal(t, len(runs(cmds)), 0)
 	assert.Equal(t, answers(cmds)[0].Outcome.State, work.Canceled)
 }
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -19,6 +19,8 @@
 	Resubmitted bool // the other host submitted it before, on a connection that broke
 	JoinOnly    bool // another home passed it on because this host announced it; never started
 
+	Canceled bool // its cancelling was requested before; never started
+
 	OtherService bool // the job is one of another service now; never started
 
 	AbsentAt string // home that announced the job and doesn't know it; "" for none
--- a/core/schedule/retain_test.go
+++ b/core/schedule/retain_test.go
@@ -6,13 +6,18 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rosemarywalk/core/work"
 )
 
 // newRetainingModel returns a model with the outcomes of a number of jobs.
 func newRetainingModel(jobs int) *Model {
 	m := newModel(4)
 	for i := range jobs {
-		m.Update(epoch, CancelMsg{ID: fmt.Sprint(i)})
+		m.Update(epoch, SubmitMsg{
+			Job:      work.Job{ID: fmt.Sprint(i)},
+			Canceled: true,
+		})
 	}
 	return m
 }
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -169,6 +169,7 @@
 				AnnouncementTTL:  time.Minute,
 			},
 			Answer:   time.Second,
+			Canceled: time.Minute,
 			Counters: counters,
 			Log:      logr.Discard(),
 		})
--- a/io/scheduler/find.go
+++ b/io/scheduler/find.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"rosemarywalk/core/schedule"
+	"rosemarywalk/core/work"
 	"rosemarywalk/io/wire"
 )
 
@@ -84,7 +85,6 @@
 // request.
 func (s *Scheduler) findLocally(query Query, cancel bool) (state string) {
 	defer s.lockJobs(query.ID)()
-	own := s.Shard(query.Service)
 	var having []*Shard
 	for _, shard := range s.all() {
 		found, has := shard.stateOf(query)
@@ -96,9 +96,7 @@
 	if !cancel {
 		return state
 	}
-	if len(having) == 0 {
-		having = []*Shard{own}
-	}
+	s.recordCancellation(query)
 	for _, shard := range having {
 		shard.update(schedule.CancelMsg{
 			Queue: query.Queue,
@@ -108,6 +106,19 @@
 	return state
 }
 
+func (s *Scheduler) recordCancellation(query Query) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancellations.Add(s.config.Now(), query.Queue, query.ID)
+}
+
+// isCanceled reports whether the cancelling of a job was requested before it was submitted.
+func (s *Scheduler) isCanceled(job work.Job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancellations.Has(s.config.Now(), job.Queue, job.ID)
+}
+
 // stateOf returns the state of a job in the shard, and whether the shard has a job of that ID.
 func (s *Shard) stateOf(query Query) (state string, has bool) {
 	s.mu.Lock()
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -63,3 +63,26 @@
 		})
 	}
 }
+
+// TestUnsubmittedShownAsCanceled guards against an ID that nobody submitted and that is shown
+// as a canceled job.
+func TestUnsubmittedShownAsCanceled(t *testing.T) {
+	network, starts, _ := newHomes(t, time.Millisecond)
+	defer close(network.hold)
+	job := announcedJob()
+	query := Query{
+		Queue:   job.Queue,
+		Service: job.Service,
+		ID:      job.ID,
+	}
+	assert.Equal(t, network.schedulers["a"].Find(t.Context(), query, true), "")
+	for _, address := range []string{"a", "b"} {
+		assert.Equal(t, network.schedulers[address].Find(t.Context(), query, false), "")
+	}
+	// Once submitted, it is one.
+	outcome, ok := network.schedulers["b"].Do(t.Context(), job)
+	assert.Assert(t, ok)
+	assert.Equal(t, outcome.State, work.Canceled)
+	assert.Equal(t, network.schedulers["a"].Find(t.Context(), query, false), string(work.Canceled))
+	assert.Equal(t, len(starts["a"])+len(starts["b"]), 0)
+}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -87,6 +87,7 @@
 				duration("stale", "2s", "Age at which another host's reported free capacity is discarded; 0 keeps it.", 0, time.Hour),
 				duration("bounce", "5ms", "Delay before a task that found no capacity is retried.", 0, time.Second),
 				duration("remember", "5s", "Retention of outcomes for repeated submissions.", 0, time.Hour),
+				duration("canceled", "1m", "Retention of requests to cancel jobs, for submissions and hosts that come later.", 0, time.Hour),
 				duration("announce", "100ms", "Interval between announcements of older unfinished jobs to all other homes, which join such a job instead of starting it when its caller sends it again.", time.Millisecond, time.Minute),
 				number("admit", "1.5", "Expected wait of a new job, as a multiple of its slack, up to which it is admitted immediately.", 0, 100),
 				number("hopeless", "8", "Expected wait of a new job, as a multiple of its slack, from which it is refused immediately.", 0, 100),
@@ -175,6 +176,7 @@
 			Unchanged:   s.Duration(section, "tellagain"),
 		},
 		Announce: s.Duration(section, "announce"),
+		Canceled: s.Duration(section, "canceled"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -35,6 +35,7 @@
 	Now      func() time.Time // of package clock if nil
 	Tell     schedule.ReportIntervals
 	Announce time.Duration // interval between announcements of older jobs
+	Canceled time.Duration // how long requests to cancel jobs are kept
 	Settle   time.Duration // time after startup before servers are taken over
 	Complete time.Duration // the same while a host of the failure domain sends no heartbeats
 	Counters *telemetry.Counters
@@ -64,6 +65,7 @@
 	ownershipUpdatedAt time.Time                   // when ownership was last computed
 	hostsListedAt      time.Time                   // when this host's row was first seen in the list of hosts
 	plans              map[string]owner.Plan       // by service, until hosts or servers change
+	cancellations      *schedule.Cancellations     // of all services
 }
 
 // New returns a Scheduler without shards.
@@ -80,6 +82,8 @@
 		wakeUp:  make(chan struct{}, 1),
 		shards:  map[string]*Shard{},
 		plans:   map[string]owner.Plan{},
+
+		cancellations: schedule.NewCancellations(c.Canceled),
 	}
 }
 
--- a/io/scheduler/service.go
+++ b/io/scheduler/service.go
@@ -35,6 +35,7 @@
 	s.refreshHomes()
 	defer s.lockJobs(msg.Job.ID)()
 	shard := s.shardOf(msg.Job.Service, msg.AbsentAt, msg.Job.ID)
+	msg.Canceled = s.isCanceled(msg.Job)
 	msg.OtherService = shard.service != msg.Job.Service
 	wait, ok = shard.submit(ctx, msg)
 	return wait, msg.OtherService, ok
