scheduler: acknowledge a cancelling only once no host starts the job

A DELETE at one host while the job's home was frozen got 410 after half a second; the home went on with the job when it woke up. A GET got 410 too. A host that didn't answer counted as one that doesn't have the job, and nothing told it later.

If the caller's deadline comes first, the answer is 504. A GET gets 504 if a host that may have the job doesn't answer.

TestCanceledWhileHomeSilent timed out when homes didn't learn of requests from the answers to their announcements and questions.

--- a/core/schedule/cancellations.go
+++ b/core/schedule/cancellations.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // maxCancellations bounds the memory that requests to cancel unknown jobs take.
 const maxCancellations = 100_000
@@ -13,8 +17,11 @@
 	oldest    []cancellation                  // in order of expiry
 }
 
+// JobName is what callers know a job by.
+type JobName struct{ Queue, ID string }
+
 type cancellation struct {
-	queue, id string
+	name      JobName
 	expiresAt time.Time
 }
 
@@ -35,8 +42,10 @@
 		c.byID[id] = map[string]time.Time{}
 	}
 	added := cancellation{
-		queue:     queue,
-		id:        id,
+		name: JobName{
+			Queue: queue,
+			ID:    id,
+		},
 		expiresAt: now.Add(c.retention),
 	}
 	c.byID[id][queue] = added.expiresAt
@@ -47,12 +56,12 @@
 func (c *Cancellations) removeOldest() {
 	first := c.oldest[0]
 	c.oldest = c.oldest[1:]
-	queues := c.byID[first.id]
-	if queues[first.queue].Equal(first.expiresAt) {
-		delete(queues, first.queue)
+	queues := c.byID[first.name.ID]
+	if queues[first.name.Queue].Equal(first.expiresAt) {
+		delete(queues, first.name.Queue)
 	}
 	if len(queues) == 0 {
-		delete(c.byID, first.id)
+		delete(c.byID, first.name.ID)
 	}
 }
 
@@ -65,3 +74,19 @@
 	}
 	return false
 }
+
+// Named returns the jobs with one of the IDs whose cancelling was requested.
+func (c *Cancellations) Named(now time.Time, ids []string) []JobName {
+	var names []JobName
+	for _, id := range ids {
+		for _, queue := range slices.Sorted(maps.Keys(c.byID[id])) {
+			if now.Before(c.byID[id][queue]) {
+				names = append(names, JobName{
+					Queue: queue,
+					ID:    id,
+				})
+			}
+		}
+	}
+	return names
+}
--- a/core/schedule/cancellations_test.go
+++ b/core/schedule/cancellations_test.go
@@ -81,3 +81,22 @@
 	c.Add(epoch.Add(time.Minute), "q", "j")
 	assert.Equal(t, len(c.byID), 1)
 }
+
+// TestCancellationsNamed checks that requests are listed for all queues that use an ID.
+func TestCancellationsNamed(t *testing.T) {
+	c := NewCancellations(time.Minute)
+	c.Add(epoch, "q", "j")
+	c.Add(epoch, "p", "j")
+	c.Add(epoch, "q", "k")
+	assert.DeepEqual(t, c.Named(epoch, []string{"i", "j"}), []JobName{
+		{
+			Queue: "p",
+			ID:    "j",
+		},
+		{
+			Queue: "q",
+			ID:    "j",
+		},
+	})
+	assert.Equal(t, len(c.Named(epoch.Add(time.Minute), []string{"j"})), 0)
+}
--- a/core/schedule/majority.go
+++ b/core/schedule/majority.go
@@ -90,6 +90,15 @@
 // isMajority reports whether no other home can have as many votes.
 func (m *Model) isMajority(domains []domainVotes) bool { return hasVotes(domains, m.needed) }
 
+// IsMajority reports whether no home that this one isn't in touch with can have as many votes,
+// given those of the other homes. It is false if homes need no majority.
+func (m *Model) IsMajority(now time.Time, votes map[string]int) bool {
+	if m.limits.MajorityWait == 0 || now.Sub(m.votedAt) >= m.limits.MajorityWait {
+		return false
+	}
+	return m.isMajority(m.votesByDomain(func(home string) domainVotes { return domainVotes{votes: votes[home]} }))
+}
+
 // hasVotes reports whether failure domains have the needed votes, which are 0 if unknown.
 func hasVotes(domains []domainVotes, needed int) bool {
 	votes := 0
--- a/core/schedule/majority_test.go
+++ b/core/schedule/majority_test.go
@@ -827,3 +827,55 @@
 	}
 	assert.Equal(t, started, 1)
 }
+
+// TestIsMajority checks when a home knows that others can't have a majority.
+func TestIsMajority(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Model, HomesMsg)
+		votes  map[string]int
+		after  time.Duration
+		want   bool
+	}{
+		{
+			name: "alone",
+		},
+		{
+			name:  "most",
+			votes: map[string]int{"home1": owner.HostVotes},
+			want:  true,
+		},
+		{
+			name:  "a host that isn't a home",
+			votes: map[string]int{"home7": owner.HostVotes},
+		},
+		{
+			name:   "votes that aren't needed",
+			change: func(m *Model, _ HomesMsg) { m.limits.MajorityWait = 0 },
+			votes:  map[string]int{"home1": owner.HostVotes},
+		},
+		{
+			name:  "the hosts are not known",
+			votes: map[string]int{"home1": owner.HostVotes},
+			change: func(m *Model, msg HomesMsg) {
+				msg.Needed = 0
+				m.Update(epoch, msg)
+			},
+		},
+		{
+			name:  "own votes that are too old",
+			votes: map[string]int{"home1": owner.HostVotes},
+			after: majorityWait,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m, msg := newVotingModel(3)
+			m.Update(epoch, msg)
+			if test.change != nil {
+				test.change(m, msg)
+			}
+			assert.Equal(t, m.IsMajority(epoch.Add(test.after), test.votes), test.want)
+		})
+	}
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -170,6 +171,9 @@
 	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0
 }
 
+// Unfinished returns the sorted IDs of the jobs that have not ended.
+func (m *Model) Unfinished() []string { return slices.Sorted(maps.Keys(m.jobs)) }
+
 // Backlog returns the millicores of all waiting tasks.
 func (m *Model) Backlog() int {
 	sum := 0
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -221,16 +222,43 @@
 		h.format.WritePending(w, h.scheduler.Waiting(req.route.Name)+h.roster.Waiting(req.route.Name))
 		return
 	}
-	state := h.scheduler.Find(r.Context(), req.query(), false)
-	h.format.WriteState(w, state)
+	if !isID(req.id) {
+		h.refuse(w, http.StatusGone, core.ReasonMalformed, malformedID(req.id), 0)
+		return
+	}
+	state, known := h.scheduler.Find(r.Context(), req.query())
+	h.writeState(w, state, known)
+}
+
+func (h *Handler) writeState(w http.ResponseWriter, state string, known bool) {
+	if known {
+		h.format.WriteState(w, state)
+		return
+	}
+	h.refuse(w, http.StatusGatewayTimeout, core.ReasonUnreachable, "it isn't known whether a host that can't be reached has the job", 0)
 }
 
+func malformedID(id string) string {
+	return fmt.Sprintf("no such job: ID %.*q is not %d hexadecimal digits", 2*idDigits, id, idDigits)
+}
+
+// cancel answers once no host starts the job any more, or when its caller stops waiting.
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request, req request) {
-	state := h.scheduler.Find(r.Context(), req.query(), true)
-	h.log.Info("cancel", "job", req.id, "route", req.route.Name, "state", state)
-	h.format.WriteState(w, state)
+	if !isID(req.id) {
+		h.refuse(w, http.StatusGone, core.ReasonMalformed, malformedID(req.id), 0)
+		return
+	}
+	wait := cmp.Or(h.format.Timeout(r.Header), req.route.Timeout, cancelTimeout)
+	ctx, stop := context.WithTimeout(r.Context(), wait-clock.Since(req.arrived)-scheduler.AnswerMargin)
+	defer stop()
+	state, known := h.scheduler.Cancel(ctx, req.query())
+	h.log.Info("cancel", "job", req.id, "route", req.route.Name, "state", state, "known", known, "age", clock.Since(req.arrived).String())
+	h.writeState(w, state, known)
 }
 
+// cancelTimeout is how long a caller waits for a cancelling if neither it nor its route says.
+const cancelTimeout = 10 * time.Second
+
 // canServe reports whether this host can serve jobs: the configuration and the list of
 // backend servers were read, and the homes of new jobs own backend servers.
 func (h *Handler) canServe() bool { return h.watcher.Ready() && h.scheduler.CanPlace() }
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -42,6 +42,7 @@
 	if err != nil || answer.Opened == nil {
 		return
 	}
+	s.cancelLocally(shard.service, answer.Opened.Canceled)
 	votes, homeFor := votesOf(answer.Opened)
 	shard.update(schedule.AcknowledgedMsg{
 		Host:    home,
@@ -86,11 +87,15 @@
 func (s *Scheduler) askOnce(ctx context.Context, service, home string) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{Service: service}})
+	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{
+		Service: service,
+		Jobs:    s.unfinished(),
+	}})
 	if err != nil || answer.Open == nil {
 		return false
 	}
 	s.Shard(service).log.Info("home answered", "home", home, "jobs", len(answer.Open.Jobs), "up", processAge(answer.Open.Up).String())
+	s.cancelLocally(service, answer.Open.Canceled)
 	s.Shard(service).addLosses(answer.Open.Losses)
 	for _, lent := range answer.Open.Lent {
 		// That home may not be heard here.
@@ -130,16 +135,17 @@
 	return &up
 }
 
-// ServeUnknown returns the jobs that this home announces, and those that it runs tasks of for
-// other homes, of all services: the service of a job changes with its route.
+// ServeUnknown returns the jobs that this home announces, those that it runs tasks of for other
+// homes, and which of the asking home's were canceled meanwhile, of all services: the service of a job changes with its route.
 func (s *Scheduler) ServeUnknown(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	return wire.Frame{Open: &wire.Open{
-		Service: f.Unknown.Service,
-		Host:    s.config.Self,
-		Jobs:    s.announceable(),
-		Lent:    s.lent(),
-		Losses:  s.Shard(f.Unknown.Service).losses(),
-		Up:      s.up(),
+		Service:  f.Unknown.Service,
+		Host:     s.config.Self,
+		Jobs:     s.announceable(),
+		Canceled: s.canceled(f.Unknown.Jobs),
+		Lent:     s.lent(),
+		Losses:   s.Shard(f.Unknown.Service).losses(),
+		Up:       s.up(),
 	}}, true
 }
 
@@ -224,6 +230,17 @@
 	return jobs
 }
 
+// unfinished returns the jobs that this host coordinates.
+func (s *Scheduler) unfinished() []string {
+	var jobs []string
+	for _, shard := range s.all() {
+		shard.mu.Lock()
+		jobs = append(jobs, shard.jobs.Unfinished()...)
+		shard.mu.Unlock()
+	}
+	return jobs
+}
+
 // lent returns the jobs of other homes of which this host runs tasks.
 func (s *Scheduler) lent() []wire.LentJobs {
 	var lent []wire.LentJobs
@@ -258,11 +275,12 @@
 		shard.log.V(1).Info("announcement refused", "home", f.Open.Host, "jobs", refused)
 	}
 	return wire.Frame{Opened: &wire.Opened{
-		Refused: refused,
-		Held:    without(refused, answer.Refused),
-		Up:      s.up(),
-		Votes:   &votes,
-		Home:    &homeFor,
+		Refused:  refused,
+		Held:     without(refused, answer.Refused),
+		Canceled: s.canceled(f.Open.Jobs),
+		Up:       s.up(),
+		Votes:    &votes,
+		Home:     &homeFor,
 	}}, true
 }
 
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -58,6 +58,12 @@
 	return count
 }
 
+func (n *homesNetwork) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
 func (n *homesNetwork) Call(ctx context.Context, address string, f wire.Frame) (wire.Frame, error) {
 	s := n.to(address, f)
 	if s == nil {
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 )
 
@@ -56,8 +58,12 @@
 				ID:      job.ID,
 			}
 			s := network.schedulers[test.at]
-			assert.Equal(t, s.Find(t.Context(), query, false), test.state)
-			assert.Equal(t, s.Find(t.Context(), query, true), test.state)
+			state, known := s.Find(t.Context(), query)
+			assert.Assert(t, known)
+			assert.Equal(t, state, test.state)
+			state, known = s.Cancel(t.Context(), query)
+			assert.Assert(t, known)
+			assert.Equal(t, state, test.state)
 			close(network.hold)
 			assert.Equal(t, (<-outcomes).State == work.Canceled, test.canceled)
 		})
@@ -75,14 +81,91 @@
 		Service: job.Service,
 		ID:      job.ID,
 	}
-	assert.Equal(t, network.schedulers["a"].Find(t.Context(), query, true), "")
+	state, known := network.schedulers["a"].Cancel(t.Context(), query)
+	assert.Assert(t, known)
+	assert.Equal(t, state, "")
 	for _, address := range []string{"a", "b"} {
-		assert.Equal(t, network.schedulers[address].Find(t.Context(), query, false), "")
+		state, known = network.schedulers[address].Find(t.Context(), query)
+		assert.Assert(t, known)
+		assert.Equal(t, state, "")
 	}
 	// Once submitted, it is one.
 	outcome, ok := network.schedulers["b"].Do(t.Context(), job)
 	assert.Assert(t, ok)
 	assert.Equal(t, outcome.State, work.Canceled)
-	assert.Equal(t, network.schedulers["a"].Find(t.Context(), query, false), string(work.Canceled))
+	state, _ = network.schedulers["a"].Find(t.Context(), query)
+	assert.Equal(t, state, string(work.Canceled))
 	assert.Equal(t, len(starts["a"])+len(starts["b"]), 0)
 }
+
+// TestCanceledWhileHomeSilent guards against a cancelling that is acknowledged while the job's
+// home is silent, and that the home never learns of.
+func TestCanceledWhileHomeSilent(t *testing.T) {
+	const patience = 300 * time.Millisecond
+	tests := []struct {
+		name   string
+		silent time.Duration // after the request; 0 until its caller has left
+		known  bool
+		wake   func(home *Scheduler)
+	}{
+		{
+			name:   "it answers in time",
+			silent: patience / 3,
+			known:  true,
+			wake:   func(*Scheduler) {},
+		},
+		{
+			name: "it announces the job later",
+			wake: (*Scheduler).announce,
+		},
+		{
+			name: "it asks later what it missed",
+			wake: func(home *Scheduler) {
+				home.ask("s", schedule.AskCmd{
+					Host:  "b",
+					Until: time.Now().Add(time.Minute),
+				})
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			network, starts, _ := newHomes(t, time.Millisecond)
+			defer close(network.hold)
+			home := network.schedulers["a"]
+			outcomes := make(chan work.Outcome, 1)
+			go func() {
+				outcome, _ := home.Do(t.Context(), announcedJob())
+				outcomes <- outcome
+			}()
+			<-starts["a"]
+			network.setDown("a", true)
+			if test.silent > 0 {
+				time.AfterFunc(test.silent, func() { network.setDown("a", false) })
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			_, known := network.schedulers["b"].Cancel(ctx, Query{
+				Service: "s",
+				ID:      announcedJob().ID,
+			})
+			assert.Equal(t, known, test.known)
+			network.setDown("a", false)
+			test.wake(home)
+			assert.Equal(t, (<-outcomes).State, work.Canceled)
+		})
+	}
+}
+
+// TestSilentHostTakenForUnaware guards against a job that is said not to exist while a host that
+// may have it is silent.
+func TestSilentHostTakenForUnaware(t *testing.T) {
+	network, _, _ := newHomes(t, time.Millisecond)
+	network.setDown("a", true)
+	state, known := network.schedulers["b"].Find(t.Context(), Query{
+		Service: "s",
+		ID:      announcedJob().ID,
+	})
+	assert.Equal(t, state, "")
+	assert.Assert(t, !known)
+}
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -22,7 +22,7 @@
 // and the caller gets no answer. Near the deadline the caller is answered even if the
 // home is silent. A job whose deadline has passed by then isn't submitted.
 func (s *Scheduler) Do(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
-	left := job.Deadline.Add(-answerMargin).Sub(s.config.Now())
+	left := job.Deadline.Add(-AnswerMargin).Sub(s.config.Now())
 	if left <= 0 {
 		return work.Outcome{
 			State:      work.Refused,
@@ -43,9 +43,9 @@
 	}, true
 }
 
-// answerMargin is the time that an answer needs to reach its caller before the caller's
+// AnswerMargin is the time that an answer needs to reach its caller before the caller's
 // deadline.
-const answerMargin = 20 * time.Millisecond
+const AnswerMargin = 20 * time.Millisecond
 
 // lateRetryAfter is the retry delay returned to callers whose requests came too late.
 const lateRetryAfter = 100 * time.Millisecond
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -96,6 +96,15 @@
 	Wait int `cbor:"wait" json:"wait"`
 }
 
+// Canceled is a job whose cancelling was requested.
+type Canceled struct {
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Queue of the job.
+	Queue string `cbor:"queue" json:"queue"`
+}
+
 // Config is the configuration in force at a host.
 type Config struct {
 	// Configuration text as the operator wrote it.
@@ -182,6 +191,10 @@
 type Found struct {
 	// queued, running, completed, failed, canceled, or empty if unknown.
 	State string `cbor:"state" json:"state"`
+
+	// Votes of the hosts that the sender hears in its failure domain, for each
+	// service that it is a home of.
+	Votes []Votes `cbor:"votes,omitempty" json:"votes,omitempty,omitzero"`
 }
 
 // Frame is one message on a peer link; exactly one field besides id is set.
@@ -521,6 +534,10 @@
 // Open announces the older unfinished jobs that the sender coordinates, so that
 // other homes don't start them.
 type Open struct {
+	// Jobs that an Unknown frame names whose cancelling was requested, in the answer
+	// to it.
+	Canceled []Canceled `cbor:"canceled,omitempty" json:"canceled,omitempty,omitzero"`
+
 	// Peer address of the sender.
 	Host string `cbor:"host" json:"host"`
 
@@ -543,6 +560,9 @@
 // Opened acknowledges an Open frame: until its announcement expires, the sender
 // starts no task of the jobs.
 type Opened struct {
+	// Jobs with an announced ID whose cancelling was requested.
+	Canceled []Canceled `cbor:"canceled,omitempty" json:"canceled,omitempty,omitzero"`
+
 	// IDs of those that a third home has announced, or of which the sender runs tasks
 	// for one.
 	Held []string `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
@@ -851,10 +871,22 @@
 // Unknown asks a home which unfinished jobs it coordinates or runs tasks of, as
 // the sender may not know the announcements. The answer is an Open frame.
 type Unknown struct {
+	// IDs of the sender's unfinished jobs.
+	Jobs []string `cbor:"jobs,omitempty" json:"jobs,omitempty,omitzero"`
+
 	// Service that runs the jobs' tasks.
 	Service string `cbor:"service" json:"service"`
 }
 
+// Votes are those that a home of a service has in its failure domain.
+type Votes struct {
+	// Service that it is a home of.
+	Service string `cbor:"service" json:"service"`
+
+	// Number of votes.
+	Votes int `cbor:"votes" json:"votes"`
+}
+
 // Wait is the typical time that a route's callers wait for an answer.
 type Wait struct {
 	// Whether a caller was seen whose wait was clearly shorter: callers state what is
