schedule: don't give a caller the outcome of another queue's job

Two clients that used one ID in two queues got one job: the second one was answered "completed" though none of its tasks had run, and by leaving it could end the first one's job. Jobs were looked up by their ID alone. Withdrawals name the queue.

--- a/core/reason.go
+++ b/core/reason.go
@@ -25,7 +25,7 @@
 	ReasonLost         Reason = "lost"        // the host that owns the ticket is gone
 	ReasonUnreachable  Reason = "unreachable" // the host that owns the ticket is temporarily unreachable
 	ReasonForgotten    Reason = "forgotten"   // the result is no longer retained
-	ReasonMismatch     Reason = "mismatch"    // the ticket was already used for a different submission
+	ReasonMismatch     Reason = "mismatch"    // the ticket or the job ID was already used for a different submission
 	ReasonLink         Reason = "link"        // a peer connection was lost during a call
 	ReasonAttempts     Reason = "attempts"    // a task exceeded its maximum number of attempts
 	ReasonUnknown      Reason = "unknown"     // the outcome of a run can't be determined
--- a/core/schedule/cancellations.go
+++ b/core/schedule/cancellations.go
@@ -20,6 +20,9 @@
 // JobName is what callers know a job by.
 type JobName struct{ Queue, ID string }
 
+// Matches reports whether two names are those of one job, as far as is known.
+func (n JobName) Matches(o JobName) bool { return n.ID == o.ID && sameQueue(n.Queue, o.Queue) }
+
 type cancellation struct {
 	name      JobName
 	expiresAt time.Time
--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -104,9 +104,10 @@
 
 // withdrawUnknown withdraws a job that isn't coordinated here: it answers its held back
 // submission, unless there is none or more than one.
-func (m *Model) withdrawUnknown(id string) []Cmd {
+func (m *Model) withdrawUnknown(msg WithdrawMsg) []Cmd {
+	id := msg.ID
 	e := m.ending[id]
-	if e == nil || len(e.deferred) != 1 {
+	if e == nil || len(e.deferred) != 1 || !sameQueue(e.deferred[0].Job.Queue, msg.Queue) {
 		return []Cmd{LogCmd{
 			ID:     id,
 			Event:  "withdrawal ignored",
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -140,8 +140,8 @@
 // withdraw gives up a job unless it has more than one caller.
 func (m *Model) withdraw(now time.Time, msg WithdrawMsg) []Cmd {
 	j := m.jobs[msg.ID]
-	if j == nil {
-		return m.withdrawUnknown(msg.ID)
+	if j == nil || !sameQueue(j.Queue, msg.Queue) {
+		return m.withdrawUnknown(msg)
 	}
 	if len(j.callers) > 1 {
 		return []Cmd{m.logCmd(now, j, "withdrawal ignored", core.ReasonShared)}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -235,12 +236,46 @@
 	return 1
 }
 
+// isForeign reports whether a job has the ID of another queue's job. Backend servers know tasks
+// by that ID alone.
+func (m *Model) isForeign(w work.Job) bool {
+	if j := m.jobs[w.ID]; j != nil {
+		return !sameQueue(j.Queue, w.Queue)
+	}
+	f, ok := m.finished[w.ID]
+	return ok && !sameQueue(f.queue, w.Queue)
+}
+
+// foreignOutcome returns the outcome of a job that isn't started as another queue's job has its
+// ID. Unless it is its caller's first attempt, it may have been started elsewhere.
+func foreignOutcome(w work.Job) work.Outcome {
+	outcome := work.Outcome{
+		State:      work.Refused,
+		Reason:     core.ReasonMismatch,
+		RetryAfter: foreignRetryAfter,
+	}
+	if !w.First {
+		outcome.State = work.Broken
+	}
+	return outcome
+}
+
+// foreignRetryAfter is the delay that a caller is told to wait for the end of another queue's job.
+const foreignRetryAfter = time.Second
+
 // sameQueue reports whether two queues are the same as far as is known. Hosts of an older
 // version don't name them.
 func sameQueue(a, b string) bool { return a == b || a == "" || b == "" }
 
 func (m *Model) submit(now time.Time, msg SubmitMsg) []Cmd {
 	id := msg.Job.ID
+	if m.isForeign(msg.Job) {
+		return []Cmd{AnswerCmd{
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: foreignOutcome(msg.Job),
+		}}
+	}
 	if f, ok := m.finished[id]; ok {
 		return []Cmd{AnswerCmd{
 			Caller:  msg.Caller,
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -75,7 +75,7 @@
 
 // WithdrawMsg reports that the last caller of a job no longer waits. It names the job,
 // because only the host that received the job knows the caller.
-type WithdrawMsg struct{ ID string }
+type WithdrawMsg struct{ Queue, ID string }
 
 // CancelMsg cancels a queue's job for all its callers.
 type CancelMsg struct{ Queue, ID string }
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -361,7 +361,10 @@
 // ended first or the job was withdrawn. If ctx ended, that home keeps the job for dropAfter,
 // so that its caller can reattach.
 func (s *Scheduler) join(ctx context.Context, shard *Shard, home string, job work.Job, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
-	joinCtx, end := shard.beginJoin(ctx, job.ID)
+	joinCtx, end := shard.beginJoin(ctx, schedule.JobName{
+		Queue: job.Queue,
+		ID:    job.ID,
+	})
 	defer end()
 	outcome, err := s.forward(joinCtx, home, job, true)
 	outcome.Home = home
@@ -394,29 +397,31 @@
 
 // beginJoin returns the context of a call to the home that announced a job, and a function
 // to call when it has ended. The context also ends when the job is withdrawn.
-func (s *Shard) beginJoin(ctx context.Context, id string) (joinCtx context.Context, end func()) {
+func (s *Shard) beginJoin(ctx context.Context, name schedule.JobName) (joinCtx context.Context, end func()) {
 	joinCtx, cancel := context.WithCancel(ctx)
 	call := &joinCall{cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.joins[id] = append(s.joins[id], call)
+	s.joins[name] = append(s.joins[name], call)
 	return joinCtx, func() {
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.joins[id] = slices.DeleteFunc(s.joins[id], func(o *joinCall) bool { return o == call })
-		if len(s.joins[id]) == 0 {
-			delete(s.joins, id)
+		s.joins[name] = slices.DeleteFunc(s.joins[name], func(o *joinCall) bool { return o == call })
+		if len(s.joins[name]) == 0 {
+			delete(s.joins, name)
 		}
 	}
 }
 
 // withdrawJoin ends the call for a job to the home that announced it, unless the job has
 // more than one caller.
-func (s *Shard) withdrawJoin(id string) {
+func (s *Shard) withdrawJoin(withdrawn schedule.JobName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if calls := s.joins[id]; len(calls) == 1 {
-		calls[0].cancel()
+	for name, calls := range s.joins {
+		if name.Matches(withdrawn) && len(calls) == 1 {
+			calls[0].cancel()
+		}
 	}
 }
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -169,3 +169,28 @@
 	assert.Equal(t, state, "")
 	assert.Assert(t, !known)
 }
+
+// TestJoinedInOtherQueue guards against a caller that joins another queue's job with the same ID
+// at the home that announced it.
+func TestJoinedInOtherQueue(t *testing.T) {
+	network, starts, _ := newHomes(t, time.Millisecond)
+	outcomes := make(chan work.Outcome, 1)
+	job := announcedJob()
+	job.Queue = "q"
+	go func() {
+		outcome, _ := network.schedulers["a"].Do(t.Context(), job)
+		outcomes <- outcome
+	}()
+	<-starts["a"]
+	network.schedulers["a"].announce()
+	<-network.announced
+	other := announcedJob()
+	other.Queue, other.First = "p", true
+	outcome, ok := network.schedulers["b"].Do(t.Context(), other)
+	assert.Assert(t, ok)
+	assert.Equal(t, outcome.State, work.Refused)
+	network.schedulers["b"].sendDrop("a", other)
+	close(network.hold)
+	assert.Equal(t, (<-outcomes).State, work.Completed)
+	assert.Equal(t, len(starts["b"]), 0)
+}
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -198,8 +198,12 @@
 		shard.halt(homeFromWire(f.Halt.Home), f.Halt.Task)
 		return wire.Frame{}, false
 	}
-	s.shardOf(f.Halt.Service, "", f.Halt.Job).update(schedule.WithdrawMsg{ID: f.Halt.Job})
-	shard.withdrawJoin(f.Halt.Job)
+	name := schedule.JobName{
+		Queue: queueFromWire(f.Halt.Queue),
+		ID:    f.Halt.Job,
+	}
+	s.shardOf(f.Halt.Service, "", name.ID).update(schedule.WithdrawMsg(name))
+	shard.withdrawJoin(name)
 	return wire.Frame{}, false
 }
 
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -157,7 +157,7 @@
 		callers:      map[string]caller{},
 		lent:         map[string]*lentRun{},
 		earlyHalts:   map[lentTask]int{},
-		joins:        map[string][]*joinCall{},
+		joins:        map[schedule.JobName][]*joinCall{},
 		reattach:     s.config.Reattach,
 	}
 	shard.shareLoss = func(msg schedule.LossMsg) { s.shareLoss(service, msg) }
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -72,7 +72,7 @@
 	capacityCheckedAt time.Time // when reportedCapacity was last refreshed
 	capacityDirty     bool      // free capacity may have changed since then
 
-	joins       map[string][]*joinCall // calls to homes that announced a job, by job ID
+	joins       map[schedule.JobName][]*joinCall // calls to homes that announced a job
 	loggedHomes schedule.HomesMsg
 }
 
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -118,6 +118,7 @@
 func (s *Scheduler) sendDrop(home string, job work.Job) {
 	s.send(home, wire.Frame{Halt: &wire.Halt{
 		Service: job.Service,
+		Queue:   &job.Queue,
 		Job:     job.ID,
 	}})
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -300,6 +300,9 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Queue of the job. Versions without it don't tell queues apart.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// Service of the task or job.
 	Service string `cbor:"service" json:"service"`
 
