--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -42,7 +42,7 @@
 	if err != nil || answer.Opened == nil {
 		return
 	}
-	s.cancelLocally(shard.service, answer.Opened.Canceled)
+	s.cancelLocally(answer.Opened.Canceled)
 	votes, homeFor := votesOf(answer.Opened)
 	shard.update(schedule.AcknowledgedMsg{
 		Host:    home,
@@ -95,7 +95,7 @@
 		return false
 	}
 	s.Shard(service).log.Info("home answered", "home", home, "jobs", len(answer.Open.Jobs), "up", processAge(answer.Open.Up).String())
-	s.cancelLocally(service, answer.Open.Canceled)
+	s.cancelLocally(answer.Open.Canceled)
 	s.Shard(service).addLosses(answer.Open.Losses)
 	for _, lent := range answer.Open.Lent {
 		// That home may not be heard here.
--- a/io/scheduler/find.go
+++ b/io/scheduler/find.go
@@ -17,7 +17,7 @@
 // queue has now.
 type Query struct {
 	Queue   string
-	Service string // of the queue in the configuration in force
+	Service string // of the queue in the configuration in force; for hosts that look only there
 	ID      string
 }
 
@@ -170,9 +170,8 @@
 // ServeFind returns the state of a job on this host, and cancels it here on request.
 func (s *Scheduler) ServeFind(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	found := &wire.Found{State: s.findLocally(Query{
-		Queue:   queueFromWire(f.Find.Queue),
-		Service: f.Find.Service,
-		ID:      f.Find.Job,
+		Queue: queueFromWire(f.Find.Queue),
+		ID:    f.Find.Job,
 	}, f.Find.Cancel)}
 	if f.Find.Cancel {
 		for _, shard := range s.all() {
@@ -241,12 +240,11 @@
 }
 
 // cancelLocally cancels jobs whose cancelling was requested at another host.
-func (s *Scheduler) cancelLocally(service string, canceled []wire.Canceled) {
+func (s *Scheduler) cancelLocally(canceled []wire.Canceled) {
 	for _, job := range canceled {
 		state := s.findLocally(Query{
-			Queue:   job.Queue,
-			Service: service,
-			ID:      job.Job,
+			Queue: job.Queue,
+			ID:    job.Job,
 		}, true)
 		s.config.Log.Info("canceled elsewhere", "job", job.Job, "state", state)
 	}
