--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -88,7 +88,7 @@
 	}
 	switch outcome.State {
 	case work.Completed, work.Failed, work.Canceled:
-		m.retain(now, j.ID, outcome)
+		m.retain(now, j.Queue, j.ID, outcome)
 	case work.Refused, work.Broken, work.Elsewhere:
 		// The outcome isn't retained, so that a resubmitted job runs.
 	}
@@ -140,8 +140,8 @@
 // withdraw gives up a job unless it has more than one caller.
 func (m *Model) withdraw(now time.Time, msg WithdrawMsg) []Cmd {
 	j := m.jobs[msg.ID]
-	if j == nil {
-		return m.withdrawUnknown(msg.ID)
+	if j == nil || !sameQueue(j.Queue, msg.Queue) {
+		return m.withdrawUnknown(msg)
 	}
 	if len(j.callers) > 1 {
 		return []Cmd{m.logCmd(now, j, "withdrawal ignored", core.ReasonShared)}
@@ -167,25 +167,31 @@
 	return cmds
 }
 
+// cancel ends a queue's job. A submission of it that is held back doesn't start.
 func (m *Model) cancel(now time.Time, msg CancelMsg) []Cmd {
+	if e := m.ending[msg.ID]; e != nil {
+		for i, held := range e.deferred {
+			e.deferred[i].Canceled = held.Canceled || sameQueue(held.Job.Queue, msg.Queue)
+		}
+	}
 	j := m.jobs[msg.ID]
-	outcome := work.Outcome{
+	if j == nil || !sameQueue(j.Queue, msg.Queue) {
+		return nil
+	}
+	return m.finish(now, j, canceledOutcome())
+}
+
+func canceledOutcome() work.Outcome {
+	return work.Outcome{
 		State:  work.Canceled,
 		Reason: core.ReasonCanceled,
 	}
-	if j != nil {
-		return m.finish(now, j, outcome)
-	}
-	if _, ok := m.finished[msg.ID]; !ok {
-		// The submission may still be in transit; it must not start.
-		m.retain(now, msg.ID, outcome)
-	}
-	return nil
 }
 
 // retain keeps the outcome of a job for resubmissions.
-func (m *Model) retain(now time.Time, id string, outcome work.Outcome) {
+func (m *Model) retain(now time.Time, queue, id string, outcome work.Outcome) {
 	f := finishedJob{
+		queue:     queue,
 		outcome:   outcome,
 		expiresAt: now.Add(m.limits.OutcomeRetention),
 	}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"rosemarywalk/core"
 	"rosemarywalk/core/work"
 )
 
@@ -32,6 +34,7 @@
 
 // finishedJob is the outcome of a job that has ended.
 type finishedJob struct {
+	queue     string
 	outcome   work.Outcome
 	expiresAt time.Time
 }
@@ -169,6 +172,9 @@
 	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0
 }
 
+// Unfinished returns the sorted IDs of the jobs that have not ended.
+func (m *Model) Unfinished() []string { return slices.Sorted(maps.Keys(m.jobs)) }
+
 // Backlog returns the millicores of all waiting tasks.
 func (m *Model) Backlog() int {
 	sum := 0
@@ -189,22 +195,87 @@
 	return n
 }
 
-// State returns the state of a job, if this host has the job or its outcome.
-func (m *Model) State(id string) (state string, ok bool) {
-	if j := m.jobs[id]; j != nil {
+// State returns the state of a queue's job, if this host has the job or its outcome.
+func (m *Model) State(queue, id string) (state string, ok bool) {
+	if j := m.jobs[id]; j != nil && sameQueue(j.Queue, queue) {
 		if j.started {
-			return "running", true
+			return StateRunning, true
 		}
-		return "queued", true
+		return StateQueued, true
 	}
-	if f, ok := m.finished[id]; ok {
+	if f, ok := m.finished[id]; ok && sameQueue(f.queue, queue) {
 		return string(f.outcome.State), true
 	}
 	return "", false
 }
 
+// States of a job that hasn't ended.
+const (
+	StateQueued  = "queued"
+	StateRunning = "running"
+)
+
+// LaterState returns that of two states of one job which is more recent, as far as they tell: a
+// job that hasn't ended may have been submitted again since it did elsewhere. Unknown is "".
+func LaterState(a, b string) string {
+	if stateRank(b) > stateRank(a) {
+		return b
+	}
+	return a
+}
+
+func stateRank(state string) int {
+	switch state {
+	case "":
+		return 0
+	case StateQueued:
+		return 2
+	case StateRunning:
+		return 3
+	}
+	return 1
+}
+
+// isForeign reports whether a job has the ID of another queue's job. Backend servers know tasks
+// by that ID alone.
+func (m *Model) isForeign(w work.Job) bool {
+	if j := m.jobs[w.ID]; j != nil {
+		return !sameQueue(j.Queue, w.Queue)
+	}
+	f, ok := m.finished[w.ID]
+	return ok && !sameQueue(f.queue, w.Queue)
+}
+
+// foreignOutcome returns the outcome of a job that isn't started as another queue's job has its
+// ID. Unless it is its caller's first attempt, it may have been started elsewhere.
+func foreignOutcome(w work.Job) work.Outcome {
+	outcome := work.Outcome{
+		State:      work.Refused,
+		Reason:     core.ReasonMismatch,
+		RetryAfter: foreignRetryAfter,
+	}
+	if !w.First {
+		outcome.State = work.Broken
+	}
+	return outcome
+}
+
+// foreignRetryAfter is the delay that a caller is told to wait for the end of another queue's job.
+const foreignRetryAfter = time.Second
+
+// sameQueue reports whether two queues are the same as far as is known. Hosts of an older
+// version don't name them.
+func sameQueue(a, b string) bool { return a == b || a == "" || b == "" }
+
 func (m *Model) submit(now time.Time, msg SubmitMsg) []Cmd {
 	id := msg.Job.ID
+	if m.isForeign(msg.Job) {
+		return []Cmd{AnswerCmd{
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: foreignOutcome(msg.Job),
+		}}
+	}
 	if f, ok := m.finished[id]; ok {
 		return []Cmd{AnswerCmd{
 			Caller:  msg.Caller,
@@ -212,6 +283,14 @@
 			Outcome: f.outcome,
 		}}
 	}
+	if msg.Canceled {
+		m.retain(now, msg.Job.Queue, id, canceledOutcome())
+		return []Cmd{AnswerCmd{
+			Caller:  msg.Caller,
+			ID:      id,
+			Outcome: canceledOutcome(),
+		}}
+	}
 	if m.suspects.culprit(id) != "" {
 		return []Cmd{AnswerCmd{
 			Caller:  msg.Caller,
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -19,6 +19,8 @@
 	Resubmitted bool // the other host submitted it before, on a connection that broke
 	JoinOnly    bool // another home passed it on because this host announced it; never started
 
+	Canceled bool // its cancelling was requested before; never started
+
 	OtherService bool // the job is one of another service now; never started
 
 	AbsentAt string // home that announced the job and doesn't know it; "" for none
@@ -73,10 +75,10 @@
 
 // WithdrawMsg reports that the last caller of a job no longer waits. It names the job,
 // because only the host that received the job knows the caller.
-type WithdrawMsg struct{ ID string }
+type WithdrawMsg struct{ Queue, ID string }
 
-// CancelMsg cancels a job for all its callers.
-type CancelMsg struct{ ID string }
+// CancelMsg cancels a queue's job for all its callers.
+type CancelMsg struct{ Queue, ID string }
 
 // CapacityMsg reports the free capacity of a host's pool, the own one included. The
 // scheduler takes ownership of the slots and modifies them.
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -42,6 +42,7 @@
 	if err != nil || answer.Opened == nil {
 		return
 	}
+	s.cancelLocally(answer.Opened.Canceled)
 	votes, homeFor := votesOf(answer.Opened)
 	shard.update(schedule.AcknowledgedMsg{
 		Host:    home,
@@ -86,11 +87,15 @@
 func (s *Scheduler) askOnce(ctx context.Context, service, home string) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{Service: service}})
+	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{
+		Service: service,
+		Jobs:    s.unfinished(),
+	}})
 	if err != nil || answer.Open == nil {
 		return false
 	}
 	s.Shard(service).log.Info("home answered", "home", home, "jobs", len(answer.Open.Jobs), "up", processAge(answer.Open.Up).String())
+	s.cancelLocally(answer.Open.Canceled)
 	s.Shard(service).addLosses(answer.Open.Losses)
 	for _, lent := range answer.Open.Lent {
 		// That home may not be heard here.
@@ -130,16 +135,17 @@
 	return &up
 }
 
-// ServeUnknown returns the jobs that this home announces, and those that it runs tasks of for
-// other homes, of all services: the service of a job changes with its route.
+// ServeUnknown returns the jobs that this home announces, those that it runs tasks of for other
+// homes, and which of the asking home's were canceled meanwhile, of all services: the service of a job changes with its route.
 func (s *Scheduler) ServeUnknown(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	return wire.Frame{Open: &wire.Open{
-		Service: f.Unknown.Service,
-		Host:    s.config.Self,
-		Jobs:    s.announceable(),
-		Lent:    s.lent(),
-		Losses:  s.Shard(f.Unknown.Service).losses(),
-		Up:      s.up(),
+		Service:  f.Unknown.Service,
+		Host:     s.config.Self,
+		Jobs:     s.announceable(),
+		Canceled: s.canceled(f.Unknown.Jobs),
+		Lent:     s.lent(),
+		Losses:   s.Shard(f.Unknown.Service).losses(),
+		Up:       s.up(),
 	}}, true
 }
 
@@ -224,6 +230,17 @@
 	return jobs
 }
 
+// unfinished returns the jobs that this host coordinates.
+func (s *Scheduler) unfinished() []string {
+	var jobs []string
+	for _, shard := range s.all() {
+		shard.mu.Lock()
+		jobs = append(jobs, shard.jobs.Unfinished()...)
+		shard.mu.Unlock()
+	}
+	return jobs
+}
+
 // lent returns the jobs of other homes of which this host runs tasks.
 func (s *Scheduler) lent() []wire.LentJobs {
 	var lent []wire.LentJobs
@@ -258,11 +275,12 @@
 		shard.log.V(1).Info("announcement refused", "home", f.Open.Host, "jobs", refused)
 	}
 	return wire.Frame{Opened: &wire.Opened{
-		Refused: refused,
-		Held:    without(refused, answer.Refused),
-		Up:      s.up(),
-		Votes:   &votes,
-		Home:    &homeFor,
+		Refused:  refused,
+		Held:     without(refused, answer.Refused),
+		Canceled: s.canceled(f.Open.Jobs),
+		Up:       s.up(),
+		Votes:    &votes,
+		Home:     &homeFor,
 	}}, true
 }
 
@@ -343,7 +361,10 @@
 // ended first or the job was withdrawn. If ctx ended, that home keeps the job for dropAfter,
 // so that its caller can reattach.
 func (s *Scheduler) join(ctx context.Context, shard *Shard, home string, job work.Job, dropAfter time.Duration) (outcome work.Outcome, ok bool) {
-	joinCtx, end := shard.beginJoin(ctx, job.ID)
+	joinCtx, end := shard.beginJoin(ctx, schedule.JobName{
+		Queue: job.Queue,
+		ID:    job.ID,
+	})
 	defer end()
 	outcome, err := s.forward(joinCtx, home, job, true)
 	outcome.Home = home
@@ -376,29 +397,31 @@
 
 // beginJoin returns the context of a call to the home that announced a job, and a function
 // to call when it has ended. The context also ends when the job is withdrawn.
-func (s *Shard) beginJoin(ctx context.Context, id string) (joinCtx context.Context, end func()) {
+func (s *Shard) beginJoin(ctx context.Context, name schedule.JobName) (joinCtx context.Context, end func()) {
 	joinCtx, cancel := context.WithCancel(ctx)
 	call := &joinCall{cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.joins[id] = append(s.joins[id], call)
+	s.joins[name] = append(s.joins[name], call)
 	return joinCtx, func() {
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.joins[id] = slices.DeleteFunc(s.joins[id], func(o *joinCall) bool { return o == call })
-		if len(s.joins[id]) == 0 {
-			delete(s.joins, id)
+		s.joins[name] = slices.DeleteFunc(s.joins[name], func(o *joinCall) bool { return o == call })
+		if len(s.joins[name]) == 0 {
+			delete(s.joins, name)
 		}
 	}
 }
 
 // withdrawJoin ends the call for a job to the home that announced it, unless the job has
 // more than one caller.
-func (s *Shard) withdrawJoin(id string) {
+func (s *Shard) withdrawJoin(withdrawn schedule.JobName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if calls := s.joins[id]; len(calls) == 1 {
-		calls[0].cancel()
+	for name, calls := range s.joins {
+		if name.Matches(withdrawn) && len(calls) == 1 {
+			calls[0].cancel()
+		}
 	}
 }
