io/entry, platform: a host's row stays below what the store takes

Callers saw 502 with "majority" for every job declared to run for 0.42 s or more, from 12 s after the store had refused the hosts' rows, without end.

A row listed the waits of every route that ever had a caller, here or at another host: routes that the configuration no longer has were never dropped, and the rows carried them from host to host and from process to process. A row over row_bytes was refused, and written again as it was. Rows that don't move give no votes.

Now each host drops what it knows of routes that its configuration lacks, and adopts nothing of them. What is left out of a row is unknown to a new process, as a new route is, so that fewer attempts count as first ones.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -35,8 +35,42 @@
 	Typical time.Duration // 0 as long as it is unknown
 	Longest time.Duration // longest wait that was given
 	Falling bool          // a caller was seen whose wait was clearly shorter, so callers state what is left of their time
+	Samples int           // number of waits that it is based on; not part of the row
 }
 
+// WaitLimit limits how many waits a host writes to its row, as the store may refuse a large
+// one. The zero value is no limit.
+type WaitLimit struct {
+	limited bool
+	waits   int
+}
+
+// MostUsed returns the waits that may be written, those with most samples first.
+func (l WaitLimit) MostUsed(waits []RouteWait) []RouteWait {
+	sorted := slices.SortedStableFunc(slices.Values(waits), func(a, b RouteWait) int { return b.Samples - a.Samples })
+	if l.limited {
+		return sorted[:min(l.waits, len(sorted))]
+	}
+	return sorted
+}
+
+// WithRefused returns the limit after the store has refused a row with so many waits.
+func (l WaitLimit) WithRefused(waits int) WaitLimit {
+	return WaitLimit{
+		limited: true,
+		waits:   waits / 2,
+	}
+}
+
+// WithAccepted returns the limit after the store has taken a row. It grows slowly, as each
+// step may be refused.
+func (l WaitLimit) WithAccepted() WaitLimit {
+	l.waits += 1 + l.waits/waitLimitGrowth
+	return l
+}
+
+const waitLimitGrowth = 16
+
 // HasLabel reports whether the server has a label. Every server has the empty label.
 func (s Server) HasLabel(label string) bool { return label == "" || slices.Contains(s.Labels, label) }
 
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
+	"rosemarywalk/core/route"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
@@ -132,6 +133,7 @@
 	}
 	n.Watcher.SetRouteWaits(h.waitEstimator.estimates)
 	n.Watcher.OnHosts(h.waitEstimator.adopt)
+	n.Watcher.OnConfig(func(route.Config) { h.waitEstimator.retain(n.Watcher.Config().Routes) })
 	return h
 }
 
--- a/io/entry/waits.go
+++ b/io/entry/waits.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"rosemarywalk/core/listing"
+	"rosemarywalk/core/route"
 )
 
 // The estimate of a route's typical wait is a low quantile of the waits that its
@@ -31,8 +33,9 @@
 type waitEstimator struct {
 	remaining bool // callers are known to state what remains of their first wait
 
-	mu     sync.Mutex
-	routes map[string]routeWait
+	mu         sync.Mutex
+	routes     map[string]routeWait
+	configured map[string]bool // routes of the configuration; nil as long as there is none
 }
 
 func newWaitEstimator(remaining bool) waitEstimator {
@@ -119,6 +122,7 @@
 			Route:   route,
 			Longest: duration(max(estimate.longest, estimate.before)),
 			Falling: estimate.falling,
+			Samples: estimate.samples,
 		}
 		if estimate.samples >= firstWaits {
 			wait.Typical = duration(estimate.seconds)
@@ -133,6 +137,18 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// retain drops the estimates of routes that the configuration doesn't have. Rows carry them
+// from host to host, so each host must drop them.
+func (w *waitEstimator) retain(routes []route.Route) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configured = map[string]bool{}
+	for _, r := range routes {
+		w.configured[r.Name] = true
+	}
+	maps.DeleteFunc(w.routes, func(name string, _ routeWait) bool { return !w.configured[name] })
+}
+
 // adopt adopts the estimates of other hosts, or of an earlier process of this host, for
 // routes that have none yet, and what they have seen of the callers of all routes.
 func (w *waitEstimator) adopt(hosts []listing.Host) {
@@ -146,6 +162,9 @@
 	}
 	for _, h := range hosts {
 		for _, l := range h.RouteWaits {
+			if w.configured != nil && !w.configured[l.Route] {
+				continue
+			}
 			estimate := w.routes[l.Route]
 			if estimate.samples == 0 && l.Typical > 0 {
 				estimate.seconds, estimate.samples = l.Typical.Seconds(), firstWaits
--- a/io/entry/waits_test.go
+++ b/io/entry/waits_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosemarywalk/core/listing"
+	"rosemarywalk/core/route"
 )
 
 // TestElapsed replays callers of one route whose timeouts differ, as they grow with the
@@ -205,6 +207,47 @@
 	}
 }
 
+// TestRemovedRoutesKept guards against waits of routes that the configuration no longer has, which
+// the rows carry from host to host and from process to process.
+func TestRemovedRoutesKept(t *testing.T) {
+	const (
+		versions = 30
+		added    = 350 // routes that each version has and no other one
+	)
+	routesOf := func(version int) []route.Route {
+		routes := []route.Route{{Name: "lasting"}}
+		for i := range added {
+			routes = append(routes, route.Route{Name: fmt.Sprintf("r-%d-%d", version, i)})
+		}
+		return routes
+	}
+	hosts := []*waitEstimator{new(newWaitEstimator(true)), new(newWaitEstimator(true))}
+	rows := func() []listing.Host {
+		return []listing.Host{{RouteWaits: hosts[0].estimates()}, {RouteWaits: hosts[1].estimates()}}
+	}
+	for version := range versions {
+		before := rows()
+		for i, host := range hosts {
+			host.retain(routesOf(version))
+			host.adopt(before)
+			for j, r := range routesOf(version) {
+				if j%len(hosts) == i {
+					host.elapsed(r.Name, time.Second)
+				}
+			}
+		}
+		for _, host := range hosts {
+			host.adopt(rows())
+			assert.Equal(t, len(host.estimates()), added+1)
+		}
+	}
+	starting := newWaitEstimator(true)
+	starting.adopt(rows())
+	starting.retain(routesOf(versions))
+	assert.Equal(t, len(starting.estimates()), 1)
+	assert.Equal(t, starting.estimates()[0].Route, "lasting")
+}
+
 // TestSettled checks that first submissions count as recognised only once they are on every
 // route with callers.
 func TestSettled(t *testing.T) {
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	messages *prometheus.CounterVec
 	bytes    *prometheus.CounterVec
 	starts   prometheus.Counter
+	rows     prometheus.Counter
 	jobs     *prometheus.CounterVec
 	joins    *prometheus.CounterVec
 }
@@ -46,13 +47,18 @@
 			Name:      "starts_total",
 			Help:      "Tasks sent to a backend server.",
 		}),
+		rows: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "row_refusals_total",
+			Help:      "Writes of this host's row that the store refused.",
+		}),
 	}
 	for _, reason := range core.Reasons() {
 		c.refusals.WithLabelValues(string(reason))
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows)
 	return c
 }
 
@@ -75,6 +81,9 @@
 // Failed counts a failed job.
 func (c *Counters) Failed(reason core.Reason) { c.failures.WithLabelValues(string(reason)).Inc() }
 
+// RowRefused counts a write of this host's row that the store refused.
+func (c *Counters) RowRefused() { c.rows.Inc() }
+
 // Messages counts n messages of a kind without a task or an answer.
 func (c *Counters) Messages(kind string, n int) {
 	c.messages.WithLabelValues(kind).Add(float64(n))
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"go.uber.org/fx"
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/settings"
+	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
 )
 
@@ -135,14 +137,16 @@
 	})
 }
 
-func newWatcher(source Source, s settings.Settings, log logr.Logger) *Watcher {
-	return New(source, Periods{
+func newWatcher(source Source, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Watcher {
+	w := New(source, Periods{
 		Poll:    s.Duration(section, "poll"),
 		Servers: s.Duration(section, "servers"),
 		Hosts:   s.Duration(section, "hosts"),
 		Retry:   s.Duration(section, "retry"),
 		Return:  s.Duration(section, "return"),
 	}, log)
+	w.countRefusedRow = counters.RowRefused
+	return w
 }
 
 func run(lc fx.Lifecycle, s settings.Settings, w *Watcher) {
@@ -160,13 +164,25 @@
 
 // announce writes this host's row to the store periodically until ctx is done.
 func (w *Watcher) announce(ctx context.Context, self listing.Host, period time.Duration) {
+	var limit listing.WaitLimit
 	for ctx.Err() == nil {
 		self.HeartbeatCount++
-		self.RouteWaits = w.learnedWaits()
+		self.RouteWaits = limit.MostUsed(w.learnedWaits())
 		pause := period
-		if err := w.source.Announce(ctx, self); err != nil {
+		err := w.source.Announce(ctx, self)
+		switch {
+		case errors.Is(err, ErrRowRefused):
+			w.countRefusedRow()
+			w.log.Info("store refused the row of this host", "waits", len(self.RouteWaits), "error", err.Error())
+			limit = limit.WithRefused(len(self.RouteWaits))
+			if pause = 0; len(self.RouteWaits) == 0 {
+				pause = w.periods.Retry
+			}
+		case err != nil:
 			w.log.V(1).Info("cannot write host row to store", "error", err.Error())
 			pause = w.periods.Retry
+		default:
+			limit = limit.WithAccepted()
 		}
 		sleep(ctx, pause)
 	}
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -18,6 +18,10 @@
 // that the full list must be read again.
 const ErrTooManyChanges = errors.ConstError("too many changes in the store")
 
+// ErrRowRefused means that the store doesn't take a row as it is, for example as it is too
+// large.
+const ErrRowRefused = errors.ConstError("store refused the row")
+
 // ConfigPage is the newest configuration; version 0 means that it hasn't changed.
 type ConfigPage struct {
 	Config   route.Config
@@ -60,6 +64,7 @@
 	Hosts(ctx context.Context, after int64, wait time.Duration) (HostsPage, error)
 	// Decode parses a configuration as the operator wrote it.
 	Decode(raw []byte) (route.Config, error)
-	// Announce writes this host's row.
+	// Announce writes this host's row, without the last ones of its waits if they don't fit. It
+	// returns ErrRowRefused if the store doesn't take the row as it is.
 	Announce(ctx context.Context, h listing.Host) error
 }
--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,6 +36,64 @@
 func (s *scriptedSource) Decode([]byte) (route.Config, error)          { return route.Config{}, nil }
 func (s *scriptedSource) Announce(context.Context, listing.Host) error { return nil }
 
+// boundedSource is a Source that refuses rows of more than a number of waits.
+type boundedSource struct {
+	scriptedSource
+
+	maxWaits int
+	rows     chan listing.Host // that it took
+}
+
+func (s *boundedSource) Announce(ctx context.Context, h listing.Host) error {
+	if len(h.RouteWaits) > s.maxWaits {
+		return errors.Trace(ErrRowRefused)
+	}
+	select {
+	case s.rows <- h:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// TestRefusedRowRepeated guards against a refused row that is written again as it is: other
+// hosts take this one for dead. It checks that the next row is a smaller one, which has the waits
+// of the most used routes, and that no more waits are left out than must be.
+func TestRefusedRowRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			routes   = 10_000
+			maxWaits = 700
+			period   = 2 * time.Second
+			rows     = 200
+		)
+		source := &boundedSource{
+			maxWaits: maxWaits,
+			rows:     make(chan listing.Host),
+		}
+		w := New(source, Periods{Retry: time.Second}, logr.Discard())
+		refused := 0
+		w.countRefusedRow = func() { refused++ }
+		w.SetRouteWaits(func() []listing.RouteWait {
+			waits := make([]listing.RouteWait, routes)
+			for i := range waits {
+				waits[i] = listing.RouteWait{Samples: i}
+			}
+			return waits
+		})
+		started := time.Now()
+		go w.announce(t.Context(), listing.Host{}, period)
+		most, first := 0, <-source.rows
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.Equal(t, first.RouteWaits[0].Samples, routes-1)
+		assert.Equal(t, refused, 4)
+		for range rows {
+			most = max(most, len((<-source.rows).RouteWaits))
+		}
+		assert.Assert(t, most > maxWaits*9/10, "%d waits", most)
+		assert.Equal(t, time.Since(started), rows*period, "a row was late")
+	})
+}
+
 // page returns a page with backend servers of the given IDs.
 func page(position int64, whole bool, ids ...string) ServersPage {
 	p := ServersPage{
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -39,6 +39,7 @@
 	onServers       []func([]listing.Server)
 	onHosts         []func([]listing.Host)
 	learnedWaits    func() []listing.RouteWait
+	countRefusedRow func()
 	shouldRead      func() bool // whether this host reads the lists itself
 	updates         updateState
 	onUpdate        []func(Update)
@@ -73,7 +74,9 @@
 		invalid:      map[string]map[string]int64{},
 		learnedWaits: func() []listing.RouteWait { return nil },
 		shouldRead:   func() bool { return true },
-		updates:      newUpdateState(),
+
+		countRefusedRow: func() {},
+		updates:         newUpdateState(),
 	}
 }
 
