io/roster, platform: rows of removed hosts leave the store

Callers saw 502 with "majority" for jobs declared to run for 0.42 s or more, for 21 s after a restart of all processes, if more machines had been replaced in the life of the deployment than are in use.

Nothing removed a host's row. A process that has just started can't tell the rows of removed hosts from those of hosts that are cut off, and counts each for 21 s, in which the live hosts are no majority.

Now a host removes a row that it counts no more itself: it has seen it unmoved for 21 s, of which an outage of the store counts for at most 6, and hears no host at its address, unless another row of that address moves. It does so only while its own row is current; the next host of its failure domain waits for 2 s more. It reads the row again first, and removes that version of it only, so that a host that writes its row keeps it. A host without a row gives no votes until it has written it again, as before. That is as safe as forgetting the row: its host knows after 12 s by its own clock that others may not count it.

Rows that moved within the last 21 s before the loss of all hosts still count for 21 s after it: nothing shows that their hosts are gone.

--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -244,8 +244,14 @@
 	}
 }
 
+// removePeriod is the time between checks for rows to remove.
+const removePeriod = time.Second
+
 func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
 	w.OnHosts(r.SetListedHosts)
+	loop.Append(lc, func(ctx context.Context) {
+		loop.Every(ctx, removePeriod, func(ctx context.Context) { r.removeAbandoned(ctx, w.RemoveHost) })
+	})
 	loop.Append(lc, func(ctx context.Context) {
 		loop.Every(ctx, r.period, func(context.Context) { r.tick() })
 	})
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -15,6 +15,7 @@
 	"rosemarywalk/core/owner"
 	"rosemarywalk/io/beat"
 	"rosemarywalk/io/telemetry"
+	"rosemarywalk/io/watch"
 	"rosemarywalk/io/wire"
 )
 
@@ -181,6 +182,41 @@
 	}
 }
 
+// removeAbandoned removes the rows of hosts that are gone for good from the store, a limited
+// number in each call. A host whose own row isn't current removes none.
+func (r *Roster) removeAbandoned(ctx context.Context, remove func(context.Context, listing.Host) error) {
+	for _, h := range r.abandoned() {
+		err := remove(ctx, h)
+		switch {
+		case errors.Is(err, watch.ErrRowChanged):
+		case err != nil:
+			r.log.V(1).Info("cannot remove host row from store", "name", h.Name, "error", err.Error())
+			return
+		default:
+			r.log.Info("host row removed", "name", h.Name, "address", h.Address)
+		}
+	}
+}
+
+// maxRemovals limits the rows that a host removes in one period of reads.
+const maxRemovals = 20
+
+func (r *Roster) abandoned() []listing.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.model.Self()
+	if self.Stopping || r.rows.isUnlisted(time.Now(), self.Address) {
+		return nil
+	}
+	heard := map[string]bool{}
+	for _, h := range r.model.Live() {
+		heard[h.Address] = true
+	}
+	rank, _ := r.model.DomainRank()
+	hosts := r.rows.abandoned(rank, func(address string) bool { return heard[address] })
+	return hosts[:min(maxRemovals, len(hosts))]
+}
+
 // IsListed reports whether this host's own row was read from the store. Of two hosts that
 // start together, the one that writes its row later then knows the row of the other.
 func (r *Roster) IsListed() bool {
--- a/io/roster/rows.go
+++ b/io/roster/rows.go
@@ -90,6 +90,32 @@
 	hr.voters = slices.Clip(hr.countedEverywhere())
 }
 
+// abandoned returns the rows that may be removed from the store: they no longer count for
+// majorities, and no host that is heard needs them. A host that writes such a row but isn't heard
+// knows that it isn't counted, and writes the row again when it can. With each rank the rows must
+// be older, so that hosts don't all remove the same ones.
+func (hr *hostRows) abandoned(rank int, heard func(address string) bool) []listing.Host {
+	age := hr.forget + time.Duration(rank)*removeRankDelay
+	moving := map[string]bool{}
+	for _, r := range hr.byName {
+		if !r.missing && r.unmoved < hr.forget {
+			moving[r.host.Address] = true
+		}
+	}
+	var hosts []listing.Host
+	for _, r := range hr.byName {
+		address := r.host.Address
+		if !r.missing && r.unmoved >= age && (moving[address] || !heard(address)) {
+			hosts = append(hosts, r.host)
+		}
+	}
+	return hosts
+}
+
+// removeRankDelay is how much older a row must be for the next host of a failure domain to
+// remove it.
+const removeRankDelay = 2 * time.Second
+
 // contains reports whether there is a row of the host at an address.
 func (hr *hostRows) contains(address string) bool {
 	for _, r := range hr.byName {
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -22,6 +22,9 @@
 // large.
 const ErrRowRefused = errors.ConstError("store refused the row")
 
+// ErrRowChanged means that a row isn't removed, as it has changed.
+const ErrRowChanged = errors.ConstError("row has changed")
+
 // ConfigPage is the newest configuration; version 0 means that it hasn't changed.
 type ConfigPage struct {
 	Config   route.Config
@@ -67,4 +70,7 @@
 	// Announce writes this host's row, without the last ones of its waits if they don't fit. It
 	// returns ErrRowRefused if the store doesn't take the row as it is.
 	Announce(ctx context.Context, h listing.Host) error
+	// Remove removes a host's row if its counter and address are still the given ones. It
+	// returns ErrRowChanged if they aren't, or the row is gone.
+	Remove(ctx context.Context, h listing.Host) error
 }
--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -35,6 +35,7 @@
 
 func (s *scriptedSource) Decode([]byte) (route.Config, error)          { return route.Config{}, nil }
 func (s *scriptedSource) Announce(context.Context, listing.Host) error { return nil }
+func (s *scriptedSource) Remove(context.Context, listing.Host) error   { return nil }
 
 // boundedSource is a Source that refuses rows of more than a number of waits.
 type boundedSource struct {
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -396,6 +396,11 @@
 	return page.Position, nil
 }
 
+// RemoveHost removes a host's row from the store, unless it has changed.
+func (w *Watcher) RemoveHost(ctx context.Context, h listing.Host) error {
+	return w.source.Remove(ctx, h)
+}
+
 // mergeHosts applies a page, and calls the OnHosts functions with all hosts.
 func (w *Watcher) mergeHosts(page HostsPage) {
 	w.mu.Lock()
