io/entry: a caller that closed its sending side gets no empty 200

A caller that closed its sending side while its job ran, or in the middle of its request, got status 200 with an empty body. The handler returned without a response, for which the HTTP library sends 200.

The job is dropped as before, since a connection that is closed on both sides looks alike, but the caller is answered 502 with "unconfirmed"; an incomplete request is answered 400.

TestHalfClosedAnsweredEmpty got 200 in both cases before.

--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -138,6 +138,7 @@
 		h.refuse(w, http.StatusRequestEntityTooLarge, core.ReasonLarge, fmt.Sprintf("request body exceeds %d bytes", limit), 0)
 		return
 	case err != nil:
+		h.refuse(w, http.StatusBadRequest, core.ReasonMalformed, "request body is incomplete", 0)
 		return
 	}
 	submission, err := h.format.ParseJob(body)
@@ -152,9 +153,14 @@
 	job := h.job(req, submission, h.format.Timeout(r.Header))
 	outcome, ok := h.scheduler.Do(peer.WithConfirmation(r.Context(), callerOf(r.Context())), job)
 	h.recordResponse(job, outcome, ok)
-	if ok {
-		h.format.WriteOutcome(w, outcome)
+	if !ok {
+		// A caller that has only closed its sending side still reads.
+		outcome = work.Outcome{
+			State:  work.Broken,
+			Reason: core.ReasonUnconfirmed,
+		}
 	}
+	h.format.WriteOutcome(w, outcome)
 }
 
 // callerOf returns when the caller of a request was last known to wait: its connection is
--- a/proof/odd_test.go
+++ b/proof/odd_test.go
@@ -1,13 +1,19 @@
 package proof
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rosemarywalk/platform/standin"
 )
 
 // oddEntries returns the values of rows that another writer may leave among those of backend
@@ -54,6 +60,56 @@
 	return rows
 }
 
+// TestHalfClosedAnsweredEmpty guards against an empty response with status 200 to a caller that
+// has closed its sending side, while its job runs or in the middle of its request.
+func TestHalfClosedAnsweredEmpty(t *testing.T) {
+	s := newPlatformFleet(t, 1, 2, standin.Behavior{
+		RunTime: time.Minute,
+		Slots:   2,
+	})
+	const id = "00000000000000dd"
+	tests := []struct {
+		name   string
+		sent   string
+		status int
+		text   string
+	}{
+		{
+			name:   "while the job runs",
+			sent:   jobBody(1),
+			status: http.StatusBadGateway,
+			text:   "unconfirmed",
+		},
+		{
+			name:   "in the middle of the request",
+			sent:   jobBody(1)[:10],
+			status: http.StatusBadRequest,
+			text:   "incomplete",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.hosts[0].entryURL, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+			_, err = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", routePrefix, id, virtualHost, len(jobBody(1)), test.sent)
+			assert.NilError(t, err)
+			if test.status == http.StatusBadGateway {
+				eventually(t, "the job runs", func() bool { return s.checker.Starts(id) == 1 })
+			}
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			raw, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, test.status, string(raw))
+			assert.Assert(t, strings.Contains(string(raw), test.text), string(raw))
+		})
+	}
+}
+
 // TestOddEntryStopsReading guards against hosts that end, or no longer follow a list, after
 // another writer has left an odd entry in it.
 func TestOddEntryStopsReading(t *testing.T) {
