io/entry: a job has at most [entry] tasks tasks

A job of 20,000 tasks held up its home: a request to show what waits took 26.6 s there, and other jobs were late or refused.

A job of more than [entry] tasks (1,000) is refused at once with 413, and a text that names the limit. Nothing of it runs.

What makes the home slow was not looked for.

The new case of TestPlatformBadInput got 200 before, after 6.9 s.

--- a/core/reason.go
+++ b/core/reason.go
@@ -18,7 +18,7 @@
 	ReasonReset        Reason = "reset"       // the connection was lost after the task had started
 	ReasonStatus       Reason = "status"      // the backend server returned an error status
 	ReasonMalformed    Reason = "malformed"   // the backend server's response, or a request, is malformed
-	ReasonLarge        Reason = "large"       // the backend server's response exceeds the size limit
+	ReasonLarge        Reason = "large"       // a response, a request or a job exceeds a size limit
 	ReasonCanceled     Reason = "canceled"    // the caller canceled the job
 	ReasonSibling      Reason = "sibling"     // another task of the job failed first
 	ReasonBudget       Reason = "budget"      // the retry budget is exhausted
--- a/io/entry/format.go
+++ b/io/entry/format.go
@@ -34,3 +34,11 @@
 	// empty if all are supported.
 	Unsupported string
 }
+
+func (s Submission) tasks() int {
+	tasks := 0
+	for _, step := range s.Steps {
+		tasks += step.Count
+	}
+	return tasks
+}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -42,6 +42,7 @@
 	counters      *telemetry.Counters
 	log           logr.Logger
 	latency       *telemetry.Latency
+	maxTasks      int // of one job
 	startGate     startGate
 	rejecting     atomic.Bool // set once a planned stop rejects new requests
 	aged          atomic.Bool // set once startsAny was true
@@ -150,6 +151,10 @@
 		h.refuse(w, http.StatusServiceUnavailable, core.ReasonUnsupported, "unsupported: "+submission.Unsupported, 0)
 		return
 	}
+	if tasks := submission.tasks(); tasks > h.maxTasks {
+		h.refuse(w, http.StatusRequestEntityTooLarge, core.ReasonLarge, fmt.Sprintf("job has %d tasks, more than the limit of %d ([entry] tasks)", tasks, h.maxTasks), 0)
+		return
+	}
 	job := h.job(req, submission, h.format.Timeout(r.Header))
 	outcome, ok := h.scheduler.Do(peer.WithConfirmation(r.Context(), callerOf(r.Context())), job)
 	h.recordResponse(job, outcome, ok)
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -70,6 +70,15 @@
 						Max: time.Hour,
 					},
 				},
+				{
+					Name:    "tasks",
+					Default: "1000",
+					Help:    "Maximum number of tasks of one job. A job with more of them is refused, as it would hold up its home.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
 				{
 					Name:    "waits",
 					Default: waitsUnknown,
@@ -120,6 +129,7 @@
 
 func newHandler(n params) *Handler {
 	h := &Handler{
+		maxTasks:      n.Settings.Integer(section, "tasks"),
 		startGate:     newStartGate(n.Settings.Duration(section, "hold")),
 		waitEstimator: newWaitEstimator(n.Settings.Text(section, "waits") == waitsRemaining),
 		format:        n.Format,
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -601,6 +601,14 @@
 			status: http.StatusRequestEntityTooLarge,
 			text:   "4000",
 		},
+		{
+			name:   "too many tasks",
+			method: http.MethodPost,
+			path:   routePrefix + "0000000000000001",
+			body:   `{"best_effort":true,"steps":[{"count":500},{"count":501}]}`,
+			status: http.StatusRequestEntityTooLarge,
+			text:   "more than the limit of 1000",
+		},
 		{
 			name:   "stored job",
 			method: http.MethodPost,
