--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -43,6 +43,7 @@
 	counters      *telemetry.Counters
 	log           logr.Logger
 	latency       *telemetry.Latency
+	maxTasks      int // of one job
 	startGate     startGate
 	rejecting     atomic.Bool // set once a planned stop rejects new requests
 	aged          atomic.Bool // set once startsAny was true
@@ -148,6 +149,7 @@
 		h.refuse(w, http.StatusRequestEntityTooLarge, core.ReasonLarge, fmt.Sprintf("request body exceeds %d bytes", limit), 0)
 		return
 	case err != nil:
+		h.refuse(w, http.StatusBadRequest, core.ReasonMalformed, "request body is incomplete", 0)
 		return
 	}
 	submission, err := h.format.ParseJob(body)
@@ -159,12 +161,21 @@
 		h.refuse(w, http.StatusServiceUnavailable, core.ReasonUnsupported, "unsupported: "+submission.Unsupported, 0)
 		return
 	}
+	if tasks := submission.tasks(); tasks > h.maxTasks {
+		h.refuse(w, http.StatusRequestEntityTooLarge, core.ReasonLarge, fmt.Sprintf("job has %d tasks, more than the limit of %d ([entry] tasks)", tasks, h.maxTasks), 0)
+		return
+	}
 	job := h.job(req, submission, h.format.Timeout(r.Header))
 	outcome, ok := h.scheduler.Do(peer.WithConfirmation(r.Context(), callerOf(r.Context())), job)
 	h.recordResponse(job, outcome, ok)
-	if ok {
-		h.format.WriteOutcome(w, outcome)
+	if !ok {
+		// A caller that has only closed its sending side still reads.
+		outcome = work.Outcome{
+			State:  work.Broken,
+			Reason: core.ReasonUnconfirmed,
+		}
 	}
+	h.format.WriteOutcome(w, outcome)
 }
 
 // callerOf returns when the caller of a request was last known to wait: its connection is
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
+	"rosemarywalk/core/route"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
@@ -69,6 +70,15 @@
 						Max: time.Hour,
 					},
 				},
+				{
+					Name:    "tasks",
+					Default: "1000",
+					Help:    "Maximum number of tasks of one job. A job with more of them is refused, as it would hold up its home.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
 				{
 					Name:    "waits",
 					Default: waitsUnknown,
@@ -119,6 +129,7 @@
 
 func newHandler(n params) *Handler {
 	h := &Handler{
+		maxTasks:      n.Settings.Integer(section, "tasks"),
 		startGate:     newStartGate(n.Settings.Duration(section, "hold")),
 		waitEstimator: newWaitEstimator(n.Settings.Text(section, "waits") == waitsRemaining),
 		format:        n.Format,
@@ -132,6 +143,7 @@
 	}
 	n.Watcher.SetRouteWaits(h.waitEstimator.estimates)
 	n.Watcher.OnHosts(h.waitEstimator.adopt)
+	n.Watcher.OnConfig(func(route.Config) { h.waitEstimator.retain(n.Watcher.Config().Routes) })
 	return h
 }
 
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -39,6 +39,7 @@
 	onServers       []func([]listing.Server)
 	onHosts         []func([]listing.Host)
 	learnedWaits    func() []listing.RouteWait
+	countRefusedRow func()
 	shouldRead      func() bool // whether this host reads the lists itself
 	updates         updateState
 	onUpdate        []func(Update)
@@ -73,7 +74,9 @@
 		invalid:      map[string]map[string]int64{},
 		learnedWaits: func() []listing.RouteWait { return nil },
 		shouldRead:   func() bool { return true },
-		updates:      newUpdateState(),
+
+		countRefusedRow: func() {},
+		updates:         newUpdateState(),
 	}
 }
 
@@ -393,6 +396,11 @@
 	return page.Position, nil
 }
 
+// RemoveHost removes a host's row from the store, unless it has changed.
+func (w *Watcher) RemoveHost(ctx context.Context, h listing.Host) error {
+	return w.source.Remove(ctx, h)
+}
+
 // mergeHosts applies a page, and calls the OnHosts functions with all hosts.
 func (w *Watcher) mergeHosts(page HostsPage) {
 	w.mu.Lock()
