explore: a search of the states of a small world of core/pool

A world of one home with the real core/pool, two backend servers and a job of one task. In each state one event is usual, and all others are deviations: an order or an answer that is late, lost or repeated, a cut that begins and ends, a home that is frozen or replaced, a server that dies and is born anew, entries that are ahead, elsewhere or missing, lists and clocks of other moments, a cancelling. The search goes through the paths with the fewest deviations first and merges states by hash. Rules: one run at a time, no start after a confirmed cancelling, no run that goes on after its end was reported, no unknown end without another home, each job ends.

--- /dev/null
+++ b/core/explore/pool_test.go
@@ -0,0 +1,87 @@
+package explore
+
+import (
+	"flag"
+	"runtime/debug"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	depth  = flag.Int("depth", 9, "deviations on a path")
+	states = flag.Int("states", 10000, "distinct states of each search")
+)
+
+// Most of what a search allocates is dropped at once.
+func init() { debug.SetGCPercent(1000) }
+
+func TestPoolWorld(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		Config
+	}{
+		{
+			name: "late orders",
+			Config: Config{
+				Kinds: []Kind{Late, Repeat, Cut},
+			},
+		},
+		{
+			name: "lists of several moments",
+			Config: Config{
+				Kinds: []Kind{Odd, Late},
+				Ways:  HideStopping | OldRunning | OldEnded,
+			},
+		},
+		{
+			name: "clocks and freezes",
+			Config: Config{
+				Kinds: []Kind{Odd, Freeze, Late},
+				Ways:  ClockAhead | ClockBehind,
+			},
+		},
+		{
+			name: "servers born anew",
+			Config: Config{
+				Kinds: []Kind{Die, ListAhead, Late},
+			},
+		},
+		{
+			name: "other addresses",
+			Config: Config{
+				Kinds: []Kind{Move, Die, Late},
+			},
+		},
+		{
+			name: "home replaced",
+			Config: Config{
+				First: []Event{{Kind: Answer}, {Kind: Replace}},
+				Kinds: []Kind{Odd, Late, Release},
+				Ways:  HideStopping,
+			},
+		},
+		{
+			name: "all",
+			Config: Config{
+				Kinds: []Kind{Freeze, Late, Repeat, Odd, Cut, Die, ListAhead, Move, Release, Replace},
+				Ways:  HideStopping | OldRunning | OldEnded | ClockAhead | ClockBehind,
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			start := time.Now()
+			r := Search(func() World[Event] { return NewPoolWorld(test.Config, nil) }, Bounds{
+				Depth:  *depth,
+				States: *states,
+				Usual:  60,
+			})
+			t.Logf("%d states, all up to %d deviations, paths of up to %d events, %s",
+				r.States, r.Depth, r.Longest, time.Since(start).Round(time.Millisecond))
+			assert.Equal(t, r.Broken, "", strings.Join(Timeline(test.Config, r.Path), "\n"))
+		})
+	}
+}
