--- a/core/explore/event.go
+++ b/core/explore/event.go
@@ -6,7 +6,7 @@
 	"rosemarywalk/core/pool"
 )
 
-// Kind is a kind of event of a PoolWorld.
+// Kind is a kind of event.
 type Kind uint8
 
 // The kinds of events.
@@ -47,7 +47,7 @@
 // Event is an event of a PoolWorld.
 type Event struct {
 	Kind   Kind
-	Call   uint8 // position among the calls, of orders
+	Call   uint8 // position among the orders on the way
 	Server uint8 // position among the servers
 	Way    Way   // in which an odd answer is made
 }
--- a/core/explore/pool.go
+++ b/core/explore/pool.go
@@ -124,7 +124,7 @@
 // Apply makes an event happen.
 func (w *PoolWorld) Apply(e Event) {
 	if w.trace != nil {
-		w.trace(w.describe(e))
+		w.trace(at(w.now, w.describe(e)))
 	}
 	// No two events happen at the same instant.
 	w.advance(time.Microsecond)
@@ -237,7 +237,7 @@
 	for _, cmd := range w.model.Update(w.now, msg) {
 		if w.trace != nil {
 			if text := describeCmd(cmd); text != "" {
-				w.trace("  home: " + text)
+				w.trace(at(w.now, "  home: "+text))
 			}
 		}
 		switch cmd := cmd.(type) {
