core/pool: servers aren't polled beside the start that fills them

Cause: with a run's start an empty server was polled at once, with the short wait of 30 ms, as the start wasn't confirmed. The answer to the start says as much, and nearly all runs last longer, so that poll ended without news and a second one had to follow.

Change: a server whose runs all wait for the answer to their first start order is polled once one is answered or sent again. The start extends the lease, so nothing that a proof needs is left out.

--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -15,7 +15,7 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() &&
+	if s.phase == ready && s.awaitsOnlyStarts() && s.misses == 0 && s.doubtedAt.IsZero() &&
 		!s.processExpected() && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
@@ -50,6 +50,15 @@
 	return []Cmd{cmd}
 }
 
+// awaitsOnlyStarts reports whether all runs of the server, if any, wait for the answer to their
+// first start order. The answer says whether a run started, and the order extends the lease, so
+// the lists are needed only once it is overdue and the order is repeated.
+func (s *server) awaitsOnlyStarts() bool {
+	return !slices.ContainsFunc(s.sortedRuns(), func(r *run) bool {
+		return r.state != starting || r.sends > 1 || r.pendingStarts == 0 || r.uncertain || r.inDoubt(s)
+	})
+}
+
 // maxClockAge is the age from which the reading of an idle server's clock is renewed, as
 // deadlines allow for its drift since then.
 const maxClockAge = 5 * time.Second
