core/pool, io/scheduler: a host's own delay isn't a backend server's

Cause, from the code: a home that reads answers over 25 ms late orders each start twice, and one that reads them over 80 ms late takes its calls for lost: it closes their connections, gives the servers no tasks, repeats the orders, and at a tenth of lost calls polls five times as often. So it does the more, the less time it has.

Change: a timer that fires late measures that delay. The timeout of an order or poll that fires over 5 ms late is extended by the delay, by at most 80 ms and three times, so that a poll whose answer is lost is still followed by one before the lease ends. A tick that comes over 25 ms after the one before sends no start a second time. Leases, stops and bounds that other homes rely on stay on the clock.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -53,6 +53,7 @@
 	sorted       []*server            // servers sorted by ID; nil if outdated
 	maxToken     int64                // highest token used so far
 	lossRate     float64              // moving average of calls without an answer
+	tickedAt     time.Time            // of the latest tick
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
 	orphanLeases map[string]time.Time // when the leases of unknown runs at servers that were removed are over, by task name
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -388,6 +388,10 @@
 // tick repeats unanswered orders and ends runs whose leases must have expired.
 func (m *Model) tick(now time.Time) []Cmd {
 	var cmds []Cmd
+	// A late tick shows that this process got no processor time: answers may have arrived that
+	// nobody has read.
+	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
+	m.tickedAt = now
 	for _, s := range m.sortedServers() {
 		if s.phase == fenced {
 			continue
@@ -405,7 +409,7 @@
 			if r.state != stopping && m.stopDue(now, r.task.ConfirmedAt) {
 				cmds = append(cmds, m.stopRun(now, s, r, core.ReasonUnconfirmed)...)
 			}
-			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
+			if !late && r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
 			if r.state == starting && r.postponed && !r.inDoubt(s) && (s.doubtedAt.IsZero() || now.Sub(r.firstSent) >= m.limits.StartTimeout) {
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -287,19 +287,19 @@
 }
 
 func (s *Shard) start(cmd pool.StartCmd) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.answer)
+	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
 	defer cancel()
 	s.update(s.servers.Start(ctx, cmd))
 }
 
 func (s *Shard) stop(cmd pool.StopCmd) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.answer)
+	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
 	defer cancel()
 	s.update(s.servers.Stop(ctx, cmd))
 }
 
 func (s *Shard) hold(cmd pool.PollCmd) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.answer+cmd.Wait)
+	ctx, cancel := withAnswerTimeout(s.answer, cmd.Wait, time.Now)
 	defer cancel()
 	s.update(s.servers.Hold(ctx, cmd))
 }
--- /dev/null
+++ b/io/scheduler/timeout.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// A timer that fires later than maxTimerDelay shows that this process got no processor time.
+// The timeout is extended for that at most maxExtensions times.
+const (
+	maxTimerDelay = 5 * time.Millisecond
+	maxExtensions = 3
+)
+
+// answerTimeout ends a call to a backend server whose answer is overdue. While this process gets
+// no processor time, an answer may have arrived that nobody has read, so a timeout that fires late
+// is extended by the delay, at most by the limit.
+type answerTimeout struct {
+	limit  time.Duration // of each extension
+	now    func() time.Time
+	cancel context.CancelCauseFunc
+
+	mu         sync.Mutex
+	timer      *time.Timer
+	due        time.Time
+	extensions int
+}
+
+// withAnswerTimeout returns a context that ends when an answer is overdue, and a function that
+// releases its resources. A server that is asked to wait answers that much later.
+func withAnswerTimeout(answer, wait time.Duration, now func() time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	t := &answerTimeout{
+		limit:  answer,
+		now:    now,
+		cancel: cancel,
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.due = now().Add(answer + wait)
+	t.timer = time.AfterFunc(answer+wait, t.expire)
+	return ctx, t.stop
+}
+
+func (t *answerTimeout) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	delay := now.Sub(t.due)
+	if delay <= maxTimerDelay || t.extensions >= maxExtensions {
+		t.cancel(context.DeadlineExceeded)
+		return
+	}
+	t.extensions++
+	extension := min(delay, t.limit)
+	t.due = now.Add(extension)
+	t.timer.Reset(extension)
+}
+
+func (t *answerTimeout) stop() {
+	t.cancel(context.Canceled)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.extensions = maxExtensions
+	t.timer.Stop()
+}
