--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -15,7 +15,7 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() &&
+	if s.phase == ready && s.awaitsOnlyStarts() && s.misses == 0 && s.doubtedAt.IsZero() &&
 		!s.processExpected() && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
@@ -50,6 +50,15 @@
 	return []Cmd{cmd}
 }
 
+// awaitsOnlyStarts reports whether all runs of the server, if any, wait for the answer to their
+// first start order. The answer says whether a run started, and the order extends the lease, so
+// the lists are needed only once it is overdue and the order is repeated.
+func (s *server) awaitsOnlyStarts() bool {
+	return !slices.ContainsFunc(s.sortedRuns(), func(r *run) bool {
+		return r.state != starting || r.sends > 1 || r.pendingStarts == 0 || r.uncertain || r.inDoubt(s)
+	})
+}
+
 // maxClockAge is the age from which the reading of an idle server's clock is renewed, as
 // deadlines allow for its drift since then.
 const maxClockAge = 5 * time.Second
@@ -381,6 +390,10 @@
 // tick repeats unanswered orders and ends runs whose leases must have expired.
 func (m *Model) tick(now time.Time) []Cmd {
 	var cmds []Cmd
+	// A late tick shows that this process got no processor time: answers may have arrived that
+	// nobody has read.
+	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
+	m.tickedAt = now
 	for _, s := range m.sortedServers() {
 		if s.phase == fenced {
 			continue
@@ -398,7 +411,7 @@
 			if r.state != stopping && m.stopDue(now, r.task.ConfirmedAt) {
 				cmds = append(cmds, m.stopRun(now, s, r, core.ReasonUnconfirmed)...)
 			}
-			if r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
+			if !late && r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
 			if r.state == starting && r.postponed && !r.inDoubt(s) && (s.doubtedAt.IsZero() || now.Sub(r.firstSent) >= m.limits.StartTimeout) {
