core/pool: poll idle servers that left a start unanswered

A task could start again after its end: a server that had left a start unanswered ran the task to its end on a repeated order, was idle, and started again. An idle server isn't polled, so the new process saw no token until its entry changed or its clock was renewed, and carried out the late order. Such a server is now polled at the probe interval for as long as the order may be on its way. A new task there is polled for at once.

TestIdleServerRestartsUnnoticed failed before. The simulated servers may now take such orders, and count starts of tasks that are known to be done.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -31,6 +31,9 @@
 		owner:     msg.Owner,
 		firstSent: now,
 	}
+	if len(s.runs) == 0 && s.misses == 0 {
+		s.nextPollAt = time.Time{}
+	}
 	s.add(name, r)
 	m.serverByTask[name] = s.entry.ID
 	s.health = s.health.WithStart(now)
@@ -287,7 +290,9 @@
 		msg.Result = NotSent
 	}
 	r.pendingStarts--
-	r.lost = r.lost || msg.Result == Unanswered
+	if msg.Result == Unanswered {
+		r.lost, s.unansweredAt = true, now
+	}
 	inDoubt := r.inDoubt(s)
 	if s.phase == fenced || msg.Result == Fenced && !inDoubt {
 		return m.startedAfterFencing(now, s, r, msg)
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() &&
-		!s.processExpected() && now.Sub(s.clockAt) < maxClockAge {
+		!s.processExpected() && !s.orderOnItsWay(now) && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
 	s.pollSerial++
@@ -153,7 +153,7 @@
 	for _, e := range msg.Ended {
 		cmds = append(cmds, m.recordListedEnd(now, s, e)...)
 	}
-	if s.processExpected() && len(s.runs) == 0 {
+	if len(s.runs) == 0 && (s.processExpected() || s.orderOnItsWay(now)) {
 		s.nextPollAt = now.Add(m.limits.ProbeInterval)
 	}
 	listed := m.updateRunning(now, s, msg, requestedAt)
--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -403,3 +403,49 @@
 		})
 	}
 }
+
+// TestIdleServerRestartsUnnoticed guards against a start without an answer that a new process
+// carries out after its task has ended, as an idle server isn't polled and so sees no token.
+func TestIdleServerRestartsUnnoticed(t *testing.T) {
+	b := newHarness(t, "a")
+	b.update(RunMsg{Task: taskOf("j")})
+	b.update(StartedMsg{
+		Server: "a",
+		Name:   "j.0.0.0",
+		Run:    1,
+		Result: Unanswered,
+	})
+	b.acceptStart("a", "j.0.0.0", 1)
+	b.answerPoll("a", func(m *PollResultMsg) {
+		m.Ended = []ListedEnd{{
+			Number: 1,
+			Name:   "j.0.0.0",
+			Run:    1,
+			End:    work.EndDone,
+		}}
+	})
+	polled := func(d time.Duration) int {
+		n := 0
+		for begin := b.now; b.now.Sub(begin) < d; b.advance(10 * time.Millisecond) {
+			if cmds := polls(b.update(TickMsg{})); len(cmds) > 0 {
+				n++
+				b.answerPoll("a")
+			}
+		}
+		return n
+	}
+	assert.Equal(t, len(ends(b.cmds)), 1)
+	assert.Assert(t, polled(time.Second) >= 4)
+	assert.Equal(t, len(polls(b.update(RunMsg{Task: taskOf("k")}))), 1)
+	b.acceptStart("a", "k.0.0.0", 1)
+	b.answerPoll("a", func(m *PollResultMsg) {
+		m.Ended = []ListedEnd{{
+			Number: 2,
+			Name:   "k.0.0.0",
+			Run:    1,
+			End:    work.EndDone,
+		}}
+	})
+	polled(maxOrderDelay)
+	assert.Assert(t, polled(maxClockAge) <= 1)
+}
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -98,6 +98,63 @@
 	}
 }
 
+// TestStaleOrderRunsTwice guards against the same, and against tasks that are started again after
+// their end, when an order to the predecessor is the first one that the new process receives, so
+// that no token keeps it out.
+func TestStaleOrderRunsTwice(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent time.Duration
+	}{
+		{
+			name: "reachable at once",
+		},
+		{
+			name:   "cut off at first",
+			silent: 3 * time.Second,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			const seeds = 100
+			done, twice, repeated := 0, 0, 0
+			for seed := range uint64(seeds) {
+				c := conditions{
+					Limits: lifetimeLimits(700 * time.Millisecond),
+					Network: Network{
+						Delay:    10 * time.Millisecond,
+						Loss:     0.1,
+						LateLoss: 0.9,
+						Lateness: 12 * time.Second,
+					},
+					Ways: Ways{
+						StaleOrders: true,
+						Silent:      test.silent,
+					},
+					Hosts:       1,
+					Rate:        1,
+					Jobs:        50,
+					JobInterval: 60 * time.Millisecond,
+					Work:        500 * time.Millisecond,
+					Restart:     4 * time.Second,
+					Down:        300 * time.Millisecond,
+					Listing:     700 * time.Millisecond,
+				}
+				c.Limits.MaxUnconfirmed, c.Limits.StopUnconfirmed = 0, 0
+				sim := newSimulation(seed, c)
+				sim.run()
+				done += sim.ends[work.EndDone]
+				twice += len(sim.Twice)
+				repeated += len(sim.Repeated)
+			}
+			t.Logf("%d done, %d twice, %d repeated", done, twice, repeated)
+			assert.Equal(t, twice, 0)
+			assert.Equal(t, repeated, 0)
+		})
+	}
+}
+
 // restartedAt answers a poll as a new process whose clock reads the given time.
 func restartedAt(clock int64, running ...ListedRun) func(*PollResultMsg) {
 	return func(m *PollResultMsg) { m.Born, m.Clock, m.Running = 2, clock, running }
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -75,6 +75,7 @@
 	polledAddress string    // to which the latest poll was sent
 	movedAt       time.Time // when the entry's address last changed
 	doubtedAt     time.Time // since when the process may be another one, which the next lists decide; zero if it isn't in doubt
+	unansweredAt  time.Time // when a start last got no answer
 	replaced      bool      // another server answers at its address; runs there may be started by a later process
 	planned       bool      // that process was draining when it ended
 	token         int64
@@ -371,6 +372,15 @@
 // processExpected reports whether the entry describes a later process than the one that answers.
 func (s *server) processExpected() bool { return s.born != 0 && s.entry.StartedAtMillis > s.born }
 
+// maxOrderDelay is how long an order without an answer may be on its way.
+const maxOrderDelay = 12 * time.Second
+
+// orderOnItsWay reports whether a start without an answer may still arrive. A new process would
+// carry it out unless it has received a higher token.
+func (s *server) orderOnItsWay(now time.Time) bool {
+	return !s.unansweredAt.IsZero() && now.Sub(s.unansweredAt) < maxOrderDelay
+}
+
 // countRuns returns how many tasks of a job's step run on the server.
 func (s *server) countRuns(job string, step int) int {
 	n := 0
--- a/core/pool/simulated_test.go
+++ b/core/pool/simulated_test.go
@@ -99,6 +99,7 @@
 	RunTime       func(name string) time.Duration       // of a task
 	OnEnd         func(s *SimulatedServer, name string) // called before a run ends
 	Twice         []string                              // runs that started beside another run of their task
+	Repeated      []string                              // runs that started after their task was known to be done
 	Deadly        func(name string) bool                // reports whether a task crashes the server that runs it; nil for none
 	Downtime      time.Duration                         // until a crashed server is back
 	Crashes       []SimulatedCrash
@@ -106,7 +107,8 @@
 	LateStarts    map[string]int // starts of each deadly task after the third crash under it
 	Overfilled    []string       // starts that exceeded the capacity of a server
 
-	rate float64 // of the servers' clocks
+	rate float64         // of the servers' clocks
+	done map[string]bool // tasks whose end as done a pool has reported, by name
 }
 
 // NewSimulatedServers returns servers that have run for up to five seconds.
@@ -119,6 +121,7 @@
 		Servers:    map[string]*SimulatedServer{},
 		Deaths:     map[string]int{},
 		LateStarts: map[string]int{},
+		done:       map[string]bool{},
 		rate:       rate,
 	}
 	for _, id := range ids {
@@ -151,6 +154,9 @@
 	if t.Happens(0.5) {
 		s.offset = 0
 	}
+	if t.Ways.Silent > 0 {
+		s.silentTo = s.Born.Add(t.UpTo(t.Ways.Silent))
+	}
 	old.ended, old.waiting, old.runs = nil, nil, map[string]*simulatedRun{}
 	t.Servers[id] = s
 }
@@ -225,15 +231,16 @@
 	}
 	t.After(delay, func() {
 		s := t.Servers[id]
-		if t.Now.Before(s.DownTo) || sent.Before(s.Born) && s.token == 0 {
-			// No owner can prevent that a new process that has received no order yet
-			// carries out one to its predecessor.
+		if t.Now.Before(s.DownTo) || sent.Before(s.Born) && s.token == 0 && !t.Ways.StaleOrders {
+			return
+		}
+		if !sent.Before(s.Born) && t.Now.Before(s.silentTo) {
 			return
 		}
 		s.whenAwake(func() {
 			carryOut(s, func(msg Msg) {
 				s.whenAwake(func() {
-					if !t.Happens(t.Network.Loss) && !t.Now.Before(s.DownTo) {
+					if !t.Happens(t.Network.Loss) && !t.Now.Before(s.DownTo) && !t.Now.Before(s.silentTo) {
 						t.After(t.UpTo(t.Network.Delay), func() {
 							s.recordAnswer(msg)
 							deliver(msg)
@@ -250,6 +257,7 @@
 	ID       string
 	Born     time.Time
 	DownTo   time.Time // no order or answer passes before
+	silentTo time.Time // only orders from before its start pass before, and no answers
 	Capacity work.Size // of a server that has shrunk and doesn't guard it
 	Shrunk   bool
 
@@ -348,6 +356,9 @@
 			s.all.Twice = append(s.all.Twice, fmt.Sprintf("%s runs at %s and %s", name, other.ID, s.ID))
 		}
 	}
+	if s.all.done[name] {
+		s.all.Repeated = append(s.all.Repeated, fmt.Sprintf("%s runs at %s", name, s.ID))
+	}
 	s.runs[name] = &simulatedRun{
 		run:   cmd.Task.Run,
 		size:  cmd.Task.Size,
--- a/core/pool/simulated_ways_test.go
+++ b/core/pool/simulated_ways_test.go
@@ -13,8 +13,10 @@
 	Moments      time.Duration // longest time to handle an order; lists and clock are each of any moment of it
 	ClockAhead   time.Duration // how far the clock in an answer may be ahead
 	ClockBehind  time.Duration
-	Stuck        float64 // share of the runs that are listed with hardly any progress
-	Elsewhere    string  // address where another server answers
+	Stuck        float64       // share of the runs that are listed with hardly any progress
+	Silent       time.Duration // longest time for which a new process is cut off, but for orders to its predecessor
+	StaleOrders  bool          // a process that has received no order yet carries out those to its predecessor
+	Elsewhere    string        // address where another server answers
 }
 
 // replacedAnswer returns the answer of another server to the same order.
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -265,6 +265,7 @@
 	j := sim.jobs[cmd.Task.Name()]
 	sim.ends[cmd.End]++
 	sim.reasons[cmd.Reason]++
+	sim.done[cmd.Task.Name()] = sim.done[cmd.Task.Name()] || cmd.End == work.EndDone
 	if cmd.End == work.EndDone || cmd.End == work.EndUnknown || j.left {
 		j.ended = true
 		return
