explore: two homes that coordinate jobs with core/schedule

HomesWorld is two homes of different failure domains, one of which has a majority alone, and a caller that submits a job of one task to the other one, leaves, seen or not, and submits it again. Frames between the homes (announcements, their answers, questions) arrive, are late or lost; a cut begins and ends; a home freezes, goes on, dies and is born anew. Runs last as long as leases allow. Rule: no two runs of the task at once.

--- a/core/explore/doc.go
+++ b/core/explore/doc.go
@@ -11,4 +11,8 @@
 // PoolWorld is one home that owns two backend servers and runs a job of one task, with the
 // real core/pool. The servers do all that their interface allows. Time passes in steps as long
 // as a call waits for its answer; a lease is three of them.
+//
+// HomesWorld is two homes that coordinate jobs with the real core/schedule, and a caller that
+// submits a job of one task to one of them, leaves, and submits it again to the other one. Frames
+// between the homes arrive, are late or lost; the homes are cut off from each other, freeze or die.
 package explore
--- a/core/explore/event.go
+++ b/core/explore/event.go
@@ -30,6 +30,9 @@
 	Release               // the home is to release a server
 	Replace               // the home dies, and another one takes the servers over
 	Cancel                // the caller cancels the job
+	Wake                  // a frozen home goes on early
+	Leave                 // the caller leaves, and submits the job again later
+	Vanish                // the same, and its entry doesn't see that it left
 )
 
 // Way is a set of unusual ways in which the answer to an order is made.
@@ -44,11 +47,11 @@
 	ClockBehind                  // the clock reads too little
 )
 
-// Event is an event of a PoolWorld.
+// Event is an event of a PoolWorld or a HomesWorld.
 type Event struct {
 	Kind   Kind
-	Call   uint8 // position among the orders on the way
-	Server uint8 // position among the servers
+	Call   uint8 // position among the orders or frames on the way
+	Server uint8 // position among the servers or homes
 	Way    Way   // in which an odd answer is made
 }
 
--- a/core/explore/timeline.go
+++ b/core/explore/timeline.go
@@ -107,3 +107,34 @@
 	}
 	return ""
 }
+
+func (w *HomesWorld) describe(e Event) string {
+	home := w.homes[e.Server].name
+	switch e.Kind {
+	case Pass:
+		return "a step of time passes"
+	case Arrive:
+		f := w.frames[e.Call]
+		if f.asked {
+			return w.homes[f.to].name + " is asked for its jobs"
+		}
+		return fmt.Sprintf("%s gets %T, sent %s ago", w.homes[f.to].name, f.msg, w.now.Sub(f.sent).Round(time.Millisecond))
+	case Finish:
+		return "the run at " + home + " is done"
+	case Cut:
+		return "A and B are cut off from each other"
+	case Mend:
+		return "the cut ends"
+	case Freeze:
+		return home + " is frozen"
+	case Wake:
+		return home + " goes on"
+	case Die:
+		return home + " dies and is born anew"
+	case Leave:
+		return "the caller leaves"
+	case Vanish:
+		return "the caller leaves, and its entry doesn't see it"
+	}
+	return ""
+}
