--- a/core/explore/pool_test.go
+++ b/core/explore/pool_test.go
@@ -16,7 +16,7 @@
 )
 
 // Most of what a search allocates is dropped at once.
-func init() { debug.SetGCPercent(1000) }
+func init() { debug.SetGCPercent(400) }
 
 func TestPoolWorld(t *testing.T) {
 	for _, test := range []struct {
