inquiry: count the wait for silent hosts from the latest answer

The wait began with the request, and was as long as an announcement counts. A host that learned of the request only later may have voted for a silent home until then, and a host counts as heard for another 0.6 s ([roster] dead) after it was cut off, longer with other settings. The wait now begins when the latest other host has learned of the request, and is longer by that time.

The case "another one learned of the request late" is new in TestSilentTakenForUnaware. TestPlatformCancelNotKnown, with real processes, two of three frozen: a DELETE is answered 504, and once they are back the job never starts.

--- a/core/inquiry/inquiry.go
+++ b/core/inquiry/inquiry.go
@@ -10,7 +10,8 @@
 
 // Inquiry tracks the questions to the hosts that may have a job.
 type Inquiry struct {
-	settledAt time.Time
+	window    time.Duration
+	settledAt time.Time        // the window's end, counted from when the latest host learned of the request
 	hosts     map[string]*host // by address
 }
 
@@ -23,10 +24,12 @@
 	votes    Votes
 }
 
-// New returns an Inquiry that began at a time. After the window, a home that is not in touch
-// with most hosts has no runs left of a job that it had then, and starts none.
+// New returns an Inquiry that began at a time. A home that was not in touch with most hosts for
+// the window has no runs left of a job that it had before, and starts none; these hosts don't
+// count it as heard either.
 func New(now time.Time, window time.Duration) *Inquiry {
 	return &Inquiry{
+		window:    window,
 		settledAt: now.Add(window),
 		hosts:     map[string]*host{},
 	}
@@ -54,13 +57,17 @@
 }
 
 // Answer records the answer of a host, or that none came.
-func (i *Inquiry) Answer(address string, votes Votes, ok bool) {
+func (i *Inquiry) Answer(now time.Time, address string, votes Votes, ok bool) {
 	h := i.hosts[address]
 	h.asking = false
 	if !ok {
 		h.votes = nil
 		return
 	}
+	if !h.answered {
+		// It may have voted for a silent home until now.
+		i.settledAt = now.Add(i.window)
+	}
 	h.answered, h.votes, h.votesAt = true, votes, h.askedAt
 }
 
--- a/core/inquiry/inquiry_test.go
+++ b/core/inquiry/inquiry_test.go
@@ -65,6 +65,16 @@
 			second: map[string]Votes{"a": {"s": 1}},
 			after:  window,
 		},
+		{
+			name:  "another one learned of the request late",
+			hosts: []string{"a", "b", "c"},
+			first: map[string]Votes{"a": enough},
+			second: map[string]Votes{
+				"a": enough,
+				"b": enough,
+			},
+			after: window,
+		},
 		{
 			name:   "it answers late",
 			hosts:  hosts,
@@ -92,9 +102,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			i := New(epoch, window)
 			ask := func(now time.Time, answers map[string]Votes) {
-				for _, host := range i.Due(now, hosts) {
+				for _, host := range i.Due(now, []string{"a", "b", "c"}) {
 					votes, ok := answers[host]
-					i.Answer(host, votes, ok)
+					i.Answer(now, host, votes, ok)
 				}
 			}
 			ask(epoch, test.first)
@@ -113,13 +123,13 @@
 	hosts := []string{"a", "b"}
 	i := New(epoch, window)
 	assert.DeepEqual(t, i.Due(epoch, hosts), hosts)
-	i.Answer("a", nil, true)
+	i.Answer(epoch, "a", nil, true)
 	assert.Equal(t, len(i.Due(epoch.Add(retryDelay), hosts)), 0)
-	i.Answer("b", nil, false)
+	i.Answer(epoch, "b", nil, false)
 	assert.DeepEqual(t, i.Due(epoch.Add(retryDelay), hosts), []string{"b"})
-	i.Answer("b", nil, false)
+	i.Answer(epoch, "b", nil, false)
 	assert.DeepEqual(t, i.Due(epoch.Add(window), hosts), hosts)
-	i.Answer("a", nil, true)
-	i.Answer("b", nil, true)
+	i.Answer(epoch, "a", nil, true)
+	i.Answer(epoch, "b", nil, true)
 	assert.Equal(t, len(i.Due(epoch.Add(2*window), hosts)), 0)
 }
--- a/io/scheduler/find.go
+++ b/io/scheduler/find.go
@@ -45,7 +45,7 @@
 // Cancel cancels a job, and returns its state before that, or "" if no host had it. It returns
 // false if ctx ended while a host that may have the job might still start it.
 func (s *Scheduler) Cancel(ctx context.Context, query Query) (state string, known bool) {
-	search := inquiry.New(s.config.Now(), s.config.Jobs.AnnouncementTTL)
+	search := inquiry.New(s.config.Now(), s.config.Jobs.AnnouncementTTL+s.config.Jobs.MajorityWait)
 	state = s.findLocally(query, true)
 	// The request also reaches all hosts if the caller leaves.
 	asking := context.WithoutCancel(ctx)
@@ -72,7 +72,7 @@
 		select {
 		case answer := <-answers:
 			state = schedule.LaterState(state, answer.state)
-			search.Answer(answer.host, answer.votes, answer.ok)
+			search.Answer(s.config.Now(), answer.host, answer.votes, answer.ok)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return state, false
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -684,6 +684,32 @@
 	}
 }
 
+// TestPlatformCancelNotKnown: while most hosts are silent, a cancelling is not acknowledged, and
+// they learn of it when they are back.
+func TestPlatformCancelNotKnown(t *testing.T) {
+	const patience = 7 * time.Second // longer than silent hosts count as heard
+	s := newPlatformFleet(t, 3, 4, healthyServer)
+	path := routePrefix + "00000000000000cd"
+	for _, h := range s.hosts[1:] {
+		h.signal(syscall.SIGSTOP)
+	}
+	status, answer, err := s.hosts[0].callWithin(patience, http.MethodDelete, path, "")
+	for _, h := range s.hosts[1:] {
+		h.signal(syscall.SIGCONT)
+	}
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusGatewayTimeout, answer)
+	assert.Assert(t, strings.Contains(answer, "isn't known"), answer)
+	eventually(t, "it is acknowledged", func() bool {
+		status, _, err := s.hosts[1].call(http.MethodDelete, path, "")
+		return err == nil && status == http.StatusGone
+	})
+	status, answer, err = s.hosts[2].call(http.MethodPost, path, jobBody(3))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusGone, answer)
+	assert.Equal(t, s.checker.Starts("00000000000000cd"), 0)
+}
+
 // TestPlatformCancel: a canceled job is stopped on its servers, and its caller gets
 // status 410.
 func TestPlatformCancel(t *testing.T) {
