--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 		return nil
 	}
 	if msg.End == work.EndUnknown {
-		expired := now.Add(max(m.limits.MaxLease, m.limits.AnnouncementTTL))
+		expired := m.unknownExpiry(now)
 		if endsAt.IsZero() || expired.Before(endsAt) {
 			e.runs[name] = expired
 		}
@@ -58,6 +59,13 @@
 	return m.submitDeferred(now, msg.Task.Job)
 }
 
+// unknownExpiry returns when a run counts as ended whose end is unknown since now: its lease is
+// over on the slowest clock allowed, and other homes don't count the job as announced any more.
+func (m *Model) unknownExpiry(now time.Time) time.Time {
+	lease := time.Duration(math.Ceil(float64(m.limits.MaxLease) / (1 - maxClockDrift)))
+	return now.Add(max(lease, m.limits.AnnouncementTTL))
+}
+
 // submitDeferred submits a job again to this home once all of its runs have ended.
 func (m *Model) submitDeferred(now time.Time, id string) []Cmd {
 	e := m.ending[id]
@@ -104,9 +112,10 @@
 
 // withdrawUnknown withdraws a job that isn't coordinated here: it answers its held back
 // submission, unless there is none or more than one.
-func (m *Model) withdrawUnknown(id string) []Cmd {
+func (m *Model) withdrawUnknown(msg WithdrawMsg) []Cmd {
+	id := msg.ID
 	e := m.ending[id]
-	if e == nil || len(e.deferred) != 1 {
+	if e == nil || len(e.deferred) != 1 || !sameQueue(e.deferred[0].Job.Queue, msg.Queue) {
 		return []Cmd{LogCmd{
 			ID:     id,
 			Event:  "withdrawal ignored",
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -58,6 +58,12 @@
 	return count
 }
 
+func (n *homesNetwork) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
 func (n *homesNetwork) Call(ctx context.Context, address string, f wire.Frame) (wire.Frame, error) {
 	s := n.to(address, f)
 	if s == nil {
@@ -68,6 +74,10 @@
 		n.announced <- address
 		return answer, nil
 	}
+	if f.Find != nil {
+		answer, _ := s.ServeFind(ctx, f)
+		return answer, nil
+	}
 	if f.Crash != nil {
 		answer, _ := s.ServeCrash(ctx, f)
 		return answer, nil
@@ -165,6 +175,7 @@
 				AnnouncementTTL:  time.Minute,
 			},
 			Answer:   time.Second,
+			Canceled: time.Minute,
 			Counters: counters,
 			Log:      logr.Discard(),
 		})
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -96,6 +96,15 @@
 	Wait int `cbor:"wait" json:"wait"`
 }
 
+// Canceled is a job whose cancelling was requested.
+type Canceled struct {
+	// ID of the job.
+	Job string `cbor:"job" json:"job"`
+
+	// Queue of the job.
+	Queue string `cbor:"queue" json:"queue"`
+}
+
 // Config is the configuration in force at a host.
 type Config struct {
 	// Configuration text as the operator wrote it.
@@ -171,6 +180,9 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Queue of the job. Versions without it mean the job of any queue.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// Service of the job.
 	Service string `cbor:"service" json:"service"`
 }
@@ -179,6 +191,10 @@
 type Found struct {
 	// queued, running, completed, failed, canceled, or empty if unknown.
 	State string `cbor:"state" json:"state"`
+
+	// Votes of the hosts that the sender hears in its failure domain, for each
+	// service that it is a home of.
+	Votes []Votes `cbor:"votes,omitempty" json:"votes,omitempty,omitzero"`
 }
 
 // Frame is one message on a peer link; exactly one field besides id is set.
@@ -284,6 +300,9 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Queue of the job. Versions without it don't tell queues apart.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// Service of the task or job.
 	Service string `cbor:"service" json:"service"`
 
@@ -518,6 +537,10 @@
 // Open announces the older unfinished jobs that the sender coordinates, so that
 // other homes don't start them.
 type Open struct {
+	// Jobs that an Unknown frame names whose cancelling was requested, in the answer
+	// to it.
+	Canceled []Canceled `cbor:"canceled,omitempty" json:"canceled,omitempty,omitzero"`
+
 	// Peer address of the sender.
 	Host string `cbor:"host" json:"host"`
 
@@ -540,6 +563,9 @@
 // Opened acknowledges an Open frame: until its announcement expires, the sender
 // starts no task of the jobs.
 type Opened struct {
+	// Jobs with an announced ID whose cancelling was requested.
+	Canceled []Canceled `cbor:"canceled,omitempty" json:"canceled,omitempty,omitzero"`
+
 	// IDs of those that a third home has announced, or of which the sender runs tasks
 	// for one.
 	Held []string `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
@@ -804,6 +830,9 @@
 	// Priority; 0 is the highest.
 	Priority int `cbor:"priority" json:"priority"`
 
+	// Queue of the job. Versions without it don't tell queues apart.
+	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
+
 	// The opposite of first, for versions that don't know that field.
 	Resent *bool `cbor:"resent,omitempty" json:"resent,omitempty,omitzero"`
 
@@ -845,10 +874,22 @@
 // Unknown asks a home which unfinished jobs it coordinates or runs tasks of, as
 // the sender may not know the announcements. The answer is an Open frame.
 type Unknown struct {
+	// IDs of the sender's unfinished jobs.
+	Jobs []string `cbor:"jobs,omitempty" json:"jobs,omitempty,omitzero"`
+
 	// Service that runs the jobs' tasks.
 	Service string `cbor:"service" json:"service"`
 }
 
+// Votes are those that a home of a service has in its failure domain.
+type Votes struct {
+	// Service that it is a home of.
+	Service string `cbor:"service" json:"service"`
+
+	// Number of votes.
+	Votes int `cbor:"votes" json:"votes"`
+}
+
 // Wait is the typical time that a route's callers wait for an answer.
 type Wait struct {
 	// Whether a caller was seen whose wait was clearly shorter: callers state what is
