pool: a server that returns within the millisecond of its loss is used again

Callers saw less capacity: a server that was silent until its leases were over, and answered the poll of that same moment, got no tasks until its clock reading was 5 s old. Only a poll that was sent in a later millisecond settles the loss, and an idle server that answers isn't polled. Such a server is polled again after the short poll wait now, and its host isn't idle meanwhile.

TestReturnedServerUnused failed before (no poll; the pool counted as idle) and passes. On the final code: the tests of core/pool about losses, crashes, restarts, takeovers, leases and unknown runs, io/scheduler and core/explore passed.

--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -51,11 +51,11 @@
 	return capacity
 }
 
-// Idle reports whether nothing runs and every server is ready, reachable and not
-// being released.
+// Idle reports whether nothing runs and every server is ready, reachable, of known fate
+// and not being released.
 func (m *Model) Idle() bool {
 	for _, s := range m.servers {
-		if len(s.runs) > 0 || s.phase != ready || s.misses > 0 || s.releasing {
+		if len(s.runs) > 0 || s.phase != ready || s.misses > 0 || s.releasing || len(s.losses) > 0 {
 			return false
 		}
 	}
--- a/core/pool/crash_test.go
+++ b/core/pool/crash_test.go
@@ -25,6 +25,22 @@
 	return b.update(TickMsg{})
 }
 
+// TestReturnedServerUnused checks that a server gets tasks again soon after its loss, also if it
+// answers a poll that was sent within the millisecond of the loss.
+func TestReturnedServerUnused(t *testing.T) {
+	b := newHarness(t, "a")
+	b.update(RunMsg{Task: taskOf("j")})
+	b.silentUntilLost("a")
+	cmds := b.answerPoll("a")
+	assert.Assert(t, !b.model.Idle())
+	b.advance(limits.ShortPollWait)
+	cmds = append(cmds, b.update(TickMsg{})...)
+	assert.Equal(t, len(polls(cmds)), 1)
+	b.answerPoll("a")
+	assert.Assert(t, b.model.Idle())
+	assert.Equal(t, len(b.model.Capacity(b.now).Slots), 1)
+}
+
 // TestLossReported checks that a lost server is reported with its tasks, and later its fate,
 // but not one that drains or only lacks a run.
 func TestLossReported(t *testing.T) {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -15,7 +15,7 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() &&
+	if s.phase == ready && len(s.runs) == 0 && s.misses == 0 && s.doubtedAt.IsZero() && len(s.losses) == 0 &&
 		!s.processExpected() && now.Sub(s.clockAt) < maxClockAge {
 		return nil
 	}
@@ -155,6 +155,10 @@
 	if s.processExpected() && len(s.runs) == 0 {
 		s.nextPollAt = now.Add(m.limits.ProbeInterval)
 	}
+	if len(s.losses) > 0 && len(s.runs) == 0 {
+		// The poll was sent within the millisecond of the loss.
+		s.nextPollAt = now.Add(m.limits.ShortPollWait)
+	}
 	listed := m.updateRunning(now, s, msg, requestedAt)
 	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
