--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -15,8 +15,7 @@
 	if s.pollInFlight || now.Before(s.nextPollAt) || s.phase == fenced || m.servers[s.entry.ID] != s {
 		return nil
 	}
-	if s.phase == ready && s.awaitsOnlyStarts() && s.misses == 0 && s.doubtedAt.IsZero() &&
-		!s.processExpected() && !s.orderOnItsWay(now) && now.Sub(s.clockAt) < maxClockAge {
+	if s.isUpToDate(now) {
 		return nil
 	}
 	s.pollSerial++
@@ -50,6 +49,13 @@
 	return []Cmd{cmd}
 }
 
+// isUpToDate reports whether the lists of the server would tell nothing that isn't known.
+func (s *server) isUpToDate(now time.Time) bool {
+	return s.phase == ready && s.awaitsOnlyStarts() &&
+		s.misses == 0 && s.doubtedAt.IsZero() && len(s.losses) == 0 &&
+		!s.processExpected() && !s.orderOnItsWay(now) && now.Sub(s.clockAt) < maxClockAge
+}
+
 // awaitsOnlyStarts reports whether all runs of the server, if any, wait for the answer to their
 // first start order. The answer says whether a run started, and the order extends the lease, so
 // the lists are needed only once it is overdue and the order is repeated.
@@ -165,6 +171,10 @@
 	if len(s.runs) == 0 && (s.processExpected() || s.orderOnItsWay(now)) {
 		s.nextPollAt = now.Add(m.limits.ProbeInterval)
 	}
+	if len(s.losses) > 0 && len(s.runs) == 0 {
+		// The poll was sent within the millisecond of the loss.
+		s.nextPollAt = now.Add(m.limits.ShortPollWait)
+	}
 	listed := m.updateRunning(now, s, msg, requestedAt)
 	cmds = append(cmds, m.endMissingRuns(now, s, msg, requestedAt, tokenNoted, listed)...)
 	cmds = append(cmds, m.stopOrphans(now, s, msg)...)
