io/scheduler: GET asks hosts that may only have lost touch

What callers saw: GET of a job was answered 410 (no host has the job) while a host that may run it was neither heard nor asked, where 504 is promised: a home that is cut off from the asking host, and from the store for longer than a row counts as alive, but that still counts for majorities.

Cause: GET asked the hosts that are heard and those with a current row only; DELETE asks all that count for majorities, too. Both now ask the same hosts.

TestHostOutOfTouchTakenForUnaware failed before (known is true) and passes. A GET of an ID that no answering host knows is answered 504 after 1 s, not 410, for as long as the row of a host that has died counts for majorities.

--- a/io/scheduler/find.go
+++ b/io/scheduler/find.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"rosemarywalk/core/inquiry"
-	"rosemarywalk/core/listing"
-	"rosemarywalk/core/owner"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
 	"rosemarywalk/io/wire"
@@ -27,7 +25,7 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	state, known = s.findLocally(query, false), true
-	hosts := s.otherHosts()
+	hosts := s.hostsWithJobs()
 	answers := make(chan foundOn, len(hosts))
 	for _, host := range hosts {
 		go func() { answers <- s.findOn(ctx, host, query, false) }()
@@ -110,27 +108,16 @@
 	return s.jobs.IsMajority(s.now(), votes)
 }
 
-// otherHosts returns the addresses of the other hosts that send heartbeats or that are
-// alive according to the store; a host that has just started hasn't received heartbeats
-// from all of them yet.
-func (s *Scheduler) otherHosts() []string {
-	view := s.config.Roster.View(nil)
-	return s.others(view, view.Listed)
-}
-
-// hostsWithJobs returns the addresses of the other hosts that may have jobs: also of those that
-// may only have lost touch.
+// hostsWithJobs returns the addresses of the other hosts that may have jobs: those that send
+// heartbeats, those that are alive according to the store, as a host that has just started
+// hasn't received heartbeats from all of them yet, and those that may only have lost touch.
 func (s *Scheduler) hostsWithJobs() []string {
 	view := s.config.Roster.View(nil)
-	return s.others(view, slices.Concat(view.Listed, view.Electorate))
-}
-
-func (s *Scheduler) others(view owner.View, listed []listing.Host) []string {
 	var addresses []string
 	for _, h := range view.Hosts {
 		addresses = append(addresses, h.Address)
 	}
-	for _, h := range listed {
+	for _, h := range slices.Concat(view.Listed, view.Electorate) {
 		addresses = append(addresses, h.Address)
 	}
 	slices.Sort(addresses)
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"rosemarywalk/core/listing"
+	"rosemarywalk/core/member"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/roster"
 )
 
 // TestCanceledAfterQueueMoved guards against requests that look for a job only under the
@@ -170,6 +175,30 @@
 	assert.Assert(t, !known)
 }
 
+// TestHostOutOfTouchTakenForUnaware guards against the same of a host that is neither heard nor
+// writes its row, but that still counts for majorities.
+func TestHostOutOfTouchTakenForUnaware(t *testing.T) {
+	const staleAfter = 10 * time.Millisecond
+	network, _, _ := newHomes(t, time.Millisecond)
+	s := network.schedulers["b"]
+	self := member.Host{Address: "b"}
+	s.config.Roster = roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), network, time.Second, staleAfter, 100, 100, s.config.Counters, logr.Discard())
+	rows := []listing.Host{{
+		Name:           "c",
+		Address:        "c",
+		HeartbeatCount: 1,
+	}}
+	s.config.Roster.SetListedHosts(rows)
+	time.Sleep(staleAfter)
+	s.config.Roster.SetListedHosts(rows)
+	state, known := s.Find(t.Context(), Query{
+		Service: "s",
+		ID:      announcedJob().ID,
+	})
+	assert.Equal(t, state, "")
+	assert.Assert(t, !known)
+}
+
 // TestJoinedInOtherQueue guards against a caller that joins another queue's job with the same ID
 // at the home that announced it.
 func TestJoinedInOtherQueue(t *testing.T) {
