schedule: a repeated request to cancel doesn't drop others

What callers saw: requests to cancel are kept for a minute, 100,000 at most, but each repetition of one took another place.

Cause: the list in order of expiry had an entry for each request, not for each job. It now has one for each, moved to the end when the request is repeated.

TestRepeatedCancellationEvictsOthers failed before (the first request was gone) and passes.

--- a/core/schedule/cancellations.go
+++ b/core/schedule/cancellations.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"container/list"
 	"maps"
 	"slices"
 	"time"
@@ -13,8 +14,8 @@
 // meanwhile may come later.
 type Cancellations struct {
 	retention time.Duration
-	byID      map[string]map[string]time.Time // when a request expires, by job ID and queue
-	oldest    []cancellation                  // in order of expiry
+	byID      map[string]map[string]*list.Element // in oldest, by job ID and queue
+	oldest    *list.List                          // of cancellations in order of expiry, one for each job
 }
 
 // JobName is what callers know a job by.
@@ -32,46 +33,47 @@
 func NewCancellations(retention time.Duration) *Cancellations {
 	return &Cancellations{
 		retention: retention,
-		byID:      map[string]map[string]time.Time{},
+		byID:      map[string]map[string]*list.Element{},
+		oldest:    list.New(),
 	}
 }
 
-// Add records a request to cancel a queue's job.
+// Add records a request to cancel a queue's job, and keeps it for longer if it is repeated.
 func (c *Cancellations) Add(now time.Time, queue, id string) {
-	for len(c.oldest) > 0 && (!now.Before(c.oldest[0].expiresAt) || len(c.oldest) >= maxCancellations) {
-		c.removeOldest()
+	if e := c.byID[id][queue]; e != nil {
+		c.remove(e)
+	}
+	for e := c.oldest.Front(); e != nil && (isExpired(now, e) || c.oldest.Len() >= maxCancellations); e = c.oldest.Front() {
+		c.remove(e)
 	}
 	if c.byID[id] == nil {
-		c.byID[id] = map[string]time.Time{}
+		c.byID[id] = map[string]*list.Element{}
 	}
-	added := cancellation{
+	c.byID[id][queue] = c.oldest.PushBack(cancellation{
 		name: JobName{
 			Queue: queue,
 			ID:    id,
 		},
 		expiresAt: now.Add(c.retention),
-	}
-	c.byID[id][queue] = added.expiresAt
-	c.oldest = append(c.oldest, added)
+	})
 }
 
-// removeOldest removes the oldest request, unless it was repeated.
-func (c *Cancellations) removeOldest() {
-	first := c.oldest[0]
-	c.oldest = c.oldest[1:]
-	queues := c.byID[first.name.ID]
-	if queues[first.name.Queue].Equal(first.expiresAt) {
-		delete(queues, first.name.Queue)
-	}
-	if len(queues) == 0 {
-		delete(c.byID, first.name.ID)
+func (c *Cancellations) remove(e *list.Element) {
+	name := c.oldest.Remove(e).(cancellation).name
+	delete(c.byID[name.ID], name.Queue)
+	if len(c.byID[name.ID]) == 0 {
+		delete(c.byID, name.ID)
 	}
 }
 
+func isExpired(now time.Time, e *list.Element) bool {
+	return !now.Before(e.Value.(cancellation).expiresAt)
+}
+
 // Has reports whether the cancelling of a queue's job was requested.
 func (c *Cancellations) Has(now time.Time, queue, id string) bool {
-	for canceled, expiresAt := range c.byID[id] {
-		if now.Before(expiresAt) && sameQueue(canceled, queue) {
+	for canceled, e := range c.byID[id] {
+		if !isExpired(now, e) && sameQueue(canceled, queue) {
 			return true
 		}
 	}
@@ -83,7 +85,7 @@
 	var names []JobName
 	for _, id := range ids {
 		for _, queue := range slices.Sorted(maps.Keys(c.byID[id])) {
-			if now.Before(c.byID[id][queue]) {
+			if !isExpired(now, c.byID[id][queue]) {
 				names = append(names, JobName{
 					Queue: queue,
 					ID:    id,
--- a/core/schedule/cancellations_test.go
+++ b/core/schedule/cancellations_test.go
@@ -82,6 +82,17 @@
 	assert.Equal(t, len(c.byID), 1)
 }
 
+// TestRepeatedCancellationEvictsOthers guards against requests that are dropped before their time
+// because another one is repeated.
+func TestRepeatedCancellationEvictsOthers(t *testing.T) {
+	c := NewCancellations(time.Minute)
+	c.Add(epoch, "q", "j")
+	for range maxCancellations {
+		c.Add(epoch, "q", "k")
+	}
+	assert.Assert(t, c.Has(epoch, "q", "j"))
+}
+
 // TestCancellationsNamed checks that requests are listed for all queues that use an ID.
 func TestCancellationsNamed(t *testing.T) {
 	c := NewCancellations(time.Minute)
