core/schedule: runs whose end is unknown have the time to stop

What callers saw: nothing with the default settings, where a job counts as announced for longer (1.27 s) than a lease and a stop take (1.07 s on the slowest clock). With a longer [pool] granted, a job could start while a run of it whose end is unknown was still being stopped at the end of its lease: two runs of one task for up to [pool] stop.

Cause: the bound counted the lease only. Backend servers stop a run after its lease ended, and core/pool allows for that time.

The change makes the test stricter; nothing in it was taken away.

--- a/core/schedule/ending.go
+++ b/core/schedule/ending.go
@@ -60,10 +60,11 @@
 }
 
 // unknownExpiry returns when a run counts as ended whose end is unknown since now: its lease is
-// over on the slowest clock allowed, and other homes don't count the job as announced any more.
+// over on the slowest clock allowed, its server has had the time to stop it, and other homes
+// don't count the job as announced any more.
 func (m *Model) unknownExpiry(now time.Time) time.Time {
-	lease := time.Duration(math.Ceil(float64(m.limits.MaxLease) / (1 - maxClockDrift)))
-	return now.Add(max(lease, m.limits.AnnouncementTTL))
+	end := time.Duration(math.Ceil(float64(m.limits.MaxLease+m.limits.StopTimeout) / (1 - maxClockDrift)))
+	return now.Add(max(end, m.limits.AnnouncementTTL))
 }
 
 // submitDeferred submits a job again to this home once all of its runs have ended.
--- a/core/schedule/ending_test.go
+++ b/core/schedule/ending_test.go
@@ -228,10 +228,13 @@
 }
 
 // TestUnknownEndOnSlowClock guards against a job that is started while a run of it whose end is
-// unknown still holds its lease, as its server's clock is slow.
+// unknown still holds its lease, as its server's clock is slow, or is still being stopped.
 func TestUnknownEndOnSlowClock(t *testing.T) {
-	const lease = 2 * announcementTTL
-	slow := epoch.Add(lease + 2*lease/98)
+	const (
+		lease = 2 * announcementTTL
+		stop  = 49 * time.Millisecond
+	)
+	slow := epoch.Add(lease + stop + 2*(lease+stop)/98)
 	tests := []struct {
 		name string
 		end  func(m *Model)
@@ -264,7 +267,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			m := newAnnouncingModel(self)
-			m.limits.MaxLease = lease
+			m.limits.MaxLease, m.limits.StopTimeout = lease, stop
 			test.end(m)
 			assert.Assert(t, test.held(m, slow))
 			assert.Assert(t, !test.held(m, slow.Add(time.Millisecond)))
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -29,7 +29,8 @@
 	ShortJob            time.Duration // duration below which the history of an attempt may be guessed; 0 to start jobs that weren't announced
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
 	MajorityWait        time.Duration // time without a majority after which jobs don't wait for one; 0 if none is needed
-	MaxLease            time.Duration // after which a run whose end is unknown counts as ended
+	MaxLease            time.Duration // longest lease of a run whose end is unknown
+	StopTimeout         time.Duration // longest time that backend servers take to stop a run after that
 }
 
 // finishedJob is the outcome of a job that has ended.
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -235,6 +235,7 @@
 		AnnouncementTTL:     bounds.AnnouncementTTL,
 		MajorityWait:        s.Duration("roster", "dead"),
 		MaxLease:            s.Duration(sectionPool, "granted"),
+		StopTimeout:         s.Duration(sectionPool, "stop"),
 	}
 }
 
