core/pool: unknown runs at a removed server have the time to stop

A home that lists an unknown run at a server and then loses the server to another host remembers the run until its lease must be over, and started the task elsewhere at that moment, while the server was still stopping the run.

Cause: the bound counted the lease only; everywhere else in core/pool a lease is over once the runs have had the time to stop, too.

TestOrphanStopsAfterLease failed before (1 start, 0 wanted) and passes.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -56,7 +56,7 @@
 	tickedAt     time.Time            // of the latest tick
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
-	orphanLeases map[string]time.Time // when the leases of unknown runs at servers that were removed are over, by task name
+	orphanLeases map[string]time.Time // when unknown runs at servers that were removed have ended, by task name
 }
 
 // New returns a pool without servers for a host in the given failure domain.
@@ -256,10 +256,11 @@
 }
 
 // recordOrphanLeases records when the unknown runs at a server that is removed have ended, even
-// if it does not answer any more.
+// if it does not answer any more: their leases are over on the slowest clock allowed, and they
+// have had the time to stop.
 func (m *Model) recordOrphanLeases(now time.Time, s *server) {
 	maps.DeleteFunc(m.orphanLeases, func(_ string, over time.Time) bool { return !now.Before(over) })
-	over := now.Add(time.Duration(float64(m.maxLease()) / minClockRate))
+	over := now.Add(time.Duration(float64(m.maxLease()+m.limits.StopTimeout) / minClockRate))
 	for _, o := range s.orphans {
 		m.orphanLeases[o.Name] = over
 	}
--- a/core/pool/proof_late_test.go
+++ b/core/pool/proof_late_test.go
@@ -403,3 +403,19 @@
 		})
 	}
 }
+
+// TestOrphanStopsAfterLease guards against a task that is started while an unknown run of it is
+// still being stopped at a server that another host owns now.
+func TestOrphanStopsAfterLease(t *testing.T) {
+	b := grantedHarness(t, "a", "b")
+	b.relist(reborn)
+	b.answerPoll("a", restartedAt(5))
+	b.answerPoll("a", restartedAt(10, unknown))
+	b.answerPoll("a", func(m *PollResultMsg) { m.Result = Fenced })
+	assert.Assert(t, b.model.servers["a"] == nil)
+	rate := minClockRate
+	b.advance(time.Duration(float64(maxLease)/rate) + stopTimeout)
+	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 0)
+	b.advance(stopTimeout)
+	assert.Equal(t, len(starts(b.update(RunMsg{Task: taskOf("j")}))), 1)
+}
