io/entry: GET answers while its caller waits

What callers saw: no answer to a request for a job's state while a host that may have the job was silent and the caller waited for less than 1 s: GET waited 1 s for that host, whatever the caller's header or route said.

Cause: only DELETE counted what its caller waits.

TestStateAfterDeadline failed before (waits for 1.0 s, the caller for 0.3 s) and passes.

--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -237,7 +237,9 @@
 		h.refuse(w, http.StatusGone, core.ReasonMalformed, malformedID(req.id), 0)
 		return
 	}
-	state, known := h.scheduler.Find(r.Context(), req.query())
+	ctx, stop := h.untilDeadline(r, req)
+	defer stop()
+	state, known := h.scheduler.Find(ctx, req.query())
 	h.writeState(w, state, known)
 }
 
@@ -259,16 +261,23 @@
 		h.refuse(w, http.StatusGone, core.ReasonMalformed, malformedID(req.id), 0)
 		return
 	}
-	wait := cmp.Or(h.format.Timeout(r.Header), req.route.Timeout, cancelTimeout)
-	ctx, stop := context.WithTimeout(r.Context(), wait-clock.Since(req.arrived)-scheduler.AnswerMargin)
+	ctx, stop := h.untilDeadline(r, req)
 	defer stop()
 	state, known := h.scheduler.Cancel(ctx, req.query())
 	h.log.Info("cancel", "job", req.id, "route", req.route.Name, "state", state, "known", known, "age", clock.Since(req.arrived).String())
 	h.writeState(w, state, known)
 }
 
-// cancelTimeout is how long a caller waits for a cancelling if neither it nor its route says.
-const cancelTimeout = 10 * time.Second
+// untilDeadline returns a context that ends when the answer to a request about a job has to be
+// sent to reach its caller in time.
+func (h *Handler) untilDeadline(r *http.Request, req request) (context.Context, context.CancelFunc) {
+	wait := cmp.Or(h.format.Timeout(r.Header), req.route.Timeout, queryTimeout)
+	return context.WithTimeout(r.Context(), wait-clock.Since(req.arrived)-scheduler.AnswerMargin)
+}
+
+// queryTimeout is how long a caller waits for an answer about a job if neither it nor its route
+// says.
+const queryTimeout = 10 * time.Second
 
 // canServe reports whether this host can serve jobs: the configuration and the list of
 // backend servers were read, and the homes of new jobs own backend servers.
