--- a/core/explore/call.go
+++ b/core/explore/call.go
@@ -18,7 +18,7 @@
 	result    pool.Result
 	lists     lists // at the arrival
 	lastEnd   int
-	givenUp   bool // the home expects no answer any more
+	abandoned bool // the home expects no answer any more
 }
 
 func (w *PoolWorld) call(id, address string, c call) {
--- a/core/explore/event.go
+++ b/core/explore/event.go
@@ -14,7 +14,7 @@
 	Pass      Kind = iota // a step of time passes
 	Freeze                // the home is frozen for longer than a lease
 	Arrive                // an order arrives, and its answer is on the way
-	Late                  // an order arrives that the home has given up
+	Late                  // an order arrives after the home has stopped waiting for its answer
 	Repeat                // an order arrives, and once more later
 	Answer                // an order arrives if it has not, and its answer arrives
 	Odd                   // the same with an answer that was made in an unusual way
@@ -101,7 +101,7 @@
 // usual returns the event that is no deviation.
 func (w *PoolWorld) usual() Event {
 	for i, c := range w.calls {
-		if !c.givenUp && w.reachable(c) && w.answers(c) {
+		if !c.abandoned && w.reachable(c) && w.answers(c) {
 			return Event{
 				Kind: Answer,
 				Call: uint8(i),
@@ -135,7 +135,7 @@
 		return nil
 	}
 	var events []Event
-	if !c.givenUp && w.answers(c) {
+	if !c.abandoned && w.answers(c) {
 		events = append(events, Event{
 			Kind: Answer,
 			Call: i,
@@ -155,7 +155,7 @@
 	if c.arrived || c.elsewhere {
 		return events
 	}
-	if !c.givenUp {
+	if !c.abandoned {
 		events = append(events, Event{
 			Kind: Arrive,
 			Call: i,
@@ -166,7 +166,7 @@
 			Call: i,
 		})
 	}
-	if _, poll := c.cmd.(pool.PollCmd); !poll && !c.givenUp && w.mayFail(Repeat) {
+	if _, poll := c.cmd.(pool.PollCmd); !poll && !c.abandoned && w.mayFail(Repeat) {
 		events = append(events, Event{
 			Kind: Repeat,
 			Call: i,
--- a/core/explore/homes.go
+++ b/core/explore/homes.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	resendSteps = 13              // until a caller submits its job again
-	silentSteps = 6               // after which a home isn't heard any more, and frames on a silent link are lost
-	stallSteps  = 5               // after which a home that was frozen has stalled
-	patience    = 3 * time.Second // of a caller
-	retention   = 5 * time.Second
+	resendSteps   = 13              // until a caller submits its job again
+	silentSteps   = 6               // after which a home isn't heard any more, and frames on a silent link are lost
+	stallSteps    = 5               // after which a home that was frozen has stalled
+	callerTimeout = 3 * time.Second // of a caller
+	retention     = 5 * time.Second
 )
 
 var (
@@ -277,7 +277,7 @@
 			w.tick(i, h)
 		}
 	}
-	if w.caller.waits && w.now.Sub(w.caller.since) >= patience {
+	if w.caller.waits && w.now.Sub(w.caller.since) >= callerTimeout {
 		w.leave(true)
 	}
 	if !w.caller.resendAt.IsZero() && !w.now.Before(w.caller.resendAt) {
--- a/core/explore/pool.go
+++ b/core/explore/pool.go
@@ -143,7 +143,7 @@
 		w.calls = slices.Delete(w.calls, int(e.Call), int(e.Call)+1)
 	case Repeat:
 		again := *w.calls[e.Call]
-		again.givenUp = true
+		again.abandoned = true
 		w.calls = append(w.calls, &again)
 		w.arrive(w.calls[e.Call])
 	case Answer, Odd:
@@ -191,7 +191,7 @@
 func (w *PoolWorld) pass(awake bool) {
 	w.advance(step)
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
-		return c.givenUp && (c.arrived || c.elsewhere || w.now.Sub(c.sent) > maxLateness)
+		return c.abandoned && (c.arrived || c.elsewhere || w.now.Sub(c.sent) > maxLateness)
 	})
 	if !awake {
 		return
@@ -199,8 +199,8 @@
 	w.assign()
 	w.deliver(pool.TickMsg{})
 	for _, c := range slices.Clone(w.calls) {
-		if !c.givenUp && w.now.Sub(c.sent) >= limits.AnswerTimeout+c.wait {
-			c.givenUp = true
+		if !c.abandoned && w.now.Sub(c.sent) >= limits.AnswerTimeout+c.wait {
+			c.abandoned = true
 			w.deliver(c.answer(pool.Unanswered, lists{}))
 		}
 	}
@@ -328,7 +328,7 @@
 	w.model, w.inspected = pool.New("home", limits), map[string]bool{}
 	w.replaced = true
 	for _, c := range w.calls {
-		c.givenUp = true
+		c.abandoned = true
 	}
 	w.job = job{
 		run:   1,
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -49,7 +49,7 @@
 	return []Cmd{cmd}
 }
 
-// isUpToDate reports whether the lists of the server would tell nothing that isn't known.
+// isUpToDate reports whether the lists of the server would show nothing new.
 func (s *server) isUpToDate(now time.Time) bool {
 	return s.phase == ready && s.awaitsOnlyStarts() &&
 		s.misses == 0 && s.doubtedAt.IsZero() && len(s.losses) == 0 &&
--- a/core/schedule/suspect.go
+++ b/core/schedule/suspect.go
@@ -167,7 +167,7 @@
 	return crashed+unresolved > 0, crashed+unresolved >= maxCrashes
 }
 
-// recordLoss records a loss of a server or its fate, and gives up the jobs of the tasks that now
+// recordLoss records a loss of a server or its fate, and aborts the jobs of the tasks that now
 // count as culprits.
 func (m *Model) recordLoss(now time.Time, msg LossMsg) []Cmd {
 	var cmds []Cmd
--- a/core/schedule/suspect_test.go
+++ b/core/schedule/suspect_test.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// TestRunningCulprit checks that a home that learns of crashes gives up a job that it runs.
+// TestRunningCulprit checks that a home that learns of crashes aborts a job that it runs.
 func TestRunningCulprit(t *testing.T) {
 	m := newModel(4)
 	m.Update(epoch, submit(jobOf("j", 2)))
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -106,7 +106,7 @@
 // TestCanceledWhileHomeSilent guards against a cancelling that is acknowledged while the job's
 // home is silent, and that the home never learns of.
 func TestCanceledWhileHomeSilent(t *testing.T) {
-	const patience = 300 * time.Millisecond
+	const callerTimeout = 300 * time.Millisecond
 	tests := []struct {
 		name   string
 		silent time.Duration // after the request; 0 until its caller has left
@@ -115,7 +115,7 @@
 	}{
 		{
 			name:   "it answers in time",
-			silent: patience / 3,
+			silent: callerTimeout / 3,
 			known:  true,
 			wake:   func(*Scheduler) {},
 		},
@@ -148,7 +148,7 @@
 			if test.silent > 0 {
 				time.AfterFunc(test.silent, func() { network.setDown("a", false) })
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
 			defer cancel()
 			_, known := network.schedulers["b"].Cancel(ctx, Query{
 				Service: "s",
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -300,7 +300,7 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
-	// Queue of the job. Versions without it don't tell queues apart.
+	// Queue of the job. Versions without it don't distinguish queues.
 	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
 
 	// Service of the task or job.
@@ -830,7 +830,7 @@
 	// Priority; 0 is the highest.
 	Priority int `cbor:"priority" json:"priority"`
 
-	// Queue of the job. Versions without it don't tell queues apart.
+	// Queue of the job. Versions without it don't distinguish queues.
 	Queue *string `cbor:"queue,omitempty" json:"queue,omitempty,omitzero"`
 
 	// The opposite of first, for versions that don't know that field.
--- a/proof/deadly_test.go
+++ b/proof/deadly_test.go
@@ -14,7 +14,7 @@
 	"rosemarywalk/platform/wire"
 )
 
-// TestPlatformDeadlyTask checks that a job with a task that crashes backend servers is given up
+// TestPlatformDeadlyTask checks that a job with a task that crashes backend servers is aborted
 // after few crashes, at once when it is submitted again to another host, without being called
 // failed, and that other jobs are served meanwhile.
 func TestPlatformDeadlyTask(t *testing.T) {
@@ -41,19 +41,19 @@
 	path := fmt.Sprintf("%s%016x", routePrefix, job)
 	loaded := make(chan map[int]int, 1)
 	go func() { loaded <- s.load(40, 100*time.Millisecond) }()
-	givenUp := 0
-	for try := 0; givenUp < len(s.hosts) && try < 10; try++ {
+	aborted := 0
+	for try := 0; aborted < len(s.hosts) && try < 10; try++ {
 		status, answer, err := s.hosts[try%len(s.hosts)].callWithin(waits, http.MethodPost, path, string(body))
 		if err == nil {
 			assert.Assert(t, status != http.StatusOK, answer)
 		}
 		if err == nil && status == http.StatusBadGateway && strings.Contains(answer, string(core.ReasonCrashes)+`"`) {
-			givenUp++
+			aborted++
 			continue
 		}
 		time.Sleep(resubmitDelay)
 	}
-	assert.Equal(t, givenUp, len(s.hosts))
+	assert.Equal(t, aborted, len(s.hosts))
 	crashes := 0
 	for _, server := range s.servers {
 		crashes += server.Crashes()
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -695,13 +695,13 @@
 // TestPlatformCancelNotKnown: while most hosts are silent, a cancelling is not acknowledged, and
 // they learn of it when they are back.
 func TestPlatformCancelNotKnown(t *testing.T) {
-	const patience = 7 * time.Second // longer than silent hosts count as heard
+	const callerTimeout = 7 * time.Second // longer than silent hosts count as heard
 	s := newPlatformFleet(t, 3, 4, healthyServer)
 	path := routePrefix + "00000000000000cd"
 	for _, h := range s.hosts[1:] {
 		h.signal(syscall.SIGSTOP)
 	}
-	status, answer, err := s.hosts[0].callWithin(patience, http.MethodDelete, path, "")
+	status, answer, err := s.hosts[0].callWithin(callerTimeout, http.MethodDelete, path, "")
 	for _, h := range s.hosts[1:] {
 		h.signal(syscall.SIGCONT)
 	}
