--- a/proof/twice_test.go
+++ b/proof/twice_test.go
@@ -22,12 +22,23 @@
 const testSlots = 6
 
 // testBehavior submits jobs while backend servers behave as given, some of them so slowly that
-// their runs are stopped. disturb disturbs the servers meanwhile. No task has two concurrent runs.
+// their runs are stopped. disturb disturbs the servers meanwhile. No task has two concurrent runs,
+// and each job is answered.
 func testBehavior(t *testing.T, b standin.Behavior, slow int, disturb func(s *platformFleet)) {
+	t.Helper()
+	statuses := loadBehavior(t, b, slow, disturb)
+	assert.Equal(t, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], behaviorJobs, statuses)
+	t.Log(statuses)
+}
+
+const behaviorJobs = 60
+
+// loadBehavior is testBehavior without the check of the answers, which it returns by status.
+func loadBehavior(t *testing.T, b standin.Behavior, slow int, disturb func(s *platformFleet)) map[int]int {
 	t.Helper()
 	const (
 		runTime, slowRunTime = 250 * time.Millisecond, 2 * time.Second
-		jobs, pause          = 60, 30 * time.Millisecond
+		pause                = 30 * time.Millisecond
 	)
 	b.RunTime, b.Slots = runTime, testSlots
 	s := &platformFleet{
@@ -45,10 +56,9 @@
 		defer close(disturbed)
 		disturb(s)
 	}()
-	statuses := s.load(jobs, pause)
+	statuses := s.load(behaviorJobs, pause)
 	<-disturbed
-	assert.Equal(t, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], jobs, statuses)
-	t.Log(statuses)
+	return statuses
 }
 
 func undisturbed(*platformFleet) {}
@@ -83,13 +93,14 @@
 	testBehavior(t, standin.Behavior{ClockJitter: 30 * time.Millisecond}, 0, undisturbed)
 }
 
-// TestOddServersRunTwice: no task has two concurrent runs at servers that behave in other ways.
-func TestOddServersRunTwice(t *testing.T) {
-	tests := []struct {
-		name     string
-		behavior standin.Behavior
-		disturb  func(s *platformFleet)
-	}{
+type oddServerTest struct {
+	name     string
+	behavior standin.Behavior
+	disturb  func(s *platformFleet)
+}
+
+func oddServerTests() []oddServerTest {
+	return []oddServerTest{
 		{
 			name: "slow stops, clock read at arrival, pauses",
 			behavior: standin.Behavior{
@@ -114,11 +125,22 @@
 			disturb: restartServers,
 		},
 	}
-	for _, test := range tests {
+}
+
+// TestOddServersRunTwice: no task has two concurrent runs at servers that behave in other ways.
+func TestOddServersRunTwice(t *testing.T) {
+	for _, test := range oddServerTests() {
 		t.Run(test.name, func(t *testing.T) { testBehavior(t, test.behavior, 1, test.disturb) })
 	}
 }
 
+// TestOddServersOverlap checks the same without the answers, which are a known failure.
+func TestOddServersOverlap(t *testing.T) {
+	for _, test := range oddServerTests() {
+		t.Run(test.name, func(t *testing.T) { t.Log(loadBehavior(t, test.behavior, 1, test.disturb)) })
+	}
+}
+
 // saveLogs writes the hosts' logs to soakLogDir if the test failed.
 func (s *platformFleet) saveLogs() {
 	if *soakLogDir == "" || (!s.t.Failed() && len(s.checker.Violations()) == 0) {
