io/scheduler: a line in the log when the host is late

The logs couldn't tell whether calls to backend servers are lost or answered while the host has no processor time, nor how late it was. 'host late' has the longest delay of a tick, the calls without an answer or a connection and the starts that were sent again, once a second at most. No logic changes.

--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -47,6 +47,7 @@
 	config  Config
 	started time.Time
 	wakeUp  chan struct{} // signals new work to an idle host
+	load    *load
 
 	// Held, in order, while the shard for a job is looked up and passed the job; acquired
 	// before all other locks.
@@ -80,6 +81,7 @@
 		config:  c,
 		started: c.Now(),
 		wakeUp:  make(chan struct{}, 1),
+		load:    &load{},
 		shards:  map[string]*Shard{},
 		plans:   map[string]owner.Plan{},
 
@@ -145,6 +147,7 @@
 		answer:       s.config.Answer,
 		stall:        s.config.Stall,
 		stalls:       s.config.Stalls,
+		load:         s.load,
 		now:          s.config.Now,
 		notifyLimits: s.config.Tell,
 		notifier:     schedule.NewReporter(s.config.Tell),
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -50,6 +50,7 @@
 	stall        time.Duration // age at which a decision is outdated
 	notifyLimits schedule.ReportIntervals
 	stalls       *stall.Detector
+	load         *load
 	now          func() time.Time
 	wake         func() // called when the shard needs ticks
 	ask          func(schedule.AskCmd)
@@ -289,19 +290,25 @@
 func (s *Shard) start(cmd pool.StartCmd) {
 	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
 	defer cancel()
-	s.update(s.servers.Start(ctx, cmd))
+	msg := s.servers.Start(ctx, cmd)
+	s.load.recordCall(msg.Result, cmd.Repeated)
+	s.update(msg)
 }
 
 func (s *Shard) stop(cmd pool.StopCmd) {
 	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
 	defer cancel()
-	s.update(s.servers.Stop(ctx, cmd))
+	msg := s.servers.Stop(ctx, cmd)
+	s.load.recordCall(msg.Result, false)
+	s.update(msg)
 }
 
 func (s *Shard) hold(cmd pool.PollCmd) {
 	ctx, cancel := withAnswerTimeout(s.answer, cmd.Wait, time.Now)
 	defer cancel()
-	s.update(s.servers.Hold(ctx, cmd))
+	msg := s.servers.Hold(ctx, cmd)
+	s.load.recordCall(msg.Result, false)
+	s.update(msg)
 }
 
 // lend asks another host to run a task, unless this host has stalled since the decision.
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -27,14 +27,18 @@
 		if idle {
 			period, wake = idleInterval, s.wakeUp
 		}
-		timer.Reset(loop.Next(period))
+		wait := loop.Next(period)
+		s.load.expect(time.Now().Add(wait))
+		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			s.load.observe(time.Now())
 		case <-wake:
 		}
 		now := s.config.Now()
+		s.load.log(now, s.config.Log)
 		if now.Sub(lastConfirm) >= confirmInterval {
 			lastConfirm = now
 			if !idle || s.isHome() {
