core/owner: homes have processor time in reserve

Callers saw: with hosts three times slower hardly a job was served on the large site, while two of the three strong hosts of each failure domain were idle.

Cause: the number of homes follows from the number of backend servers alone, up to 150 a core.

Change: hosts that are as strong as the weakest home join the homes until these have a core for each [roster] target servers (60). Weaker ones don't: they would add little and make placement worse. TestHomeWithoutReserve failed before in 'two hosts have a reserve'.

--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -17,6 +17,7 @@
 	Servers           []listing.Server // of one service
 	MaxServersPerHome int              // maximum backend servers per home
 	MaxServersPerCore int              // maximum backend servers per core of the homes
+	TargetPerCore     int              // backend servers per core up to which the homes have processor time in reserve
 	Electorate        []listing.Host   // hosts that count for majorities, one for each address: those whose rows in the store moved not long ago; empty if never read
 	Current           []listing.Host   // those of them that can vote for a home: others may not count the rest any more
 	Unlisted          bool             // the own row has not moved for so long that others may not count this host
@@ -27,14 +28,20 @@
 // hasCapacity reports whether homes can own a number of backend servers. If a host's
 // core count is unknown, only the limit per home applies.
 func (v View) hasCapacity(homes []member.Host, servers int) bool {
+	return len(homes)*v.MaxServersPerHome >= servers && hasCores(homes, servers, v.MaxServersPerCore)
+}
+
+// hasCores reports whether homes have a core for each perCore backend servers, or the core
+// count of one is unknown.
+func hasCores(homes []member.Host, servers, perCore int) bool {
 	cores := 0
 	for _, h := range homes {
 		if h.CPU == 0 {
-			return len(homes)*v.MaxServersPerHome >= servers
+			return true
 		}
 		cores += h.CPU
 	}
-	return len(homes)*v.MaxServersPerHome >= servers && cores*v.MaxServersPerCore >= servers*millicoresPerCore
+	return cores*perCore >= servers*millicoresPerCore
 }
 
 // pickWeighted selects a host for a key by rendezvous hashing, weighted by cores.
--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -400,6 +400,71 @@
 	}
 }
 
+// TestHomeWithoutReserve guards against a failure domain whose only home needs all of its processor
+// time, beside idle hosts that are as strong.
+func TestHomeWithoutReserve(t *testing.T) {
+	tests := []struct {
+		name    string
+		cpu     []int // of the hosts
+		servers int
+		homes   int
+	}{
+		{
+			name:    "one host has a reserve",
+			cpu:     []int{800, 800, 800, 192},
+			servers: 48,
+			homes:   1,
+		},
+		{
+			name:    "two hosts have a reserve",
+			cpu:     []int{800, 800, 800, 192},
+			servers: 90,
+			homes:   2,
+		},
+		{
+			name:    "weaker hosts don't join",
+			cpu:     []int{800, 192, 192, 192},
+			servers: 90,
+			homes:   1,
+		},
+		{
+			name:    "weak hosts only",
+			cpu:     []int{192, 192, 192, 192, 192, 192},
+			servers: 60,
+			homes:   6,
+		},
+		{
+			name:    "processors unknown",
+			cpu:     []int{0, 0, 0},
+			servers: 90,
+			homes:   1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			view := View{
+				MaxServersPerHome: 100,
+				MaxServersPerCore: 150,
+				TargetPerCore:     60,
+			}
+			for i, cpu := range test.cpu {
+				view.Hosts = append(view.Hosts, member.Host{
+					Address: fmt.Sprintf("10.0.0.%d:7100", i),
+					Domain:  "domain-0",
+					CPU:     cpu,
+				})
+			}
+			for i := range test.servers {
+				view.Servers = append(view.Servers, listing.Server{
+					ID:     fmt.Sprint("server-", i),
+					Domain: "domain-0",
+				})
+			}
+			assert.Equal(t, len(view.Plan().Homes("domain-0")), test.homes)
+		})
+	}
+}
+
 // TestHomesByProcessor checks that the hosts with the most cores are homes whatever
 // the uptime of others, and that jobs are distributed over homes in proportion to
 // their cores.
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -40,14 +40,18 @@
 }
 
 // selectHomes returns the shortest prefix of hosts, sorted by fitness, that can own a
-// number of backend servers, or all hosts if none can.
+// number of backend servers, or all hosts if none can. Hosts that are as strong as the last one
+// of these join it until the homes have processor time in reserve, as they may be slowed down;
+// weaker ones would add little and make placement worse.
 func (v View) selectHomes(hosts []member.Host, servers int) []member.Host {
-	for count := 1; count < len(hosts); count++ {
-		if v.hasCapacity(hosts[:count], servers) {
-			return hosts[:count]
-		}
+	count := 1
+	for count < len(hosts) && !v.hasCapacity(hosts[:count], servers) {
+		count++
+	}
+	for count < len(hosts) && hosts[count].CPU == hosts[count-1].CPU && !hasCores(hosts[:count], servers, v.TargetPerCore) {
+		count++
 	}
-	return hosts
+	return hosts[:count]
 }
 
 // Homes returns the homes of a failure domain: as many of its hosts as its servers
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -53,7 +53,7 @@
 	peers := &silentPeers{}
 	counters := telemetry.NewCounters(telemetry.NewRegistry())
 	r := roster.New(member.New(member.Host{Address: "a"}, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))),
-		peers, time.Second, time.Minute, 100, 100, counters, logr.Discard())
+		peers, time.Second, time.Minute, 100, 100, 100, counters, logr.Discard())
 	r.SetListedHosts([]listing.Host{{
 		Name:    "b",
 		Address: "b",
--- a/io/roster/majority_test.go
+++ b/io/roster/majority_test.go
@@ -438,7 +438,7 @@
 		Address: "b",
 		Domain:  "d",
 	}
-	r := New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, time.Second, 100, 100, nil, logr.Discard())
+	r := New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, time.Second, 100, 100, 100, nil, logr.Discard())
 	assert.Equal(t, *r.heartbeat().Home, "b")
 	r.model.Update(time.Now(), member.HeartbeatMsg{From: member.Host{
 		Incarnation: "1",
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -151,6 +151,15 @@
 						Max: 100000,
 					},
 				},
+				{
+					Name:    "target",
+					Default: "60",
+					Help:    "Backend servers per core up to which a failure domain's homes have processor time in reserve; if there are more, further hosts become homes that are as strong as the weakest one.",
+					Kind: settings.Integer{
+						Min: 1,
+						Max: 100000,
+					},
+				},
 			},
 		},
 		Module: fx.Options(
@@ -188,7 +197,7 @@
 		Period:              s.Duration(section, "period"),
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
-	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), counters, log), nil
+	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log), nil
 }
 
 // handlers holds the handlers of this plug-in for frames on peer links.
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -40,6 +40,7 @@
 	period            time.Duration
 	maxServersPerHome int
 	maxServersPerCore int
+	targetPerCore     int // backend servers
 	counters          *telemetry.Counters
 	log               logr.Logger
 
@@ -55,12 +56,13 @@
 }
 
 // New returns a roster that contains only this host.
-func New(model *member.Model, peers Peers, period, staleAfter time.Duration, maxServersPerHome, maxServersPerCore int, counters *telemetry.Counters, log logr.Logger) *Roster {
+func New(model *member.Model, peers Peers, period, staleAfter time.Duration, maxServersPerHome, maxServersPerCore, targetPerCore int, counters *telemetry.Counters, log logr.Logger) *Roster {
 	return &Roster{
 		peers:             peers,
 		period:            period,
 		maxServersPerHome: maxServersPerHome,
 		maxServersPerCore: maxServersPerCore,
+		targetPerCore:     targetPerCore,
 		counters:          counters,
 		log:               log.WithName("roster"),
 		model:             model,
@@ -119,6 +121,7 @@
 		Servers:           servers,
 		MaxServersPerHome: r.maxServersPerHome,
 		MaxServersPerCore: r.maxServersPerCore,
+		TargetPerCore:     r.targetPerCore,
 		Electorate:        r.rows.electorate(),
 		Current:           r.rows.current(),
 		Unlisted:          r.rows.isUnlisted(time.Now(), r.model.Self().Address),
--- a/io/roster/rows_test.go
+++ b/io/roster/rows_test.go
@@ -53,7 +53,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			r := New(member.New(member.Host{Address: "self"}, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, 100, nil, logr.Discard())
+			r := New(member.New(member.Host{Address: "self"}, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, 100, 100, nil, logr.Discard())
 			host := listing.Host{
 				Name:           "a",
 				Address:        "a:1",
@@ -297,7 +297,7 @@
 				Address: "self",
 				Domain:  "d",
 			}
-			r := New(member.New(self, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, 100, nil, logr.Discard())
+			r := New(member.New(self, member.Limits{}, rand.New(rand.NewPCG(1, 1))), nil, time.Second, 6*time.Second, 100, 100, 100, nil, logr.Discard())
 			for second := 30; second >= 0; second-- {
 				rows := []listing.Host{{
 					Name:           "self",
--- a/io/scheduler/announce_test.go
+++ b/io/scheduler/announce_test.go
@@ -134,7 +134,7 @@
 			Domain:  "domain-" + address,
 			CPU:     800,
 		}
-		r := roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), network, time.Second, time.Second, 100, 100, counters, logr.Discard())
+		r := roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), network, time.Second, time.Second, 100, 100, 100, counters, logr.Discard())
 		for _, other := range addresses {
 			if other == address {
 				continue
--- a/io/scheduler/find_test.go
+++ b/io/scheduler/find_test.go
@@ -182,7 +182,7 @@
 	network, _, _ := newHomes(t, time.Millisecond)
 	s := network.schedulers["b"]
 	self := member.Host{Address: "b"}
-	s.config.Roster = roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), network, time.Second, staleAfter, 100, 100, s.config.Counters, logr.Discard())
+	s.config.Roster = roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), network, time.Second, staleAfter, 100, 100, 100, s.config.Counters, logr.Discard())
 	rows := []listing.Host{{
 		Name:           "c",
 		Address:        "c",
--- a/io/scheduler/lend_test.go
+++ b/io/scheduler/lend_test.go
@@ -46,7 +46,7 @@
 func newLocalScheduler(peers localPeers, servers Servers, hosts ...member.Host) *Scheduler {
 	counters := telemetry.NewCounters(telemetry.NewRegistry())
 	model := member.New(hosts[0], member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1)))
-	r := roster.New(model, peers, time.Second, time.Second, 100, 100, counters, logr.Discard())
+	r := roster.New(model, peers, time.Second, time.Second, 100, 100, 100, counters, logr.Discard())
 	s := New(Config{
 		Self:     hosts[0].Address,
 		Servers:  servers,
--- a/io/scheduler/submit_test.go
+++ b/io/scheduler/submit_test.go
@@ -122,7 +122,7 @@
 	registry := prometheus.NewRegistry()
 	counters := telemetry.NewCounters(registry)
 	peers := &scriptedPeers{outcomes: []string{"silent"}}
-	r := roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), peers, time.Second, time.Second, 100, 100, counters, logr.Discard())
+	r := roster.New(member.New(self, member.Limits{DeadAfter: time.Minute}, rand.New(rand.NewPCG(1, 1))), peers, time.Second, time.Second, 100, 100, 100, counters, logr.Discard())
 	r.ServeBeat(t.Context(), wire.Frame{Beat: &wire.Beat{
 		Host:    "home",
 		Address: "home",
