core/overload: a host that gets late to its work refuses new jobs

Callers saw: hosts with a little less processor time than the load takes served hardly anything, for as long as the load lasted.

Cause: nothing was refused for want of processor time. Each job waited behind all others until calls to backend servers timed out; then each call was sent again over a new connection, which took more time still.

Known jobs are joined as before. Answers of backend servers are awaited longer by the host's own delay, and starts repeated later.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -119,7 +119,7 @@
 	case PollResultMsg:
 		return m.handlePollResult(now, msg)
 	case TickMsg:
-		return m.tick(now)
+		return m.tick(now, msg.Delay)
 	}
 	return nil
 }
--- a/core/pool/msg.go
+++ b/core/pool/msg.go
@@ -102,7 +102,9 @@
 }
 
 // TickMsg makes the pool check its time limits.
-type TickMsg struct{}
+type TickMsg struct {
+	Delay time.Duration // how late this host gets to its work
+}
 
 func (AssignMsg) poolMsg()     {}
 func (RunMsg) poolMsg()        {}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -397,9 +397,14 @@
 	return total, float64(total) > m.limits.SlowFactor*float64(r.task.PredictedTime) && total-elapsed > 2*r.task.PredictedTime
 }
 
-// tick repeats unanswered orders and ends runs whose leases must have expired.
-func (m *Model) tick(now time.Time) []Cmd {
+// delaysPerCall is how often a call waits for this host: to be sent, to be read, and to be handled.
+const delaysPerCall = 3
+
+// tick repeats unanswered orders and ends runs whose leases must have expired. An order isn't
+// overdue for as long as this host may not have sent it or read its answer.
+func (m *Model) tick(now time.Time, delay time.Duration) []Cmd {
 	var cmds []Cmd
+	hedgeDelay := m.limits.HedgeDelay + delaysPerCall*delay
 	// A late tick shows that this process got no processor time: answers may have arrived that
 	// nobody has read.
 	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
@@ -421,7 +426,7 @@
 			if r.state != stopping && m.stopDue(now, r.task.ConfirmedAt) {
 				cmds = append(cmds, m.stopRun(now, s, r, core.ReasonUnconfirmed)...)
 			}
-			if !late && r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= m.limits.HedgeDelay {
+			if !late && r.state == starting && r.sends == 1 && r.pendingStarts == 1 && !r.inDoubt(s) && s.doubtedAt.IsZero() && now.Sub(r.lastSent) >= hedgeDelay {
 				cmds = append(cmds, m.sendStart(now, s, r)...)
 			}
 			if r.state == starting && r.postponed && !r.inDoubt(s) && (s.doubtedAt.IsZero() || now.Sub(r.firstSent) >= m.limits.StartTimeout) {
--- a/core/reason.go
+++ b/core/reason.go
@@ -7,7 +7,7 @@
 const (
 	ReasonDraining     Reason = "draining"    // the host is shutting down
 	ReasonDeadline     Reason = "deadline"    // the job's deadline passed
-	ReasonOverload     Reason = "overload"    // the queue is full
+	ReasonOverload     Reason = "overload"    // the queue is full, or the host is short of processor time
 	ReasonWait         Reason = "wait"        // the estimated queueing delay exceeds the time left
 	ReasonFit          Reason = "fit"         // no backend server is large enough
 	ReasonQuota        Reason = "quota"       // this host's share of the team's quota is exhausted
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -251,6 +251,19 @@
 // minRetryAfter is the shortest delay that a refused caller is told to wait.
 const minRetryAfter = 100 * time.Millisecond
 
+// OverloadOutcome returns the outcome of a job that is refused as the host has no processor time
+// for it.
+func OverloadOutcome() work.Outcome {
+	return work.Outcome{
+		State:      work.Refused,
+		Reason:     core.ReasonOverload,
+		RetryAfter: overloadRetryAfter,
+	}
+}
+
+// overloadRetryAfter is the delay that a caller is told to wait for a host that is overloaded.
+const overloadRetryAfter = time.Second
+
 // giveUp ends a job that can't be served in time.
 func (m *Model) giveUp(now time.Time, j *job, reason core.Reason) []Cmd {
 	if !j.started {
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -21,6 +21,8 @@
 
 	Canceled bool // its cancelling was requested before; never started
 
+	Overloaded bool // this host has no processor time for another job; not started unless it is known
+
 	OtherService bool // the job is one of another service now; never started
 
 	AbsentAt string // home that announced the job and doesn't know it; "" for none
--- a/io/scheduler/load.go
+++ b/io/scheduler/load.go
@@ -1,22 +1,38 @@
 package scheduler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"rosemarywalk/core/overload"
 	"rosemarywalk/core/pool"
 )
 
 // load measures how late this host gets to its work, by that of its ticks, and what it does
 // meanwhile because answers are overdue.
 type load struct {
-	mu     sync.Mutex
-	due    time.Time // of the next tick; zero before the first one
-	report loadReport
+	mu         sync.Mutex
+	controller overload.Controller
+	due        time.Time     // of the next tick; zero before the first one
+	delays     []measurement // of the latest delayWindow, oldest first
+	report     loadReport
 }
 
+// measurement is the delay of a tick.
+type measurement struct {
+	at    time.Time // when it came
+	delay time.Duration
+}
+
+// delayWindow is how long measurements are kept; longer than calls wait between extensions.
+const delayWindow = 500 * time.Millisecond
+
+// newLoad returns a load whose host refuses new jobs to keep its delay below a target.
+func newLoad(target time.Duration) *load { return &load{controller: overload.New(target)} }
+
 // loadReport is what happened since the latest line in the log.
 type loadReport struct {
 	since    time.Time
@@ -24,6 +40,7 @@
 	overdue  int           // calls to backend servers that got no answer in time
 	unsent   int           // calls to backend servers without a connection
 	repeated int           // starts that were sent again
+	refused  int           // new jobs
 }
 
 // reportPeriod is the time between two lines in the log about a host that is late.
@@ -43,7 +60,56 @@
 func (l *load) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.report.longest = max(l.report.longest, now.Sub(l.due))
+	delay := max(0, now.Sub(l.due))
+	l.controller = l.controller.WithDelay(now, delay)
+	l.delays = append(slices.DeleteFunc(l.delays, func(m measurement) bool { return now.Sub(m.at) >= delayWindow }), measurement{
+		at:    now,
+		delay: delay,
+	})
+	l.report.longest = max(l.report.longest, delay)
+}
+
+// refuses reports whether the next new job is to be refused for want of processor time. One that
+// isn't counts until ended.
+func (l *load) refuses() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next, refused := l.controller.WithJob()
+	l.controller = next
+	if refused {
+		l.report.refused++
+	}
+	return refused
+}
+
+// ended records the end of a job that wasn't refused.
+func (l *load) ended() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.controller = l.controller.WithoutJob()
+}
+
+// delay returns how late this host gets to its work.
+func (l *load) delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.controller.Delay()
+}
+
+// delaySince returns the longest delay of a tick that came since a time, or is still awaited.
+func (l *load) delaySince(since time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	longest := time.Duration(0)
+	if !l.due.IsZero() {
+		longest = max(0, time.Since(l.due))
+	}
+	for _, m := range l.delays {
+		if m.at.After(since) {
+			longest = max(longest, m.delay)
+		}
+	}
+	return longest
 }
 
 // recordCall counts a call to a backend server by its result.
@@ -71,6 +137,6 @@
 	}
 	l.mu.Unlock()
 	if due && (r.longest >= minReportedDelay || r.overdue > 0) {
-		log.Info("host late", "delay", r.longest.String(), "overdue", r.overdue, "unsent", r.unsent, "repeated", r.repeated)
+		log.Info("host late", "delay", r.longest.String(), "overdue", r.overdue, "unsent", r.unsent, "repeated", r.repeated, "refused", r.refused)
 	}
 }
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -80,6 +80,7 @@
 				duration("reattach", "300ms", "Time for which work continues for a host whose link broke, so that the host can reattach.", 0, time.Second),
 				duration("resubmit", "1300ms", "Shortest time after which a caller whose attempt ended without an answer submits the job again, at any host. No run of the first attempt lasts longer; 0 sets no limit.", 0, time.Minute),
 				duration("stall", "500ms", "Length of a process pause after which jobs accepted by other hosts are abandoned, as they may run elsewhere.", 100*time.Millisecond, time.Minute),
+				duration("late", "10ms", "Delay of this host's own work from which it limits the jobs that it has at the same time and refuses others, as it has no processor time for them; 0 refuses none.", 0, time.Minute),
 				duration("tick", "10ms", "Interval between checks of deadlines and timeouts.", time.Millisecond, time.Second),
 				duration("tell", "25ms", "Minimum interval between reports of free capacity to a home that is short of it.", time.Millisecond, time.Second),
 				duration("telllater", "200ms", "Minimum interval between reports of free capacity to any other home.", time.Millisecond, time.Minute),
@@ -177,6 +178,7 @@
 		},
 		Announce: s.Duration(section, "announce"),
 		Canceled: s.Duration(section, "canceled"),
+		Late:     s.Duration(section, "late"),
 		Counters: n.Counters,
 		Log:      n.Log,
 	})
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -36,6 +36,7 @@
 	Tell     schedule.ReportIntervals
 	Announce time.Duration // interval between announcements of older jobs
 	Canceled time.Duration // how long requests to cancel jobs are kept
+	Late     time.Duration // delay of this host's work from which it refuses new jobs; 0 for never
 	Settle   time.Duration // time after startup before servers are taken over
 	Complete time.Duration // the same while a host of the failure domain sends no heartbeats
 	Counters *telemetry.Counters
@@ -81,7 +82,7 @@
 		config:  c,
 		started: c.Now(),
 		wakeUp:  make(chan struct{}, 1),
-		load:    &load{},
+		load:    newLoad(c.Late),
 		shards:  map[string]*Shard{},
 		plans:   map[string]owner.Plan{},
 
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -96,7 +96,12 @@
 }
 
 // advance passes the current time to the models.
-func (s *Shard) advance() { s.apply([]any{pool.TickMsg{}, schedule.TickMsg{}}) }
+func (s *Shard) advance() {
+	s.apply([]any{
+		pool.TickMsg{Delay: s.load.delay()},
+		schedule.TickMsg{},
+	})
+}
 
 func (s *Shard) apply(msgs []any) {
 	s.mu.Lock()
@@ -288,7 +293,7 @@
 }
 
 func (s *Shard) start(cmd pool.StartCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
+	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now, s.load.delaySince)
 	defer cancel()
 	msg := s.servers.Start(ctx, cmd)
 	s.load.recordCall(msg.Result, cmd.Repeated)
@@ -296,7 +301,7 @@
 }
 
 func (s *Shard) stop(cmd pool.StopCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now)
+	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now, s.load.delaySince)
 	defer cancel()
 	msg := s.servers.Stop(ctx, cmd)
 	s.load.recordCall(msg.Result, false)
@@ -304,7 +309,7 @@
 }
 
 func (s *Shard) hold(cmd pool.PollCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, cmd.Wait, time.Now)
+	ctx, cancel := withAnswerTimeout(s.answer, cmd.Wait, time.Now, s.load.delaySince)
 	defer cancel()
 	msg := s.servers.Hold(ctx, cmd)
 	s.load.recordCall(msg.Result, false)
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -51,13 +51,25 @@
 const lateRetryAfter = 100 * time.Millisecond
 
 func (s *Scheduler) submit(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
+	overloaded := s.load.refuses()
+	if !overloaded {
+		defer s.load.ended()
+	}
 	for range maxHomeAttempts {
 		home, found := s.plan(job.Service).Home(job.ID, s.config.Roster.Self().Domain)
 		if !found || home.Address == s.config.Self {
-			outcome, ok = s.coordinate(ctx, schedule.SubmitMsg{Job: job}, 0)
+			outcome, ok = s.coordinate(ctx, schedule.SubmitMsg{
+				Job:        job,
+				Overloaded: overloaded,
+			}, 0)
 			outcome.Home = cmp.Or(outcome.Home, s.config.Self)
 			return outcome, ok
 		}
+		if overloaded {
+			outcome = schedule.OverloadOutcome()
+			outcome.Home = s.config.Self
+			return outcome, true
+		}
 		outcome, err := s.forward(ctx, home.Address, job, false)
 		outcome.Home = home.Address
 		switch {
@@ -130,11 +142,16 @@
 	}
 	job := jobFromWire(f.Submit, s.config.Now())
 	job.Received = received(f.Submit, peer.Sent(ctx))
+	overloaded := !f.Submit.Join && s.load.refuses()
+	if !f.Submit.Join && !overloaded {
+		defer s.load.ended()
+	}
 	outcome, ok := s.coordinate(ctx, schedule.SubmitMsg{
 		Job:         job,
 		Remote:      true,
 		Resubmitted: f.Submit.Again,
 		JoinOnly:    f.Submit.Join,
+		Overloaded:  overloaded,
 	}, s.config.Reattach)
 	return wire.Frame{Outcome: &wire.Outcome{
 		State:  string(outcome.State),
--- a/io/scheduler/timeout.go
+++ b/io/scheduler/timeout.go
@@ -14,31 +14,34 @@
 )
 
 // answerTimeout ends a call to a backend server whose answer is overdue. While this process gets
-// no processor time, an answer may have arrived that nobody has read, so a timeout that fires late
-// is extended by the delay, at most by the limit.
+// no processor time, an answer may have arrived that nobody has read, so the timeout is extended
+// by the delay of its timer or of other work of this host since it was set, at most by the limit.
 type answerTimeout struct {
-	limit  time.Duration // of each extension
-	now    func() time.Time
-	cancel context.CancelCauseFunc
+	limit      time.Duration // of each extension
+	now        func() time.Time
+	delaySince func(since time.Time) time.Duration // the longest delay of other work
+	cancel     context.CancelCauseFunc
 
 	mu         sync.Mutex
 	timer      *time.Timer
-	due        time.Time
+	set, due   time.Time
 	extensions int
 }
 
 // withAnswerTimeout returns a context that ends when an answer is overdue, and a function that
 // releases its resources. A server that is asked to wait answers that much later.
-func withAnswerTimeout(answer, wait time.Duration, now func() time.Time) (context.Context, context.CancelFunc) {
+func withAnswerTimeout(answer, wait time.Duration, now func() time.Time, delaySince func(time.Time) time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t := &answerTimeout{
-		limit:  answer,
-		now:    now,
-		cancel: cancel,
+		limit:      answer,
+		now:        now,
+		delaySince: delaySince,
+		cancel:     cancel,
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.due = now().Add(answer + wait)
+	t.set = t.due.Add(-answer)
 	t.timer = time.AfterFunc(answer+wait, t.expire)
 	return ctx, t.stop
 }
@@ -47,14 +50,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	delay := now.Sub(t.due)
+	delay := max(now.Sub(t.due), t.delaySince(t.set))
 	if delay <= maxTimerDelay || t.extensions >= maxExtensions {
 		t.cancel(context.DeadlineExceeded)
 		return
 	}
 	t.extensions++
 	extension := min(delay, t.limit)
-	t.due = now.Add(extension)
+	t.set, t.due = now, now.Add(extension)
 	t.timer.Reset(extension)
 }
 
--- a/io/scheduler/timeout_test.go
+++ b/io/scheduler/timeout_test.go
@@ -62,7 +62,7 @@
 						delay = test.delay
 					}
 					return time.Now().Add(delay)
-				})
+				}, func(time.Time) time.Duration { return 0 })
 				defer stop()
 				<-ctx.Done()
 				assert.Equal(t, time.Since(began), test.want)
