late: the host's own delay as a package of its own

The scheduler alone knew how late this host is. No change of behaviour; TestAnswerUnreadCountsAsLost moves along.

--- a/io/scheduler/timeout_test.go
+++ b/io/late/timeout_test.go
@@ -1,4 +1,4 @@
-package scheduler
+package late
 
 import (
 	"testing"
@@ -52,7 +52,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				began, reads := time.Now(), 0
-				ctx, stop := withAnswerTimeout(answer, wait, func() time.Time {
+				ctx, stop := withTimeout(t.Context(), wait, answer, func() time.Time {
 					reads++
 					delay := time.Duration(0)
 					switch {
--- a/io/scheduler/load.go
+++ b/io/scheduler/load.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -9,29 +8,26 @@
 
 	"rosemarywalk/core/overload"
 	"rosemarywalk/core/pool"
+	"rosemarywalk/io/late"
 )
 
 // load measures how late this host gets to its work, by that of its ticks, and what it does
 // meanwhile because answers are overdue.
 type load struct {
+	meter *late.Meter
+
 	mu         sync.Mutex
 	controller overload.Controller
-	due        time.Time     // of the next tick; zero before the first one
-	delays     []measurement // of the latest delayWindow, oldest first
 	report     loadReport
 }
 
-// measurement is the delay of a tick.
-type measurement struct {
-	at    time.Time // when it came
-	delay time.Duration
-}
-
-// delayWindow is how long measurements are kept; longer than calls wait between extensions.
-const delayWindow = 500 * time.Millisecond
-
 // newLoad returns a load whose host refuses new jobs to keep its delay below a target.
-func newLoad(target time.Duration) *load { return &load{controller: overload.New(target)} }
+func newLoad(target time.Duration, meter *late.Meter) *load {
+	return &load{
+		meter:      meter,
+		controller: overload.New(target),
+	}
+}
 
 // loadReport is what happened since the latest line in the log.
 type loadReport struct {
@@ -49,23 +45,12 @@
 // minReportedDelay is the delay from which a host counts as late.
 const minReportedDelay = 20 * time.Millisecond
 
-// expect records when the next tick is due.
-func (l *load) expect(due time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.due = due
-}
-
 // observe records that the expected tick has come.
 func (l *load) observe(now time.Time) {
+	delay := l.meter.Observe(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delay := max(0, now.Sub(l.due))
 	l.controller = l.controller.WithDelay(now, delay)
-	l.delays = append(slices.DeleteFunc(l.delays, func(m measurement) bool { return now.Sub(m.at) >= delayWindow }), measurement{
-		at:    now,
-		delay: delay,
-	})
 	l.report.longest = max(l.report.longest, delay)
 }
 
@@ -96,22 +81,6 @@
 	return l.controller.Delay()
 }
 
-// delaySince returns the longest delay of a tick that came since a time, or is still awaited.
-func (l *load) delaySince(since time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	longest := time.Duration(0)
-	if !l.due.IsZero() {
-		longest = max(0, time.Since(l.due))
-	}
-	for _, m := range l.delays {
-		if m.at.After(since) {
-			longest = max(longest, m.delay)
-		}
-	}
-	return longest
-}
-
 // recordCall counts a call to a backend server by its result.
 func (l *load) recordCall(result pool.Result, repeated bool) {
 	l.mu.Lock()
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -12,6 +12,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/route"
 	"rosemarywalk/core/schedule"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/peer"
@@ -109,7 +110,7 @@
 			},
 		},
 		Module: fx.Options(
-			fx.Provide(newScheduler, newHandlers, newStallDetector),
+			fx.Provide(newScheduler, newHandlers, newStallDetector, late.New),
 			fx.Invoke(run),
 		),
 	})
@@ -148,6 +149,7 @@
 	Links    *peer.Links
 	Roster   *roster.Roster
 	Stalls   *stall.Detector
+	Meter    *late.Meter
 	Counters *telemetry.Counters
 	Log      logr.Logger
 }
@@ -171,6 +173,7 @@
 		Reattach: s.Duration(section, "reattach"),
 		Stall:    s.Duration(section, "stall"),
 		Stalls:   n.Stalls,
+		Meter:    n.Meter,
 		Tell: schedule.ReportIntervals{
 			LowCapacity: s.Duration(section, "tell"),
 			Normal:      s.Duration(section, "telllater"),
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/io/clock"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
@@ -32,6 +33,7 @@
 	Reattach time.Duration // how long work continues for a host whose link broke
 	Stall    time.Duration // age at which a decision is outdated
 	Stalls   *stall.Detector
+	Meter    *late.Meter      // of this host's own delay
 	Now      func() time.Time // of package clock if nil
 	Tell     schedule.ReportIntervals
 	Announce time.Duration // interval between announcements of older jobs
@@ -75,6 +77,9 @@
 	if c.Stalls == nil {
 		c.Stalls = stall.New(c.Stall)
 	}
+	if c.Meter == nil {
+		c.Meter = late.New()
+	}
 	if c.Now == nil {
 		c.Now = clock.Now
 	}
@@ -82,7 +87,7 @@
 		config:  c,
 		started: c.Now(),
 		wakeUp:  make(chan struct{}, 1),
-		load:    newLoad(c.Late),
+		load:    newLoad(c.Late, c.Meter),
 		shards:  map[string]*Shard{},
 		plans:   map[string]owner.Plan{},
 
@@ -149,6 +154,7 @@
 		stall:        s.config.Stall,
 		stalls:       s.config.Stalls,
 		load:         s.load,
+		meter:        s.config.Meter,
 		now:          s.config.Now,
 		notifyLimits: s.config.Tell,
 		notifier:     schedule.NewReporter(s.config.Tell),
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/core/pool"
 	"rosemarywalk/core/schedule"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
@@ -51,6 +52,7 @@
 	notifyLimits schedule.ReportIntervals
 	stalls       *stall.Detector
 	load         *load
+	meter        *late.Meter
 	now          func() time.Time
 	wake         func() // called when the shard needs ticks
 	ask          func(schedule.AskCmd)
@@ -293,7 +295,7 @@
 }
 
 func (s *Shard) start(cmd pool.StartCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now, s.load.delaySince)
+	ctx, cancel := s.meter.WithTimeout(context.Background(), 0, s.answer)
 	defer cancel()
 	msg := s.servers.Start(ctx, cmd)
 	s.load.recordCall(msg.Result, cmd.Repeated)
@@ -301,7 +303,7 @@
 }
 
 func (s *Shard) stop(cmd pool.StopCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, 0, time.Now, s.load.delaySince)
+	ctx, cancel := s.meter.WithTimeout(context.Background(), 0, s.answer)
 	defer cancel()
 	msg := s.servers.Stop(ctx, cmd)
 	s.load.recordCall(msg.Result, false)
@@ -309,7 +311,7 @@
 }
 
 func (s *Shard) hold(cmd pool.PollCmd) {
-	ctx, cancel := withAnswerTimeout(s.answer, cmd.Wait, time.Now, s.load.delaySince)
+	ctx, cancel := s.meter.WithTimeout(context.Background(), cmd.Wait, s.answer)
 	defer cancel()
 	msg := s.servers.Hold(ctx, cmd)
 	s.load.recordCall(msg.Result, false)
--- a/io/scheduler/tick.go
+++ b/io/scheduler/tick.go
@@ -28,7 +28,7 @@
 			period, wake = idleInterval, s.wakeUp
 		}
 		wait := loop.Next(period)
-		s.load.expect(time.Now().Add(wait))
+		s.config.Meter.Expect(time.Now().Add(wait))
 		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
