peer: moving bytes and the host's own delay don't count as silence

A link was closed when a ping got no answer for 400 ms, also while parts of a frame arrived from the peer, while the ping or its answer waited behind a large frame, and while this host didn't get to read the answer. Closed links cost dials and handshakes, calls that are made again, and the jobs of the calls that were served on them.

The ping that confirms calls of hosts of an earlier version stays as strict as it was.

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"rosemarywalk/io/clock"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -32,8 +35,10 @@
 	peer           string // address of the other host
 	log            logr.Logger
 	pingTimeout    time.Duration
+	meter          *late.Meter
 	counters       *telemetry.Counters
 	now            func() time.Time
+	reads          atomic.Int64  // parts of messages that were read
 	inFlight       atomic.Int64  // calls from the peer that have no answer yet
 	wroteSincePing atomic.Bool   // a frame was written since the last ping
 	wake           chan struct{} // wakes keepAlive on an idle link
@@ -55,13 +60,14 @@
 	madeAt time.Time
 }
 
-func newLink(conn *websocket.Conn, peer string, pingTimeout time.Duration, counters *telemetry.Counters, log logr.Logger) *link {
+func newLink(conn *websocket.Conn, peer string, pingTimeout time.Duration, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) *link {
 	conn.SetReadLimit(maxFrameBytes)
 	return &link{
 		conn:        conn,
 		peer:        peer,
 		log:         log,
 		pingTimeout: pingTimeout,
+		meter:       meter,
 		counters:    counters,
 		now:         clock.Now,
 		pending:     map[int]pendingCall{},
@@ -155,18 +161,65 @@
 	}
 	// The write needs no timeout: keepAlive closes a link whose peer reads nothing,
 	// which ends the write.
-	if err := l.conn.Write(context.Background(), websocket.MessageBinary, raw); err != nil {
+	if err := l.writeMessage(raw); err != nil {
 		l.close(closedByWrite)
 		return errors.WithType(err, ErrLinkClosed)
 	}
 	return nil
 }
 
+// fragmentBytes is the size of the parts in which large messages are written, so that pings and
+// their answers pass between them.
+const fragmentBytes = 64 << 10
+
+func (l *link) writeMessage(raw []byte) error {
+	if len(raw) <= fragmentBytes {
+		return l.conn.Write(context.Background(), websocket.MessageBinary, raw)
+	}
+	w, err := l.conn.Writer(context.Background(), websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for fragment := range slices.Chunk(raw, fragmentBytes) {
+		if _, err := w.Write(fragment); err != nil {
+			return err
+		}
+	}
+	return w.Close()
+}
+
+// readMessage reads a message and counts its parts as they arrive.
+func (l *link) readMessage() ([]byte, error) {
+	_, r, err := l.conn.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(countingReader{
+		Reader: r,
+		reads:  &l.reads,
+	})
+}
+
+// countingReader counts the reads that returned data.
+type countingReader struct {
+	io.Reader
+
+	reads *atomic.Int64
+}
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.reads.Add(1)
+	}
+	return n, err
+}
+
 // read passes incoming frames to serve until the link closes.
 func (l *link) read(serve func(wire.Frame)) {
 	defer l.close(closedByRead)
 	for {
-		_, raw, err := l.conn.Read(context.Background())
+		raw, err := l.readMessage()
 		if err != nil {
 			return
 		}
@@ -187,7 +240,7 @@
 // carries frames without an answer.
 const oneWayPingTicks = 2
 
-// keepAlive closes the link when a ping gets no answer. It pings while calls from either
+// keepAlive closes the link when a ping gets no answer and nothing else arrives. It pings while calls from either
 // side are open, and less often after frames that expect no answer, because a
 // connection can stop delivering without reporting an error. It sleeps while the link
 // is idle.
@@ -208,7 +261,7 @@
 			return
 		case <-timer.C:
 			due := l.hasOpenCalls() || (tick%oneWayPingTicks == 0 && l.wroteSincePing.Swap(false))
-			if due && !l.ping() {
+			if due && !l.isAlive() {
 				l.close(closedBySilence)
 				return
 			}
@@ -216,6 +269,30 @@
 	}
 }
 
+// isAlive pings the peer, and reports whether it answers or parts of messages arrive. The wait
+// is extended while they do, and by this host's own delay: the answer may not be read yet.
+func (l *link) isAlive() bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answered := make(chan bool, 1)
+	go func() { answered <- l.conn.Ping(ctx) == nil }()
+	for {
+		reads := l.reads.Load()
+		silence, stop := l.meter.WithTimeout(ctx, 0, l.pingTimeout)
+		select {
+		case ok := <-answered:
+			stop()
+			return ok
+		case <-silence.Done():
+			stop()
+			if l.reads.Load() == reads {
+				return false
+			}
+		}
+	}
+}
+
+// ping reports whether the peer answers a ping in time.
 func (l *link) ping() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), l.pingTimeout)
 	defer cancel()
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
 )
@@ -25,6 +26,7 @@
 	dialTimeout time.Duration
 	httpClient  *http.Client
 	pingTimeout time.Duration
+	meter       *late.Meter
 	counters    *telemetry.Counters
 	log         logr.Logger
 
@@ -49,19 +51,21 @@
 
 // New returns an empty set of links. The dialer's timeout also bounds the WebSocket
 // handshake.
-func New(dialer *net.Dialer, pingTimeout time.Duration, counters *telemetry.Counters, log logr.Logger) *Links {
-	return &Links{
+func New(dialer *net.Dialer, pingTimeout time.Duration, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) *Links {
+	l := &Links{
 		dialTimeout: dialer.Timeout,
-		httpClient:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 		pingTimeout: pingTimeout,
+		meter:       meter,
 		counters:    counters,
 		log:         log.WithName("peer"),
 		slots:       map[string]*peerSlot{},
 	}
+	l.dialContext(dialer.DialContext)
+	return l
 }
 
-// dialContext replaces the function that opens connections.
-func (l *Links) dialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+// dialContext sets the function that opens connections.
+func (l *Links) dialContext(dial late.Dial) {
 	l.httpClient = &http.Client{Transport: &http.Transport{DialContext: dial}}
 }
 
@@ -97,7 +101,7 @@
 		s.failedAt, s.dialErr = time.Now(), errors.WithType(err, ErrNoLink)
 		return nil, s.dialErr
 	}
-	s.link = newLink(conn, address, l.pingTimeout, l.counters, l.log)
+	s.link = newLink(conn, address, l.pingTimeout, l.meter, l.counters, l.log)
 	go s.link.read(s.link.deliver)
 	go s.link.keepAlive()
 	return s.link, nil
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/server"
 	"rosemarywalk/io/settings"
@@ -74,25 +75,41 @@
 	})
 }
 
-func newLinks(lc fx.Lifecycle, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Links {
-	l := New(local.Dialer(s, s.Duration(section, "dial")), s.Duration(section, "silence"), counters, log)
+// linksParams are the dependencies of the links.
+type linksParams struct {
+	fx.In
+
+	Meter *late.Meter `optional:"true"`
+}
+
+func newLinks(lc fx.Lifecycle, p linksParams, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Links {
+	l := New(local.Dialer(s, s.Duration(section, "dial")), s.Duration(section, "silence"), orUnmeasured(p.Meter), counters, log)
 	lc.Append(fx.StopHook(l.Close))
 	return l
 }
 
+// orUnmeasured returns the meter, or in editions that have none one that measures no delay.
+func orUnmeasured(m *late.Meter) *late.Meter {
+	if m == nil {
+		return late.New()
+	}
+	return m
+}
+
 // serverParams are the dependencies of the server.
 type serverParams struct {
 	fx.In
 
 	Handlers []Handler       `group:"handlers"`
 	Stalls   *stall.Detector `optional:"true"`
+	Meter    *late.Meter     `optional:"true"`
 }
 
 func newServer(p serverParams, s settings.Settings, counters *telemetry.Counters, log logr.Logger) *Server {
 	if p.Stalls == nil {
 		p.Stalls = stall.New(0)
 	}
-	return NewServer(p.Handlers, s.Duration(section, "silence"), p.Stalls, counters, log)
+	return NewServer(p.Handlers, s.Duration(section, "silence"), p.Stalls, orUnmeasured(p.Meter), counters, log)
 }
 
 func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, log logr.Logger) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"rosemarywalk/io/clock"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/wire"
@@ -22,6 +23,7 @@
 	handlers    map[RequestKind]Handler
 	pingTimeout time.Duration
 	stalls      *stall.Detector
+	meter       *late.Meter
 	counters    *telemetry.Counters
 	log         logr.Logger
 
@@ -32,14 +34,16 @@
 }
 
 // NewServer returns a server for the given handlers. A link whose peer answers no ping
-// within pingTimeout while a call is served is closed, which cancels the call's context.
+// within pingTimeout, extended by this host's own delay, while a call is served is closed, which
+// cancels the call's context.
 // A link is also closed if this process was suspended while it was open, because frames
 // that arrived before are out of date.
-func NewServer(handlers []Handler, pingTimeout time.Duration, stalls *stall.Detector, counters *telemetry.Counters, log logr.Logger) *Server {
+func NewServer(handlers []Handler, pingTimeout time.Duration, stalls *stall.Detector, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) *Server {
 	s := &Server{
 		handlers:    map[RequestKind]Handler{},
 		pingTimeout: pingTimeout,
 		stalls:      stalls,
+		meter:       meter,
 		counters:    counters,
 		log:         log.WithName("peer"),
 		links:       map[*link]bool{},
@@ -57,7 +61,7 @@
 		s.log.V(1).Info("WebSocket handshake failed", "error", err.Error())
 		return
 	}
-	l := newLink(conn, r.RemoteAddr, s.pingTimeout, s.counters, s.log)
+	l := newLink(conn, r.RemoteAddr, s.pingTimeout, s.meter, s.counters, s.log)
 	s.track(l, true)
 	defer s.track(l, false)
 	ctx, cancel := context.WithCancel(context.Background())
