late: dials wait for the host's own delay

A dial to a host, a backend server or the store ended after 150 or 200 ms though the connection was up and only its goroutine got no processor time: on resuming, the runtime fires the deadline before it looks at the sockets. The next call dialed again, and a host or server without a connection got none of the work.

TestConnectionUnreadCountsAsNone (io/peer: 'context deadline exceeded'; io/late) failed before.

--- a/io/late/timeout_test.go
+++ b/io/late/timeout_test.go
@@ -1,6 +1,9 @@
 package late
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +73,53 @@
 		})
 	}
 }
+
+// TestConnectionUnreadCountsAsNone guards against dials that end because this process got no
+// processor time to notice that the connection is up.
+func TestConnectionUnreadCountsAsNone(t *testing.T) {
+	const (
+		limit = 150 * time.Millisecond
+		takes = 200 * time.Millisecond
+	)
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprintf("late %t", late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				meter := New()
+				dial := meter.WithDialTimeout(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					select {
+					case <-time.After(takes):
+						return &net.TCPConn{}, nil
+					case <-ctx.Done():
+						return nil, context.Cause(ctx)
+					}
+				}, limit)
+				if late {
+					meter.Expect(time.Now())
+				}
+				_, err := dial(t.Context(), "tcp", "host:1")
+				if late {
+					assert.NilError(t, err)
+				} else {
+					assert.ErrorIs(t, err, context.DeadlineExceeded)
+				}
+			})
+		})
+	}
+}
+
+// TestMeter checks which delays count since a time.
+func TestMeter(t *testing.T) {
+	const delay = 40 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		meter, began := New(), time.Now()
+		time.Sleep(delay)
+		assert.Equal(t, meter.Since(began), time.Duration(0), "nothing was expected")
+		meter.Expect(time.Now())
+		time.Sleep(delay)
+		assert.Equal(t, meter.Since(began), delay, "awaited")
+		assert.Equal(t, meter.Observe(time.Now()), delay)
+		meter.Expect(time.Now().Add(delay))
+		assert.Equal(t, meter.Since(began), delay, "observed")
+		assert.Equal(t, meter.Since(time.Now()), time.Duration(0), "observed before")
+	})
+}
--- a/io/peer/late_test.go
+++ b/io/peer/late_test.go
@@ -256,3 +256,47 @@
 		})
 	}
 }
+
+// TestConnectionUnreadCountsAsNone guards against dials that end because this host gets no
+// processor time to notice that the connection is up.
+func TestConnectionUnreadCountsAsNone(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	tests := []struct {
+		name string
+		late bool // this host
+		want error
+	}{
+		{
+			name: "late",
+			late: true,
+		},
+		{
+			name: "on time",
+			want: ErrNoLink,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, meter := newPipes(), late.New()
+				counters := telemetry.NewCounters(telemetry.NewRegistry())
+				defer p.serve(NewServer(nil, time.Minute, stall.New(0), meter, counters, logr.Discard()))()
+				links := New(&net.Dialer{Timeout: timeout}, time.Minute, meter, counters, logr.Discard())
+				defer closeLinks(links)
+				links.dialContext(func(ctx context.Context, network, address string) (net.Conn, error) {
+					select {
+					case <-time.After(timeout * 3 / 2):
+						return p.dial(ctx, network, address)
+					case <-ctx.Done():
+						return nil, ctx.Err()
+					}
+				})
+				if test.late {
+					meter.Expect(time.Now())
+				}
+				err := links.Send(t.Context(), "host:1", wire.Frame{Beat: &wire.Beat{}})
+				assert.ErrorIs(t, err, test.want)
+			})
+		})
+	}
+}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -50,23 +50,25 @@
 const errReachable = errors.ConstError("peer is reachable")
 
 // New returns an empty set of links. The dialer's timeout also bounds the WebSocket
-// handshake.
+// handshake. Both timeouts are extended by this host's own delay.
 func New(dialer *net.Dialer, pingTimeout time.Duration, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) *Links {
+	timeout, untimed := dialer.Timeout, *dialer
+	untimed.Timeout = 0
 	l := &Links{
-		dialTimeout: dialer.Timeout,
+		dialTimeout: timeout,
 		pingTimeout: pingTimeout,
 		meter:       meter,
 		counters:    counters,
 		log:         log.WithName("peer"),
 		slots:       map[string]*peerSlot{},
 	}
-	l.dialContext(dialer.DialContext)
+	l.dialContext(untimed.DialContext)
 	return l
 }
 
 // dialContext sets the function that opens connections.
 func (l *Links) dialContext(dial late.Dial) {
-	l.httpClient = &http.Client{Transport: &http.Transport{DialContext: dial}}
+	l.httpClient = &http.Client{Transport: &http.Transport{DialContext: l.meter.WithDialTimeout(dial, l.dialTimeout)}}
 }
 
 func (l *Links) slot(address string) *peerSlot {
@@ -110,7 +112,7 @@
 // dial opens a connection to an address. It returns errReachable if Reachable was called
 // meanwhile. The caller holds s.mu.
 func (l *Links) dial(ctx context.Context, s *peerSlot, address string) (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.dialTimeout)
+	ctx, cancel := l.meter.WithTimeout(ctx, 0, l.dialTimeout)
 	defer cancel()
 	ctx, restart := context.WithCancelCause(ctx)
 	defer restart(nil)
