pool: a late host doesn't take runs for slow or stops for lost

A run was stopped as slow, and started again elsewhere, when lists that the host read late showed no progress; a stop was ordered again 80 ms after the first, also when the answer waited unread. Both limits now allow for three times the host's own delay, as the hedged start does. Leases and what counts as the end of a run stay on the clock.

TestLateHostStopsRuns and TestLateHostRepeatsStops failed before: a stop each.

--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -54,6 +54,7 @@
 	maxToken     int64                // highest token used so far
 	lossRate     float64              // moving average of calls without an answer
 	tickedAt     time.Time            // of the latest tick
+	delay        time.Duration        // how late this host got to its work at that time
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
 	orphanLeases map[string]time.Time // when unknown runs at servers that were removed have ended, by task name
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -386,7 +386,8 @@
 	if r.state != running || r.task.PredictedTime <= 0 {
 		return 0, false
 	}
-	elapsed := now.Sub(r.confirmedAt)
+	// The lists may be that old.
+	elapsed := now.Sub(r.confirmedAt) - delaysPerCall*m.delay
 	if elapsed < m.limits.SlowMargin+r.task.PredictedTime/2 {
 		return 0, false
 	}
@@ -408,7 +409,7 @@
 	// A late tick shows that this process got no processor time: answers may have arrived that
 	// nobody has read.
 	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
-	m.tickedAt = now
+	m.tickedAt, m.delay = now, delay
 	for _, s := range m.sortedServers() {
 		if s.phase == fenced {
 			continue
@@ -433,7 +434,7 @@
 				r.postponed = false
 				cmds = append(cmds, m.repeatStart(now, s, r)...)
 			}
-			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout {
+			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout+delaysPerCall*delay {
 				cmds = append(cmds, m.stopCmd(now, s, r))
 			}
 		}
