pool: answers that a late host hasn't read don't count for the loss rate

From a tenth of unanswered calls on, a host polls all its backend servers five times as often, as it takes the network to lose answers. Calls that ended while the host itself was late counted, too: it polled the more, the less processor time it had. Their results say so now (Late), and don't count. They are misses as before: leases aren't extended until the server has answered.

--- a/core/pool/late_test.go
+++ b/core/pool/late_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +66,36 @@
 	b.advance(delaysPerCall * delay)
 	assert.Equal(t, len(stops(b.update(TickMsg{Delay: delay}))), 1)
 }
+
+// TestLateHostPollsMore guards against polls with a shorter wait, of all servers, because this
+// host hasn't read the answers of many calls.
+func TestLateHostPollsMore(t *testing.T) {
+	const calls = 20
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprintf("late %t", late), func(t *testing.T) {
+			b := newHarness(t, "a")
+			task := taskOf("j")
+			task.PredictedTime = 0
+			b.update(RunMsg{Task: task})
+			b.acceptStart("a", "j.0.0.0", 1)
+			unanswered := func(m *PollResultMsg) { m.Result, m.Late, m.Clock, m.Born = Unanswered, late, 0, 0 }
+			for range calls {
+				b.answerPoll("a", unanswered)
+				assert.Assert(t, b.model.servers["a"].misses > 0)
+				b.advance(limits.ProbeInterval)
+				b.update(TickMsg{})
+				b.answerPoll("a", func(m *PollResultMsg) {
+					m.Running = []ListedRun{{
+						Name: "j.0.0.0",
+						Run:  1,
+					}}
+				})
+			}
+			want := limits.ShortPollWait
+			if late {
+				want = limits.PollWait
+			}
+			assert.Equal(t, b.model.pollWait(b.model.servers["a"]), want)
+		})
+	}
+}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -93,6 +93,16 @@
 	m.lossRate += lossWeight * (lost - m.lossRate)
 }
 
+// recordUnanswered updates the loss rate with a call without an answer, which this host may have
+// been too late to read.
+func (m *Model) recordUnanswered(s *server, late bool) {
+	if late {
+		s.misses++
+		return
+	}
+	m.recordCall(s, false)
+}
+
 // allowedMisses returns how many consecutive calls a server may leave unanswered
 // before it gets no new tasks.
 func (m *Model) allowedMisses() int {
--- a/core/pool/msg.go
+++ b/core/pool/msg.go
@@ -61,6 +61,7 @@
 	Run    int
 	Sent   time.Time // as in the command
 	Result Result
+	Late   bool  // without an answer: this host was late, and may not have read it
 	Clock  int64 // the server's clock in milliseconds; 0 without an answer
 }
 
@@ -71,6 +72,7 @@
 	Run    int
 	Sent   time.Time // as in the command
 	Result Result
+	Late   bool // without an answer: this host was late, and may not have read it
 	Clock  int64
 }
 
@@ -95,6 +97,7 @@
 	Serial  int
 	Sent    time.Time
 	Result  Result
+	Late    bool // without an answer: this host was late, and may not have read it
 	Clock   int64
 	Born    int64
 	Running []ListedRun
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -298,7 +298,7 @@
 		return m.startedAfterFencing(now, s, r, msg)
 	}
 	if inDoubt && msg.Result != Replaced {
-		return m.answeredInDoubt(now, s, r, msg.Result)
+		return m.answeredInDoubt(now, s, r, msg)
 	}
 	if r.state != starting {
 		return m.startedWhileStopping(now, s, r, msg)
@@ -320,7 +320,7 @@
 	case Full, Busy, Invalid:
 		return m.rejected(now, s, r, msg.Result)
 	case NotSent, Unanswered:
-		return m.unanswered(now, s, r, msg.Result)
+		return m.unanswered(now, s, r, msg)
 	case Fenced:
 	}
 	return nil
@@ -357,8 +357,8 @@
 
 // answeredInDoubt handles the answer to a start that was ordered before a restart of the
 // server was noticed.
-func (m *Model) answeredInDoubt(now time.Time, s *server, r *run, result Result) []Cmd {
-	switch result {
+func (m *Model) answeredInDoubt(now time.Time, s *server, r *run, msg StartedMsg) []Cmd {
+	switch msg.Result {
 	case Accepted:
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = now
@@ -367,7 +367,7 @@
 			r.state, r.listedAt = running, now
 		}
 	case NotSent, Unanswered:
-		m.recordCall(s, false)
+		m.recordUnanswered(s, msg.Late)
 		if r.neverStarted() {
 			return append(m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect), m.poll(now, s)...)
 		}
@@ -486,15 +486,15 @@
 
 // unanswered repeats a start, which is idempotent, or abandons it after the time
 // limit.
-func (m *Model) unanswered(now time.Time, s *server, r *run, result Result) []Cmd {
-	if result == Unanswered {
+func (m *Model) unanswered(now time.Time, s *server, r *run, msg StartedMsg) []Cmd {
+	if msg.Result == Unanswered {
 		r.uncertain = true
 	}
-	m.recordCall(s, false)
+	m.recordUnanswered(s, msg.Late)
 	if r.pendingStarts > 0 {
 		return nil
 	}
-	if result == NotSent && !r.uncertain {
+	if msg.Result == NotSent && !r.uncertain {
 		cmds := m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonConnect)
 		return append(append(cmds, CapacityChangedCmd{}), m.poll(now, s)...)
 	}
@@ -547,7 +547,7 @@
 		return m.poll(now, s)
 	case StaleRun, DeadlinePassed, Full, Busy, Invalid:
 	case NotSent, Unanswered:
-		m.recordCall(s, false)
+		m.recordUnanswered(s, msg.Late)
 		return []Cmd{CapacityChangedCmd{}}
 	}
 	return nil
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -109,7 +109,7 @@
 		}
 	case StaleRun, DeadlinePassed, Full, Busy, Invalid, NotSent, Unanswered:
 	}
-	m.recordCall(s, false)
+	m.recordUnanswered(s, msg.Late)
 	s.nextPollAt = now
 	if s.misses > 1 {
 		s.nextPollAt = now.Add(m.limits.ShortPollWait)
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"rosemarywalk/core"
 	"rosemarywalk/core/pool"
@@ -298,6 +299,7 @@
 	ctx, cancel := s.meter.WithTimeout(context.Background(), 0, s.answer)
 	defer cancel()
 	msg := s.servers.Start(ctx, cmd)
+	msg.Late = isLate(ctx)
 	s.load.recordCall(msg.Result, cmd.Repeated)
 	s.update(msg)
 }
@@ -306,6 +308,7 @@
 	ctx, cancel := s.meter.WithTimeout(context.Background(), 0, s.answer)
 	defer cancel()
 	msg := s.servers.Stop(ctx, cmd)
+	msg.Late = isLate(ctx)
 	s.load.recordCall(msg.Result, false)
 	s.update(msg)
 }
@@ -314,10 +317,14 @@
 	ctx, cancel := s.meter.WithTimeout(context.Background(), cmd.Wait, s.answer)
 	defer cancel()
 	msg := s.servers.Hold(ctx, cmd)
+	msg.Late = isLate(ctx)
 	s.load.recordCall(msg.Result, false)
 	s.update(msg)
 }
 
+// isLate reports whether a call ended because this host was late.
+func isLate(ctx context.Context) bool { return errors.Is(context.Cause(ctx), late.ErrLate) }
+
 // lend asks another host to run a task, unless this host has stalled since the decision.
 func (s *Shard) lend(cmd schedule.RunCmd, decided time.Time) {
 	if s.stall > 0 && s.now().Sub(decided) >= s.stall {
