roster: a late host doesn't take the reader role

A host that had read no update of the lists for 1.8 s read the store's whole tables itself, and sent them to its failure domain, also when the updates waited unread. The host's own delay of the last 0.5 s is now taken off the age of the latest update. How old the lists are affects no vote.

TestLateHostReadsLists failed before, in its row 'late'.

--- a/io/roster/lists.go
+++ b/io/roster/lists.go
@@ -12,6 +12,7 @@
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/watch"
 	"rosemarywalk/io/wire"
@@ -23,6 +24,7 @@
 	peers    Peers
 	roster   *Roster
 	watcher  *watch.Watcher
+	meter    *late.Meter
 	counters *telemetry.Counters
 	log      logr.Logger
 	fetching atomic.Bool // a full update is being fetched from a reader
@@ -42,9 +44,11 @@
 // shouldRead reports whether this host reads the store's lists itself.
 func (l *listSharer) shouldRead() bool {
 	rank, hosts := l.roster.domainRank()
+	// While this host is late, updates may have arrived that it hasn't read.
+	now := time.Now().Add(-l.meter.Since(time.Time{}))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.role.ShouldRead(time.Now(), rank, hosts)
+	return l.role.ShouldRead(now, rank, hosts)
 }
 
 // publishUpdate sends an update to the other hosts of the failure domain, unless the
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -14,6 +14,7 @@
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/peer"
@@ -210,7 +211,7 @@
 	Listing peer.Handler `group:"handlers"`
 }
 
-func newHandlers(s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, counters *telemetry.Counters, log logr.Logger) handlers {
+func newHandlers(s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) handlers {
 	f := &configFetcher{
 		peers:   links,
 		watcher: w,
@@ -221,6 +222,7 @@
 		peers:    links,
 		roster:   r,
 		watcher:  w,
+		meter:    meter,
 		counters: counters,
 		log:      log.WithName(section),
 		role: listing.NewReaderRole(listing.ReaderRoleLimits{
