scheduler: a late host doesn't ask homes again for their jobs

A home that has just become one, or was paused, asks the others for their jobs, and again 50 ms after an answer wasn't read for 200 ms; each answer lists all jobs of that home. The 200 ms are now extended by the host's own delay. It starts nothing until it has the answers, as before.

--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -78,14 +78,14 @@
 }
 
 // askInterval is the delay before a home that didn't answer is asked again. An answer that
-// takes longer than askTimeout counts as lost.
+// takes longer than askTimeout counts as lost, unless this host is late to read it.
 const (
 	askInterval = 50 * time.Millisecond
 	askTimeout  = 200 * time.Millisecond
 )
 
 func (s *Scheduler) askOnce(ctx context.Context, service, home string) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := s.config.Meter.WithTimeout(ctx, 0, askTimeout)
 	defer cancel()
 	answer, err := s.config.Peers.Call(ctx, home, wire.Frame{Unknown: &wire.Unknown{
 		Service: service,
