io/late: the wait of goroutines counts as delay, not that of timers alone

Cause: the delay was measured by timers. The Go runtime runs these ahead of the goroutines that wait for the processor.

Change: the delay is also that of the goroutines, by the runtime's own histogram: 95 of 100 waited no longer. TestQueueUnnoticed fails without it.

--- a/io/late/meter.go
+++ b/io/late/meter.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// Meter measures how late this host gets to work that is due at a known time.
+// Meter measures how late this host gets to its work.
 type Meter struct {
 	mu     sync.Mutex
+	queue  *queue        // nil to measure only work that is due at a known time
 	due    time.Time     // of the next work; zero before the first one
 	delays []measurement // of the latest delayWindow, oldest first
 }
@@ -22,9 +23,14 @@
 // delayWindow is how long measurements are kept; longer than calls wait between extensions.
 const delayWindow = 500 * time.Millisecond
 
-// New returns a Meter without measurements, of a host that isn't late.
+// New returns a Meter without measurements, of a host that isn't late. It measures the work that
+// is due at a known time.
 func New() *Meter { return &Meter{} }
 
+// NewOfProcess returns a Meter that also measures how long the goroutines of this process wait for
+// the processor.
+func NewOfProcess() *Meter { return &Meter{queue: newQueue()} }
+
 // Expect records when the next work is due.
 func (m *Meter) Expect(due time.Time) {
 	m.mu.Lock()
@@ -32,7 +38,8 @@
 	m.due = due
 }
 
-// Observe records that this host has got to the expected work, and returns its delay.
+// Observe records that this host has got to the expected work, and returns its delay, or that of
+// the goroutines of this process if it is longer.
 func (m *Meter) Observe(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -40,6 +47,9 @@
 		return 0
 	}
 	delay := max(0, now.Sub(m.due))
+	if m.queue != nil {
+		delay = max(delay, m.queue.measure(now))
+	}
 	m.delays = append(slices.DeleteFunc(m.delays, func(d measurement) bool { return now.Sub(d.at) >= delayWindow }), measurement{
 		at:    now,
 		delay: delay,
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -110,7 +110,7 @@
 			},
 		},
 		Module: fx.Options(
-			fx.Provide(newScheduler, newHandlers, newStallDetector, late.New),
+			fx.Provide(newScheduler, newHandlers, newStallDetector, late.NewOfProcess),
 			fx.Invoke(run),
 		),
 	})
