core/pool: only servers with unknown runs are asked for one

Cause: each start computed for every server whether its leases have expired, to look for an unknown run of the task; nearly all servers have none.

Change: servers without unknown runs are passed over. The result is the same.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -53,8 +53,8 @@
 // hasOrphan reports whether a server listed an unknown run of the task, which is being
 // stopped and whose lease may not have expired.
 func (m *Model) hasOrphan(now time.Time, name string) bool {
-	for _, s := range m.servers {
-		if m.leasesExpired(now, s) {
+	for _, s := range m.sortedServers() {
+		if len(s.orphans) == 0 || m.leasesExpired(now, s) {
 			continue
 		}
 		for _, o := range s.orphans {
