--- a/io/scheduler/load.go
+++ b/io/scheduler/load.go
@@ -11,8 +11,8 @@
 	"rosemarywalk/io/late"
 )
 
-// load measures how late this host gets to its work, by that of its ticks, and what it does
-// meanwhile because answers are overdue.
+// load limits the jobs of this host by how late it gets to its work, and counts what it does
+// because answers are overdue.
 type load struct {
 	meter *late.Meter
 
@@ -32,7 +32,7 @@
 // loadReport is what happened since the latest line in the log.
 type loadReport struct {
 	since    time.Time
-	longest  time.Duration // delay of a tick
+	longest  time.Duration // delay of this host
 	overdue  int           // calls to backend servers that got no answer in time
 	unsent   int           // calls to backend servers without a connection
 	repeated int           // starts that were sent again
@@ -45,7 +45,7 @@
 // minReportedDelay is the delay from which a host counts as late.
 const minReportedDelay = 20 * time.Millisecond
 
-// observe records that the expected tick has come.
+// observe measures the delay of this host, as the expected tick has come.
 func (l *load) observe(now time.Time) {
 	delay := l.meter.Observe(now)
 	l.mu.Lock()
