core/overload: a pause of an idle host doesn't limit later jobs

Callers saw (in the simulation of TestSlowHostsServeNothing only): jobs refused although the host had time, after a pause in which it had hardly any jobs.

Cause: a limit started from the jobs that the host had, down to two, and grew in proportion to itself.

Change: a limit starts from ten jobs at least, and grows by at least a part of the margin at which it ends. TestIdlePauseLimitsLoad failed before.

--- a/core/overload/controller.go
+++ b/core/overload/controller.go
@@ -31,9 +31,10 @@
 	// has enough: it catches up in between.
 	delayWindow = 50 * time.Millisecond
 
-	shrinkRate = 4.0 // part of the limit that is dropped a second at twice the target or more
-	growthRate = 1.0 // part of the limit that is added a second without a delay
-	minLimit   = 2.0 // leaves some jobs to notice the end of the overload by
+	shrinkRate = 4.0  // part of the limit that is dropped a second at twice the target or more
+	growthRate = 1.0  // part of the limit that is added a second without a delay, at least of liftMargin
+	minLimit   = 2.0  // leaves some jobs to notice the end of the overload by
+	firstLimit = 10.0 // least jobs that a limit starts from, as a host without jobs may be late, too
 	maxStep    = 100 * time.Millisecond
 
 	// A limit ends when it exceeds the jobs by liftFactor and liftMargin.
@@ -60,11 +61,11 @@
 	jobs := float64(c.jobs)
 	switch {
 	case excess > 0 && c.limit == 0:
-		c.limit = max(minLimit, jobs)
+		c.limit = max(firstLimit, jobs)
 	case excess > 0:
-		c.limit = max(minLimit, min(c.limit, jobs)*(1-shrinkRate*min(1, excess)*elapsed))
+		c.limit = max(minLimit, min(c.limit, max(firstLimit, jobs))*(1-shrinkRate*min(1, excess)*elapsed))
 	case c.limit > 0:
-		c.limit *= 1 - growthRate*excess*elapsed
+		c.limit -= growthRate * max(c.limit, liftMargin) * excess * elapsed
 		if c.limit > liftFactor*jobs+liftMargin {
 			c.limit = 0
 		}
--- a/core/overload/controller_test.go
+++ b/core/overload/controller_test.go
@@ -109,3 +109,28 @@
 		assert.Assert(t, !refused)
 	}
 }
+
+// TestIdlePauseLimitsLoad guards against a limit that was set while the host had hardly any jobs, and
+// refuses the load that comes later.
+func TestIdlePauseLimitsLoad(t *testing.T) {
+	const (
+		period = 10 * time.Millisecond
+		late   = 60 * time.Millisecond
+		jobs   = 10
+	)
+	c, now := New(period), time.Unix(1000, 0)
+	c = c.WithDelay(now, 0)
+	for range 2 {
+		now = now.Add(period + late)
+		c = c.WithDelay(now, late)
+	}
+	for range 10 {
+		now = now.Add(period)
+		c = c.WithDelay(now, 0)
+	}
+	for range jobs {
+		next, refused := c.WithJob()
+		assert.Assert(t, !refused)
+		c = next
+	}
+}
