scheduler: one long delay isn't measured on each tick

A measurement of the goroutines' delay stood until 16 goroutines had waited or 50 ms had passed, so a host with little work gave the same delay to core/overload on up to five ticks, and one pause counted as overload. The controller now gets each measurement once.

--- a/io/late/meter.go
+++ b/io/late/meter.go
@@ -12,6 +12,7 @@
 	queue  *queue        // nil to measure only work that is due at a known time
 	due    time.Time     // of the next work; zero before the first one
 	delays []measurement // of the latest delayWindow, oldest first
+	stale  bool          // the latest measurement of the queue was made before
 }
 
 // measurement is the delay of work.
@@ -49,6 +50,7 @@
 	delay := max(0, now.Sub(m.due))
 	if m.queue != nil {
 		delay = max(delay, m.queue.measure(now))
+		m.stale = !m.queue.measuredAt.Equal(now)
 	}
 	m.delays = append(slices.DeleteFunc(m.delays, func(d measurement) bool { return now.Sub(d.at) >= delayWindow }), measurement{
 		at:    now,
@@ -57,6 +59,14 @@
 	return delay
 }
 
+// Stale reports whether the delay that was observed last may be that of an earlier observation, as
+// too few goroutines have waited since.
+func (m *Meter) Stale() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stale
+}
+
 // Since returns the longest delay of work that was done since a time, or is still awaited.
 func (m *Meter) Since(since time.Time) time.Duration {
 	m.mu.Lock()
--- a/io/scheduler/load.go
+++ b/io/scheduler/load.go
@@ -50,7 +50,10 @@
 	delay := l.meter.Observe(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.controller = l.controller.WithDelay(now, delay)
+	if !l.meter.Stale() {
+		// A stale one would make a single long delay look like several.
+		l.controller = l.controller.WithDelay(now, delay)
+	}
 	l.report.longest = max(l.report.longest, delay)
 }
 
