scheduler: a late host doesn't call a job refused that may run elsewhere

A host that is late refused any job of another home, and a home without a majority any job, also resent ones, which may run because of an earlier attempt; 'refused' promises that no task ran or will run. A late host now refuses at once first attempts only and passes the others on to their home; a home checks its majority first.

Not measured: how much more a late host has to do in a wave of resent jobs.

--- a/core/schedule/majority_test.go
+++ b/core/schedule/majority_test.go
@@ -879,3 +879,21 @@
 		})
 	}
 }
+
+// TestLateMinorityRefuses guards against a job that is said not to run, although it may run at
+// another home, because this host is late as well as without a majority.
+func TestLateMinorityRefuses(t *testing.T) {
+	m, homes := newVotingModel(3)
+	job := jobOf("j", 1)
+	job.Slack, job.Deadline = time.Minute, epoch.Add(time.Minute)
+	job.Received = epoch
+	msg := submit(job)
+	msg.ConfirmedAt, msg.Overloaded = epoch, true
+	m.Update(epoch.Add(-majorityWait+time.Millisecond), without(homes, "home1", "home2"))
+	cmds := m.Update(epoch.Add(time.Millisecond), msg)
+	assert.Equal(t, len(answers(cmds)), 1)
+	assert.Equal(t, answers(cmds)[0].Outcome, work.Outcome{
+		State:  work.Broken,
+		Reason: core.ReasonMajority,
+	})
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -327,12 +327,12 @@
 	if reason := m.refusalReason(now, j); reason != "" {
 		return m.refuse(now, j, reason)
 	}
-	if msg.Overloaded {
-		return m.finish(now, j, OverloadOutcome())
-	}
 	if outcome, ok := m.withoutMajority(now, j); ok {
 		return m.finish(now, j, outcome)
 	}
+	if msg.Overloaded {
+		return m.finish(now, j, OverloadOutcome())
+	}
 	m.jobs[id] = j
 	m.callers[msg.Caller] = id
 	m.enqueue(j)
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -65,7 +65,8 @@
 			outcome.Home = cmp.Or(outcome.Home, s.config.Self)
 			return outcome, ok
 		}
-		if overloaded {
+		if overloaded && job.First {
+			// The home may have any other job already.
 			outcome = schedule.OverloadOutcome()
 			outcome.Home = s.config.Self
 			return outcome, true
--- a/io/scheduler/submit_test.go
+++ b/io/scheduler/submit_test.go
@@ -14,6 +14,7 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/work"
+	"rosemarywalk/io/late"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/roster"
 	"rosemarywalk/io/telemetry"
@@ -176,3 +177,53 @@
 		})
 	}
 }
+
+// TestLateHostRefusesResent guards against a job that is said not to run by a host that is late,
+// although its home may run it because of an earlier attempt.
+func TestLateHostRefusesResent(t *testing.T) {
+	tests := []struct {
+		name  string
+		first bool
+		want  work.State
+	}{
+		{
+			name:  "first attempt",
+			first: true,
+			want:  work.Refused,
+		},
+		{
+			name: "resent",
+			want: work.Completed,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newLocalScheduler(localPeers{}, &fakeServer{}, member.Host{
+				Address: "self",
+				Domain:  "d",
+				CPU:     200,
+			}, member.Host{
+				Address: "home",
+				Domain:  "d",
+				CPU:     800,
+			})
+			s.config.Peers = &scriptedPeers{outcomes: []string{"completed"}}
+			s.load = newLoad(time.Millisecond, late.New())
+			now := time.Now()
+			for range 3 {
+				s.load.controller = s.load.controller.WithDelay(now, time.Second)
+			}
+			for !s.load.refuses() {
+				continue
+			}
+			outcome, ok := s.Do(t.Context(), work.Job{
+				ID:       "j",
+				Service:  "s",
+				First:    test.first,
+				Deadline: now.Add(time.Minute),
+			})
+			assert.Assert(t, ok)
+			assert.Equal(t, outcome.State, test.want)
+		})
+	}
+}
