peer: a link to a peer that reads nothing ends although the peer writes

The wait for the answer to a ping was extended for as long as anything arrived, so a link whose peer reads nothing but goes on writing, and the write that blocks on it, never ended. It is now extended 10 times.

Measured: TestDeafPeerKeepsLink, open after 40 s before, closed now; go test ./io/peer passes.

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -269,14 +269,19 @@
 	}
 }
 
-// isAlive pings the peer, and reports whether it answers or parts of messages arrive. The wait
-// is extended while they do, and by this host's own delay: the answer may not be read yet.
+// maxSilences is how many times the ping timeout a peer may send parts of messages without
+// answering a ping. One that reads nothing may go on writing.
+const maxSilences = 10
+
+// isAlive pings the peer, and reports whether it answers in time. The wait is extended while parts
+// of messages arrive, maxSilences times, and by this host's own delay: the answer may not be read
+// yet.
 func (l *link) isAlive() bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	answered := make(chan bool, 1)
 	go func() { answered <- l.conn.Ping(ctx) == nil }()
-	for {
+	for range maxSilences {
 		reads := l.reads.Load()
 		silence, stop := l.meter.WithTimeout(ctx, 0, l.pingTimeout)
 		select {
@@ -290,6 +295,7 @@
 			}
 		}
 	}
+	return false
 }
 
 // ping reports whether the peer answers a ping in time.
