scheduler: a late host doesn't send losses to homes again

A home that was sent losses was sent them again each 0.25 s for 5 s while this host hadn't read its answer, as asked homes were before. The wait is extended by this host's own delay.

--- a/io/scheduler/crash.go
+++ b/io/scheduler/crash.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 	defer cancel()
 	for ctx.Err() == nil && slices.Contains(s.otherHomes(service), home) {
-		callCtx, cancelCall := context.WithTimeout(ctx, askTimeout)
+		callCtx, cancelCall := s.config.Meter.WithTimeout(ctx, 0, askTimeout)
 		answer, err := s.config.Peers.Call(callCtx, home, frame)
 		cancelCall()
 		if err == nil && answer.Crash != nil {
--- a/io/scheduler/late_test.go
+++ b/io/scheduler/late_test.go
@@ -24,7 +24,10 @@
 	p.calls++
 	select {
 	case <-time.After(p.takes):
-		return wire.Frame{Open: &wire.Open{}}, nil
+		return wire.Frame{
+			Open:  &wire.Open{},
+			Crash: &wire.Crash{},
+		}, nil
 	case <-ctx.Done():
 		return wire.Frame{}, ctx.Err()
 	}
@@ -85,3 +88,30 @@
 		})
 	}
 }
+
+// TestLateHostSharesAgain guards against losses that are sent again to homes because this host
+// hasn't read the answer.
+func TestLateHostSharesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLocalScheduler(localPeers{}, &fakeServer{}, member.Host{
+			Address: "a",
+			Domain:  "d",
+			CPU:     800,
+		}, member.Host{
+			Address: "b",
+			Domain:  "e",
+			CPU:     800,
+		})
+		s.config.Now = time.Now
+		s.servers = map[string][]listing.Server{"s": {{
+			ID:      "i",
+			Service: "s",
+			Domain:  "e",
+		}}}
+		peers := &slowPeers{takes: askTimeout * 3 / 2}
+		s.config.Peers = peers
+		s.config.Meter.Expect(time.Now())
+		s.sendLoss("b", "s", wire.Frame{})
+		assert.Equal(t, peers.calls, 1)
+	})
+}
