core/owner: nearly equal hosts join the homes

Found by review: of hosts with 800, 799 and 799 thousandths of a core only one became a home of 90 servers, as 'as strong' meant equal. Nine tenths are enough. The new row of TestHomeWithoutReserve failed before.

--- a/core/owner/owner_test.go
+++ b/core/owner/owner_test.go
@@ -421,6 +421,12 @@
 			servers: 90,
 			homes:   2,
 		},
+		{
+			name:    "two hosts that are nearly as strong have a reserve",
+			cpu:     []int{800, 799, 760, 192},
+			servers: 90,
+			homes:   2,
+		},
 		{
 			name:    "weaker hosts don't join",
 			cpu:     []int{800, 192, 192, 192},
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -48,12 +48,18 @@
 	for count < len(hosts) && !v.hasCapacity(hosts[:count], servers) {
 		count++
 	}
-	for count < len(hosts) && hosts[count].CPU == hosts[count-1].CPU && !hasCores(hosts[:count], servers, v.TargetPerCore) {
+	for weakest := hosts[count-1]; count < len(hosts) && isAsStrong(hosts[count], weakest) && !hasCores(hosts[:count], servers, v.TargetPerCore); {
 		count++
 	}
 	return hosts[:count]
 }
 
+// isAsStrong reports whether a host has about as many cores as another one.
+func isAsStrong(h, other member.Host) bool {
+	const most, all = 9, 10
+	return all*h.CPU >= most*other.CPU
+}
+
 // Homes returns the homes of a failure domain: as many of its hosts as its servers
 // need, those with the most cores first and the longest uptime among equals. A
 // domain without hosts has none.
