core/pool: a late host's limits are extended by three answer timeouts at most

Found by review: orders were repeated later by three times the host's delay without a limit, so that a lost stop was sent again 0.9 s later on a host that was 300 ms late.

--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -405,7 +405,8 @@
 // overdue for as long as this host may not have sent it or read its answer.
 func (m *Model) tick(now time.Time, delay time.Duration) []Cmd {
 	var cmds []Cmd
-	hedgeDelay := m.limits.HedgeDelay + delaysPerCall*delay
+	extension := delaysPerCall * min(delay, m.limits.AnswerTimeout)
+	hedgeDelay := m.limits.HedgeDelay + extension
 	// A late tick shows that this process got no processor time: answers may have arrived that
 	// nobody has read.
 	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
@@ -434,7 +435,7 @@
 				r.postponed = false
 				cmds = append(cmds, m.repeatStart(now, s, r)...)
 			}
-			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout+delaysPerCall*delay {
+			if r.state == stopping && r.stoppedBy.IsZero() && now.Sub(r.lastSent) >= m.limits.AnswerTimeout+extension {
 				cmds = append(cmds, m.stopCmd(now, s, r))
 			}
 		}
