--- a/io/scheduler/load.go
+++ b/io/scheduler/load.go
@@ -57,9 +57,9 @@
 	l.report.longest = max(l.report.longest, delay)
 }
 
-// refuses reports whether the next new job is to be refused for want of processor time. One that
-// isn't counts until ended.
-func (l *load) refuses() bool {
+// admit reports whether this host has processor time for another job, which then counts until
+// ended.
+func (l *load) admit() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next, refused := l.controller.WithJob()
@@ -67,7 +67,7 @@
 	if refused {
 		l.report.refused++
 	}
-	return refused
+	return !refused
 }
 
 // ended records the end of a job that wasn't refused.
--- a/io/scheduler/pause_test.go
+++ b/io/scheduler/pause_test.go
@@ -47,7 +47,7 @@
 	for range 10 {
 		observe()
 		for range jobs {
-			if l.refuses() {
+			if !l.admit() {
 				refused++
 			} else {
 				defer l.ended()
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -51,7 +51,7 @@
 const lateRetryAfter = 100 * time.Millisecond
 
 func (s *Scheduler) submit(ctx context.Context, job work.Job) (outcome work.Outcome, ok bool) {
-	overloaded := s.load.refuses()
+	overloaded := !s.load.admit()
 	if !overloaded {
 		defer s.load.ended()
 	}
@@ -143,7 +143,7 @@
 	}
 	job := jobFromWire(f.Submit, s.config.Now())
 	job.Received = received(f.Submit, peer.Sent(ctx))
-	overloaded := !f.Submit.Join && s.load.refuses()
+	overloaded := !f.Submit.Join && !s.load.admit()
 	if !f.Submit.Join && !overloaded {
 		defer s.load.ended()
 	}
--- a/io/scheduler/submit_test.go
+++ b/io/scheduler/submit_test.go
@@ -213,7 +213,7 @@
 			for range 3 {
 				s.load.controller = s.load.controller.WithDelay(now, time.Second)
 			}
-			for !s.load.refuses() {
+			for s.load.admit() {
 				continue
 			}
 			outcome, ok := s.Do(t.Context(), work.Job{
