roster: no further homes by default

Cause: two homes a failure domain ([roster] target 60): each is told of each job of the others.

Change: target is 150 by default, which adds no homes to those of percore.

--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -154,7 +154,7 @@
 				},
 				{
 					Name:    "target",
-					Default: "60",
+					Default: "150",
 					Help:    "Backend servers per core up to which a failure domain's homes have processor time in reserve; if there are more, further hosts become homes that are as strong as the weakest one.",
 					Kind: settings.Integer{
 						Min: 1,
