proof: only the fleet of resends refuses no job for load

Now the other fleets have them on again.

TestResentJobRunsTwice, TestPlatformServes and TestSoakShortPauses pass with the race detector.

--- a/io/late/queue.go
+++ b/io/late/queue.go
@@ -19,15 +19,15 @@
 	quantile = 0.95
 )
 
-// queue measures how long goroutines wait for the processor. Timers don't tell: the Go runtime
-// runs them ahead of these goroutines, so that a timeout fires on time while the answer that it
-// waits for is still unread.
+// queue measures how long goroutines wait for the processor. Late timers don't show that: the Go
+// runtime runs timers ahead of these goroutines, so that a timeout fires on time while the answer
+// that it waits for is still unread.
 type queue struct {
 	read func() *metrics.Float64Histogram
 
 	counts     []uint64 // of the latest measurement
 	measuredAt time.Time
-	delay      time.Duration // that was measured
+	delay      time.Duration // of the latest measurement
 }
 
 func newQueue() *queue {
--- a/proof/resend_test.go
+++ b/proof/resend_test.go
@@ -50,7 +50,10 @@
 func newResendFleet(t *testing.T, lent bool) *resendFleet {
 	t.Helper()
 	f := &resendFleet{estimate: resendRunTime}
-	f.platformFleet = &platformFleet{wrapAddress: f.addProxy}
+	f.platformFleet = &platformFleet{
+		wrapAddress: f.addProxy,
+		neverLate:   true, // each resent job has to be answered
+	}
 	hosts := resendHosts
 	if lent {
 		f.hostDomains, f.serverDomains, hosts = failureDomains, failureDomains[1:], len(failureDomains)
