Show that tasks start on an executor that came back as another kind

Cause: an idle executor is not polled, and until its new entry is read the labels of its former process decide on placements.

--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -51,6 +51,7 @@
 	address string
 
 	mu       sync.Mutex
+	server   *http.Server
 	rng      *rand.Rand
 	born     time.Time
 	up       bool
@@ -77,19 +78,20 @@
 		rate:    1,
 	}
 	e.rate = 1 - 0.02*e.rng.Float64()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	e.address = listener.Addr().String()
+	e.address = fmt.Sprintf("127.0.0.1:%d", freePort("127.0.0.1"))
 	e.boot()
-	go func() { _ = http.Serve(listener, e) }()
 	go e.tick()
 	return e
 }
 
 func (e *executor) boot() {
 	e.mu.Lock()
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		panic(err)
+	}
+	e.server = &http.Server{Handler: e}
+	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
 	e.born, e.up, e.token, e.leaseEnd = time.Now(), true, 0, 0
 	e.runs, e.highest, e.ends, e.endCount = map[runKey]*execRun{}, map[string]int{}, nil, 0
 	e.life++
@@ -113,6 +115,23 @@
 	e.store.put("servers", e.id, entry)
 }
 
+// restart ends the process without notice. Another one starts after a time under the same ID and
+// address, with other labels.
+func (e *executor) restart(down time.Duration, labels []string) {
+	e.mu.Lock()
+	for _, r := range e.runs {
+		e.ledger.end(r.taskRun, "crashed")
+	}
+	e.runs, e.up = map[runKey]*execRun{}, false
+	_ = e.server.Close()
+	e.mu.Unlock()
+	time.Sleep(down)
+	e.mu.Lock()
+	e.labels = labels
+	e.mu.Unlock()
+	e.boot()
+}
+
 func (e *executor) clock() int64 {
 	return int64(e.rate * float64(time.Since(e.born).Microseconds()) / 1000)
 }
@@ -281,6 +300,7 @@
 				run:    o.Run,
 				size:   size,
 				began:  time.Now(),
+				labels: e.labels,
 				from:   o.from,
 			},
 			endsAt: time.Now().Add(work),
--- a/review/rig/ledger.go
+++ b/review/rig/ledger.go
@@ -16,6 +16,7 @@
 	size   int
 	from   string // IP address of the host that ordered it
 	began  time.Time
+	labels []string // of the executor
 }
 
 // ledger records what was sent, answered and run, and the broken rules.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -54,6 +54,7 @@
 var cases = map[string]func(*rig){
 	"cancel": (*rig).canceledJobReturns,
 	"silent": (*rig).silentConnections,
+	"kind":   (*rig).otherKind,
 }
 
 func main() {
