--- a/review/rig/cancel.go
+++ b/review/rig/cancel.go
@@ -69,6 +69,60 @@
 		r.logf("client B: the late copy of POST %s gets %d %s", finished, status, text)
 	}
 	<-resent
+	r.judgeStarts(acked, up)
+	if r.waitReady(10*time.Second) == nil {
+		r.rolledJobReturns()
+	}
+}
+
+// rolledJobReturns cancels a job that has ended, stops the hosts in turn as planned and starts
+// each again. A late copy of the request to submit the job arrives afterwards.
+func (r *rig) rolledJobReturns() {
+	id, body := newID(), jobBody(1, 2, 100)
+	status, text := r.call(context.Background(), r.hosts[2], http.MethodPost, prefixOf(1)+id, body, 12*time.Second)
+	r.logf("client C: POST %s is answered %d %s", id, status, text)
+	if status != http.StatusOK {
+		return
+	}
+	status, text = r.call(context.Background(), r.hosts[1], http.MethodDelete, prefixOf(1)+id, "", 4*time.Second)
+	r.logf("operator's client: DELETE %s is answered %d %s", id, status, text)
+	if status != http.StatusOK && status != http.StatusGone {
+		return
+	}
+	acked := map[string]time.Time{id: time.Now()}
+	up := r.rollAll()
+	time.Sleep(time.Until(up.Add(contact + 700*time.Millisecond)))
+	status, text = r.call(context.Background(), r.hosts[3], http.MethodPost, prefixOf(1)+id, body, 12*time.Second)
+	r.logf("client C: the late copy of POST %s gets %d %s", id, status, text)
+	r.judgeStarts(acked, up)
+}
+
+// rollGap is the pause between the start of a host that was stopped and the stop of the next.
+const rollGap = 2 * time.Second
+
+// rollAll stops the hosts in turn and starts each again, unless there is no trouble. It returns
+// when the last one was started.
+func (r *rig) rollAll() time.Time {
+	up := r.started
+	for _, h := range r.hosts {
+		time.Sleep(rollGap)
+		if !*trouble {
+			continue
+		}
+		r.logf("%s is stopped as planned", h.name)
+		h.stop(syscall.SIGTERM)
+		if err := h.start(); err != nil {
+			r.logf("%s doesn't start: %s", h.name, err)
+		}
+		up = time.Now()
+		r.logf("%s is started again", h.name)
+	}
+	return up
+}
+
+// judgeStarts checks the starts of canceled jobs, given when their cancelling was acknowledged and
+// when the last host was started.
+func (r *rig) judgeStarts(acked map[string]time.Time, up time.Time) {
 	for id, at := range acked {
 		for _, t := range r.startsOf(id) {
 			since := t.began.Sub(at)
