Show that an executor that starts again carries out a stale order beside a later run

Cause: the deadline and the token that keep a late start out mean nothing to a new process of the same ID that no host has reached yet, and the run counts as ended by the lease of the former process.

--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -55,6 +55,9 @@
 	rng      *rand.Rand
 	born     time.Time
 	up       bool
+	cut      bool   // no host reaches it, nor it the store
+	trap     string // job whose next start is left unanswered
+	trapped  chan order
 	token    int
 	leaseEnd int64
 	runs     map[runKey]*execRun
@@ -76,6 +79,7 @@
 		store:   s,
 		rng:     rand.New(rand.NewPCG(seed, 77)),
 		rate:    1,
+		trapped: make(chan order, 1),
 	}
 	e.rate = 1 - 0.02*e.rng.Float64()
 	e.address = fmt.Sprintf("127.0.0.1:%d", freePort("127.0.0.1"))
@@ -92,16 +96,21 @@
 	}
 	e.server = &http.Server{Handler: e}
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
+	e.begin()
+	e.mu.Unlock()
+	e.register()
+}
+
+// begin starts a process that knows nothing of those before.
+func (e *executor) begin() {
 	e.born, e.up, e.token, e.leaseEnd = time.Now(), true, 0, 0
 	e.runs, e.highest, e.ends, e.endCount = map[runKey]*execRun{}, map[string]int{}, nil, 0
 	e.life++
-	e.mu.Unlock()
-	e.register()
 }
 
 func (e *executor) register() {
 	e.mu.Lock()
-	if !e.up {
+	if !e.up || e.cut {
 		e.mu.Unlock()
 		return
 	}
@@ -115,6 +124,21 @@
 	e.store.put("servers", e.id, entry)
 }
 
+// restartUnseen ends the process behind a cut, so that no host sees its connections end, and starts
+// another one under the same ID.
+func (e *executor) restartUnseen(down time.Duration) {
+	e.mu.Lock()
+	for _, r := range e.runs {
+		e.ledger.end(r.taskRun, "crashed")
+	}
+	e.runs, e.up = map[runKey]*execRun{}, false
+	e.mu.Unlock()
+	time.Sleep(down)
+	e.mu.Lock()
+	e.begin()
+	e.mu.Unlock()
+}
+
 // restart ends the process without notice. Another one starts after a time under the same ID and
 // address, with other labels.
 func (e *executor) restart(down time.Duration, labels []string) {
@@ -207,8 +231,16 @@
 	_ = json.Unmarshal(raw, &o)
 	o.from, _, _ = net.SplitHostPort(r.RemoteAddr)
 	e.mu.Lock()
-	up, life := e.up, e.life
+	up, cut, life := e.up, e.cut, e.life
+	if !cut && e.trap != "" && r.URL.Path == "/-/run-start" && jobOf(o.Task) == e.trap {
+		e.trap, e.cut, cut = "", true, true
+		e.trapped <- o
+	}
 	e.mu.Unlock()
+	if cut {
+		silence(r)
+		return
+	}
 	if !up {
 		panic(http.ErrAbortHandler)
 	}
@@ -225,7 +257,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	status, answer := e.execute(r.URL.Path, o)
+	cut = e.cut
 	e.mu.Unlock()
+	if cut {
+		silence(r)
+		return
+	}
 	writeJSON(w, status, answer)
 }
 
--- a/review/rig/ledger.go
+++ b/review/rig/ledger.go
@@ -16,7 +16,8 @@
 	size   int
 	from   string // IP address of the host that ordered it
 	began  time.Time
-	labels []string // of the executor
+	ended  time.Time // zero while it runs
+	labels []string  // of the executor
 }
 
 // ledger records what was sent, answered and run, and the broken rules.
@@ -71,6 +72,7 @@
 func (l *ledger) end(t *taskRun, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	t.ended = time.Now()
 	l.write("executor %s ends %s run %d: %s", t.server, t.task, t.run, how)
 }
 
@@ -80,3 +82,35 @@
 	defer l.mu.Unlock()
 	return append([]*taskRun{}, l.starts[id]...)
 }
+
+// overlaps returns the time for which two runs of one task of a job went on together, and the runs.
+func (l *ledger) overlaps(id string) (longest time.Duration, a, b *taskRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, x := range l.starts[id] {
+		for _, y := range l.starts[id][i+1:] {
+			if x.task != y.task {
+				continue
+			}
+			both := minTime(x.ended, y.ended).Sub(y.began)
+			if both > longest {
+				longest, a, b = both, x, y
+			}
+		}
+	}
+	return longest, a, b
+}
+
+// minTime returns the earlier time, where zero is the present.
+func minTime(a, b time.Time) time.Time {
+	if a.IsZero() {
+		a = time.Now()
+	}
+	if b.IsZero() {
+		b = time.Now()
+	}
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -55,6 +55,7 @@
 	"cancel": (*rig).canceledJobReturns,
 	"silent": (*rig).silentConnections,
 	"kind":   (*rig).otherKind,
+	"stale":  (*rig).staleOrder,
 }
 
 func main() {
