platform: no idle connection to the store outlives a call without an answer

Cause: open connections to the store may go silent for good. The call that timed out closed its own connection only. The retry took an idle one that had served another call (own row, list of servers) and was silent too, so it timed out as well.

Change: after a request that was sent and not answered, the client closes its idle connections, whichever calls they served. Calls still in flight are not touched: their connections show by an answer that they work, or time out themselves. A slow store can't cause a storm: 16 connections at once and 8 a second after that (io/redial), counted in store_connections_total.

Other clients: the one of the standalone edition's platform (io/platform) had the same fault and has the same fix. Connections to backend servers (platform/servers) already closed the idle ones. Peer links carry one call each way and are pinged; their HTTP client keeps no connection after a handshake. The standalone edition's client of backend servers (io/executor) has no timeout of its own for an answer, its calls end with their job; its idle connections last 5 s.

--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rosemarywalk/io/late"
 )
 
 // ErrConflict reports that a conditional write found another version of the row.
@@ -89,11 +91,11 @@
 }
 
 // New returns a client for the platform at a base URL. The timeout bounds each call.
-func New(baseURL string, timeout time.Duration, dialer *net.Dialer) *Client {
+func New(baseURL string, timeout time.Duration, dial late.Dial) *Client {
 	return &Client{
 		baseURL:    baseURL,
 		timeout:    timeout,
-		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		httpClient: &http.Client{Transport: &http.Transport{DialContext: dial}},
 	}
 }
 
@@ -107,8 +109,17 @@
 }
 
 // do sends a request and returns the status and body of the response. If there is no
-// response, the error is ErrDown or ErrUnclear.
+// response, the error is ErrDown or ErrUnknownOutcome, and the idle connections are closed, as
+// they may have gone silent too.
 func (c *Client) do(ctx context.Context, req call) (int, []byte, error) {
+	status, body, err := c.send(ctx, req)
+	if errors.Is(err, ErrUnknownOutcome) {
+		c.httpClient.CloseIdleConnections()
+	}
+	return status, body, err
+}
+
+func (c *Client) send(ctx context.Context, req call) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+req.longPoll)
 	defer cancel()
 	reqBody, err := json.Marshal(req.body)
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -64,7 +64,7 @@
 			web := httptest.NewServer(p.Router())
 			defer web.Close()
 			p.SetFaults(test.faults)
-			c := platform.New(web.URL, time.Second, &net.Dialer{})
+			c := platform.New(web.URL, time.Second, (&net.Dialer{}).DialContext)
 			_, err := c.Put(context.Background(), test.write)
 			assert.Assert(t, errors.Is(err, test.want), "%v", err)
 		})
@@ -74,7 +74,7 @@
 func TestRefusedConnectionIsDown(t *testing.T) {
 	web := httptest.NewServer(nil)
 	web.Close()
-	c := platform.New(web.URL, time.Second, &net.Dialer{})
+	c := platform.New(web.URL, time.Second, (&net.Dialer{}).DialContext)
 	_, err := c.Put(context.Background(), platform.Write{Key: "a"})
 	assert.Assert(t, errors.Is(err, platform.ErrDown), "%v", err)
 }
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/io/dispatch"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/loop"
+	"rosemarywalk/io/redial"
 	"rosemarywalk/io/settings"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/kernel"
@@ -62,9 +63,13 @@
 	})
 }
 
-func newClient(s settings.Settings) *Client {
+// connections is the pool of connections to the platform's service that limits new ones.
+const connections = 8
+
+func newClient(s settings.Settings, counters *telemetry.Counters) *Client {
 	timeout := s.Duration(section, "timeout")
-	return New(s.Text(section, "url"), timeout, local.Dialer(s, timeout))
+	dial := redial.ForPool(connections).Dial(local.Dialer(s, timeout).DialContext, counters.StoreConnected)
+	return New(s.Text(section, "url"), timeout, dial)
 }
 
 // poller reads the host list periodically.
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	bytes    *prometheus.CounterVec
 	starts   prometheus.Counter
 	rows     prometheus.Counter
+	store    prometheus.Counter
 	jobs     *prometheus.CounterVec
 	joins    *prometheus.CounterVec
 }
@@ -52,13 +53,18 @@
 			Name:      "row_refusals_total",
 			Help:      "Writes of this host's row that the store refused.",
 		}),
+		store: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "store_connections_total",
+			Help:      "Connections opened to the platform's store.",
+		}),
 	}
 	for _, reason := range core.Reasons() {
 		c.refusals.WithLabelValues(string(reason))
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows, c.store)
 	return c
 }
 
@@ -84,6 +90,9 @@
 // RowRefused counts a write of this host's row that the store refused.
 func (c *Counters) RowRefused() { c.rows.Inc() }
 
+// StoreConnected counts a connection that was opened to the platform's store.
+func (c *Counters) StoreConnected() { c.store.Inc() }
+
 // Messages counts n messages of a kind without a task or an answer.
 func (c *Counters) Messages(kind string, n int) {
 	c.messages.WithLabelValues(kind).Add(float64(n))
