io/server: a drain sees requests that have arrived and aren't read yet

Cause: a drain ends when no connection has a request in progress, which it concludes from the bytes that the operating system has received (TCP_INFO) and those read. Where the operating system doesn't count them, unread bytes are invisible. Then all connections were closed at once, also those that had got a request since.

Change: unread bytes count as a request in progress, whether they are counted or not. Each idle connection is checked again right before it is closed; a drain goes on as long as one of them has a request.

TestUnreadUncounted failed before ("0 (busy int) != 1"); io/server passes with the race detector.

--- a/io/server/listener.go
+++ b/io/server/listener.go
@@ -70,7 +70,10 @@
 	for {
 		tcp, err := l.AcceptTCP()
 		if err == nil {
-			return &conn{TCPConn: tcp}, nil
+			return &conn{
+				TCPConn: tcp,
+				counted: bytesReceived,
+			}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
@@ -103,8 +106,9 @@
 // conn is a connection that counts the bytes that have arrived and those of answered requests.
 type conn struct {
 	*net.TCPConn
-	read     atomic.Uint64 // bytes that the server has read
-	answered atomic.Uint64 // those of them that belong to requests that it has answered
+	counted  func(fd int) uint64 // bytes that the operating system has received, 0 if it doesn't count them
+	read     atomic.Uint64       // bytes that the server has read
+	answered atomic.Uint64       // those of them that belong to requests that it has answered
 }
 
 // Read reads from the connection.
@@ -114,17 +118,36 @@
 	return n, err
 }
 
-// received returns the number of bytes that have arrived. Bytes that a goroutine has taken
-// from the operating system and not yet counted are included.
+// received returns the number of bytes that have arrived, unread ones included, at least as far
+// as it shows whether there are any. Bytes that a goroutine has taken from the operating system
+// and not yet counted are included if the operating system counts them.
 func (c *conn) received() uint64 {
-	received := uint64(0)
+	received, unread := uint64(0), uint64(0)
 	if raw, err := c.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			if err == nil {
-				received = info.Bytes_received
-			}
+			received = c.counted(int(fd))
+			unread = peek(int(fd))
 		})
 	}
-	return max(received, c.read.Load())
+	return max(received, c.read.Load()+unread)
+}
+
+// bytesReceived returns the number of bytes that the operating system has received on a
+// connection, 0 if it doesn't count them.
+func bytesReceived(fd int) uint64 {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return info.Bytes_received
+}
+
+// peek returns 1 if a connection has unread bytes, and 0 otherwise.
+func peek(fd int) uint64 {
+	var buffer [1]byte
+	n, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return uint64(n)
 }
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -80,6 +80,9 @@
 		time.Sleep(drainPollInterval)
 		busy, fresh = s.tracker.count()
 	}
+	for busy = s.tracker.closeIdle(); busy > 0 && ctx.Err() == nil; busy = s.tracker.closeIdle() {
+		time.Sleep(drainPollInterval)
+	}
 	s.Close()
 	return accepted && busy == 0
 }
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -189,6 +189,48 @@
 	}
 }
 
+// TestUnreadUncounted: where the operating system doesn't count the bytes that it receives, a
+// connection with an unread request counted as idle, and a drain closed it.
+func TestUnreadUncounted(t *testing.T) {
+	tests := []struct {
+		name string
+		sent string
+		busy int
+	}{
+		{
+			name: "idle",
+		},
+		{
+			name: "request unread",
+			sent: "GET / HTTP/1.1\r\nHost: test\r\n\r\n",
+			busy: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, err := listen("127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			defer caller.Close()
+			accepted, err := l.Accept()
+			assert.NilError(t, err)
+			defer accepted.Close()
+			_, err = io.WriteString(caller, test.sent)
+			assert.NilError(t, err)
+			time.Sleep(10 * drainPollInterval)
+			c := accepted.(*conn)
+			c.counted = func(int) uint64 { return 0 }
+			tracker := connTracker{conns: map[*conn]connState{c: {}}}
+			busy, _ := tracker.count()
+			assert.Equal(t, busy, test.busy)
+			assert.Equal(t, tracker.closeIdle(), test.busy)
+			assert.Equal(t, len(tracker.conns), test.busy)
+		})
+	}
+}
+
 // TestDrainIdle checks that connections without a request hold up a drain only briefly.
 func TestDrainIdle(t *testing.T) {
 	s := newTestServer()
--- a/io/server/tracker.go
+++ b/io/server/tracker.go
@@ -54,8 +54,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c, state := range a.conns {
-		received := c.received()
-		switch {
+		switch received := c.received(); {
 		case state.active || received > c.answered.Load():
 			busy++
 		case received == 0 && time.Since(state.accepted) < firstRequestWait:
@@ -64,3 +63,20 @@
 	}
 	return busy, fresh
 }
+
+// closeIdle closes the connections without a request in progress, each right after it was
+// checked, and returns the number of the others. Closing all at once would take a slow host so
+// long that requests arrive on the last ones meanwhile.
+func (a *connTracker) closeIdle() (busy int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c, state := range a.conns {
+		if state.active || c.received() > c.answered.Load() {
+			busy++
+			continue
+		}
+		_ = c.Close()
+		delete(a.conns, c)
+	}
+	return busy
+}
