Start nothing on the backend servers of evacuated failure domains

Cause: nothing read the rows op/evacuate/ZONE, so hosts went on starting tasks there.

Change: the rows are read with the configuration, in one read and by one feed, and travel in heartbeats once there was one, each set with its position in the store (core/evacuation), so that an older one never replaces a newer one. io/watch marks the servers; the pool that owns a marked server places nothing on it and repeats no start there. Homes of the failure domain place on what other pools report.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -17,6 +17,7 @@
 	Capacity         work.Size
 	EnforcesCapacity bool  // the server rejects tasks that exceed its capacity
 	Draining         bool  // the server will shut down and accepts no new work
+	Evacuated        bool  // its failure domain is evacuated: nothing new is started on it; not part of the entry
 	StartedAtMillis  int64 // start time in Unix milliseconds; 0 if unknown
 }
 
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -143,6 +143,9 @@
 // deadline is possible any more, it ends the run, or stops it if an earlier order may
 // have been carried out.
 func (m *Model) sendStart(now time.Time, s *server, r *run) []Cmd {
+	if s.entry.Evacuated {
+		return m.withholdStart(now, s, r)
+	}
 	deadline := m.newDeadline(now, s)
 	if deadline == 0 && (r.uncertain || r.pendingStarts > 0) {
 		return m.stopRun(now, s, r, core.ReasonUnconfirmed)
@@ -169,6 +172,20 @@
 	}}
 }
 
+// withholdStart handles a start that would be repeated on a server whose failure domain is
+// evacuated: the repetition might be the one that starts the task. If an earlier order may have
+// been carried out, its answer or the lists decide.
+func (m *Model) withholdStart(now time.Time, s *server, r *run) []Cmd {
+	switch {
+	case r.neverStarted():
+		return m.endRun(now, s, r, work.EndNotStarted, ProofRejected, core.ReasonEvacuated)
+	case r.pendingStarts > 0:
+		return nil
+	}
+	r.uncertain = true
+	return m.poll(now, s)
+}
+
 // confirm records that the callers of an owner's jobs were waiting. It does not prolong
 // runs that are being stopped.
 func (m *Model) confirm(msg ConfirmMsg) {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -335,7 +335,8 @@
 
 // acceptsWork reports whether new tasks may be placed on a server.
 func (m *Model) acceptsWork(now time.Time, s *server) bool {
-	return s.phase == ready && s.doubtedAt.IsZero() && !s.releasing && !s.entry.Draining && s.misses <= m.allowedMisses() &&
+	return s.phase == ready && s.doubtedAt.IsZero() && !s.releasing && !s.entry.Draining && !s.entry.Evacuated &&
+		s.misses <= m.allowedMisses() &&
 		s.health.State(now) != health.Ejected && len(s.losses) == 0 && s.capacityKnown()
 }
 
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -19,6 +19,8 @@
 		return core.ReasonDeadline
 	case j.pastUse(now):
 		return core.ReasonWait
+	case m.evacuated:
+		return core.ReasonEvacuated
 	}
 	var largest work.Size
 	for _, p := range m.pools {
@@ -204,6 +206,8 @@
 	case !now.Before(j.Deadline.Add(-answerMargin)):
 		return core.ReasonDeadline
 	case !j.hasWaiting():
+	case m.evacuated && !j.running():
+		return core.ReasonEvacuated
 	case !j.started && j.pastUse(now):
 		return core.ReasonWait
 	case !j.running() && now.Add(j.minRemaining()).After(j.Deadline):
@@ -241,13 +245,21 @@
 
 // refuse ends a job of which no task ran or will run.
 func (m *Model) refuse(now time.Time, j *job, reason core.Reason) []Cmd {
+	wait := max(minRetryAfter, m.estimatedWait(now, j))
+	if reason == core.ReasonEvacuated {
+		wait = max(wait, evacuatedRetryAfter)
+	}
 	return m.finish(now, j, work.Outcome{
 		State:      work.Refused,
 		Reason:     reason,
-		RetryAfter: max(minRetryAfter, m.estimatedWait(now, j)),
+		RetryAfter: wait,
 	})
 }
 
+// evacuatedRetryAfter is the shortest delay that a caller is told to wait while all failure
+// domains are evacuated.
+const evacuatedRetryAfter = time.Second
+
 // minRetryAfter is the shortest delay that a refused caller is told to wait.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -66,6 +66,7 @@
 	ending        map[string]*endingJob   // by job ID
 	lent          map[string]*lentJob     // jobs of other homes with runs in the own pool, by ID
 	suspects      suspects
+	evacuated     bool              // the failure domains of all backend servers are evacuated
 	submissions   int               // number of jobs submitted so far
 	homes         map[string]string // failure domains of the other homes
 	homesByDomain [][]string        // the other homes of each failure domain
@@ -137,6 +138,9 @@
 	case CapacityMsg:
 		m.setPool(msg.Host, newPoolView(now, msg))
 		return m.dispatch(now)
+	case EvacuatedMsg:
+		m.evacuated = msg.All
+		return m.expire(now)
 	case PoolGoneMsg:
 		m.dropPool(msg.Host)
 		return nil
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -90,6 +90,10 @@
 	Backlog  int // millicores of the tasks that wait at that host; unused for the own one
 }
 
+// EvacuatedMsg reports whether the failure domains of all backend servers of the service are
+// evacuated, so that no job can be started.
+type EvacuatedMsg struct{ All bool }
+
 // PoolGoneMsg reports that a host's pool can no longer be used.
 type PoolGoneMsg struct{ Host string }
 
@@ -135,6 +139,7 @@
 func (CancelMsg) scheduleMsg()       {}
 func (WithdrawMsg) scheduleMsg()     {}
 func (CapacityMsg) scheduleMsg()     {}
+func (EvacuatedMsg) scheduleMsg()    {}
 func (PoolGoneMsg) scheduleMsg()     {}
 func (EndMsg) scheduleMsg()          {}
 func (LendMsg) scheduleMsg()         {}
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -218,6 +218,8 @@
 		log:     log.WithName(section),
 	}
 	r.OnVersion(f.handleVersion)
+	r.SetEvacuated(w.Evacuated)
+	r.OnEvacuated(w.OfferEvacuated)
 	l := &listSharer{
 		peers:    links,
 		roster:   r,
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/core/evacuation"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/owner"
@@ -53,6 +54,9 @@
 	payload   func() HeartbeatPayload
 	onChange  []func()
 	onVersion func(address string, version int)
+
+	evacuated   func() evacuation.Domains
+	onEvacuated func(d evacuation.Domains, address string)
 }
 
 // New returns a roster that contains only this host.
@@ -77,6 +81,9 @@
 		},
 		payload:   func() HeartbeatPayload { return HeartbeatPayload{} },
 		onVersion: func(string, int) {},
+
+		evacuated:   func() evacuation.Domains { return evacuation.Domains{} },
+		onEvacuated: func(evacuation.Domains, string) {},
 	}
 }
 
@@ -89,6 +96,13 @@
 // OnVersion calls f with the configuration version in each heartbeat that arrives.
 func (r *Roster) OnVersion(f func(address string, version int)) { r.onVersion = f }
 
+// SetEvacuated sets the function that returns the evacuated failure domains for each heartbeat.
+func (r *Roster) SetEvacuated(f func() evacuation.Domains) { r.evacuated = f }
+
+// OnEvacuated calls f with the evacuated failure domains in a heartbeat that arrives from an
+// address.
+func (r *Roster) OnEvacuated(f func(d evacuation.Domains, address string)) { r.onEvacuated = f }
+
 // Self returns this host's own entry.
 func (r *Roster) Self() member.Host {
 	r.mu.Lock()
@@ -253,7 +267,7 @@
 
 // heartbeat builds a heartbeat of this host; run adds the entries about other hosts.
 func (r *Roster) heartbeat() wire.Beat {
-	payload := r.payload()
+	payload, evacuated := r.payload(), evacuatedToWire(r.evacuated())
 	r.mu.Lock()
 	self, home := r.model.Self(), r.model.FirstHome()
 	r.mu.Unlock()
@@ -269,6 +283,8 @@
 		Held:     payload.Held,
 		Queues:   payload.Queues,
 		Print:    payload.Version,
+
+		Evacuated: evacuated,
 	}
 }
 
@@ -347,6 +363,7 @@
 			f()
 		}
 	}
+	r.serveEvacuated(b)
 	r.onVersion(b.Address, b.Print)
 	return wire.Frame{}, false
 }
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -199,9 +199,28 @@
 	s.servers = byService
 	clear(s.plans)
 	s.mu.Unlock()
+	for _, shard := range s.all() {
+		shard.setEvacuated(allEvacuated(byService[shard.service]))
+	}
 	s.updateOwnership()
 }
 
+// allEvacuated reports whether there are backend servers, all in evacuated failure domains.
+func allEvacuated(servers []listing.Server) bool {
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(s listing.Server) bool { return !s.Evacuated })
+}
+
+// setEvacuated sets whether the failure domains of all backend servers are evacuated.
+func (s *Shard) setEvacuated(all bool) {
+	s.mu.Lock()
+	changed := s.evacuated != all
+	s.evacuated = all
+	s.mu.Unlock()
+	if changed {
+		s.update(schedule.EvacuatedMsg{All: all})
+	}
+}
+
 // Servers returns the listed backend servers of a service.
 func (s *Scheduler) Servers(service string) []listing.Server {
 	s.mu.Lock()
@@ -386,7 +405,7 @@
 		if ok && home.Address != s.config.Self && len(claims[home.Address]) > 0 {
 			continue
 		}
-		if len(s.Servers(shard.service)) > 0 && shard.total() == 0 {
+		if servers := s.Servers(shard.service); len(servers) > 0 && shard.total() == 0 && !allEvacuated(servers) {
 			return false
 		}
 	}
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -31,6 +31,9 @@
 	store    prometheus.Counter
 	jobs     *prometheus.CounterVec
 	joins    *prometheus.CounterVec
+
+	evacuated        prometheus.Gauge
+	evacuationErrors prometheus.Counter
 }
 
 // NewCounters registers the counters. Each reason has its series from the start.
@@ -59,12 +62,22 @@
 			Help:      "Connections opened to the platform's store.",
 		}),
 	}
+	c.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      "evacuated",
+		Help:      "Evacuated failure domains.",
+	})
+	c.evacuationErrors = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      "evacuation_errors_total",
+		Help:      "Heartbeats whose evacuated failure domains were invalid, and ignored.",
+	})
 	for _, reason := range core.Reasons() {
 		c.refusals.WithLabelValues(string(reason))
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows, c.store)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows, c.store, c.evacuated, c.evacuationErrors)
 	return c
 }
 
@@ -93,6 +106,12 @@
 // StoreConnected counts a connection that was opened to the platform's store.
 func (c *Counters) StoreConnected() { c.store.Inc() }
 
+// Evacuated sets the number of evacuated failure domains.
+func (c *Counters) Evacuated(domains int) { c.evacuated.Set(float64(domains)) }
+
+// EvacuationInvalid counts a heartbeat whose evacuated failure domains are invalid.
+func (c *Counters) EvacuationInvalid() { c.evacuationErrors.Inc() }
+
 // Messages counts n messages of a kind without a task or an answer.
 func (c *Counters) Messages(kind string, n int) {
 	c.messages.WithLabelValues(kind).Add(float64(n))
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -19,6 +19,9 @@
 const (
 	section     = "watch"
 	sectionSelf = "self"
+
+	evacuateFollow = "follow"
+	evacuateIgnore = "ignore"
 )
 
 func init() {
@@ -128,6 +131,12 @@
 						Max: time.Hour,
 					},
 				},
+				{
+					Name:    "evacuate",
+					Default: evacuateFollow,
+					Help:    "Whether nothing new is started on the backend servers of failure domains that the operator evacuates.",
+					Kind:    settings.Choice{Of: []string{evacuateFollow, evacuateIgnore}},
+				},
 			},
 		},
 		Module: fx.Options(
@@ -146,6 +155,8 @@
 		Return:  s.Duration(section, "return"),
 	}, log)
 	w.countRefusedRow = counters.RowRefused
+	w.onEvacuated = counters.Evacuated
+	w.evacuates = s.Text(section, "evacuate") == evacuateFollow
 	return w
 }
 
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"rosemarywalk/core/evacuation"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/route"
 )
@@ -25,12 +26,15 @@
 // ErrRowChanged means that a row isn't removed, as it has changed.
 const ErrRowChanged = errors.ConstError("row has changed")
 
-// ConfigPage is the newest configuration; version 0 means that it hasn't changed.
+// ConfigPage is the newest configuration; version 0 means that it hasn't changed. With it come
+// the evacuations that changed, or all of them.
 type ConfigPage struct {
-	Config   route.Config
-	Raw      []byte // as the operator wrote it
-	Invalid  []InvalidEntry
-	Position int64
+	Config      route.Config
+	Raw         []byte // as the operator wrote it
+	Evacuations []evacuation.Change
+	Invalid     []InvalidEntry
+	Position    int64
+	Full        bool // failure domains that are not on the page are not evacuated
 }
 
 // InvalidEntry is a store entry that can't be decoded, or names no backend server or host.
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/core/evacuation"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/route"
 	"rosemarywalk/io/loop"
@@ -29,6 +30,7 @@
 	address         string // peer address of this host's row
 	config          route.Config
 	raw             []byte
+	evacuated       evacuation.Domains
 	servers         map[string]listing.Server
 	absentSince     map[string]time.Time // when the entry of a server went missing, by server ID
 	hosts           map[string]listing.Host
@@ -36,6 +38,8 @@
 	serversRead     bool                        // the backend servers were read at least once
 	serversFailedAt time.Time                   // when a read of the backend servers last failed
 	onConfig        []func(route.Config)
+	onEvacuated     func(domains int)
+	evacuates       bool // failure domains are evacuated at the operator's request
 	onServers       []func([]listing.Server)
 	onHosts         []func([]listing.Host)
 	learnedWaits    func() []listing.RouteWait
@@ -74,6 +78,8 @@
 		invalid:      map[string]map[string]int64{},
 		learnedWaits: func() []listing.RouteWait { return nil },
 		shouldRead:   func() bool { return true },
+		onEvacuated:  func(int) {},
+		evacuates:    true,
 
 		countRefusedRow: func() {},
 		updates:         newUpdateState(),
@@ -250,7 +256,9 @@
 	if err != nil {
 		return 0, err
 	}
-	w.logInvalid(listConfig, page.Invalid, nil, after == 0)
+	w.logInvalid(listConfig, page.Invalid, nil, page.Full)
+	// Before the configuration: a host that starts must not use servers that it may not.
+	w.readEvacuations(page)
 	if page.Config.Version > 0 {
 		w.Offer(page.Config, page.Raw, "store")
 	}
@@ -307,6 +315,9 @@
 		services := servicesOf(w.config)
 		servers = slices.DeleteFunc(servers, func(s listing.Server) bool { return !services[s.Service] })
 	}
+	for i := range servers {
+		servers[i].Evacuated = w.evacuated.Has(servers[i].Domain)
+	}
 	w.mu.Unlock()
 	for _, f := range w.onServers {
 		f(servers)
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -40,6 +40,9 @@
 	// Failure domain of the sender.
 	Domain string `cbor:"domain" json:"domain"`
 
+	// Evacuated corresponds to the JSON schema field "evacuated".
+	Evacuated *Evacuation `cbor:"evacuated,omitempty" json:"evacuated,omitempty,omitzero"`
+
 	// Backend servers that the sender holds; set only if leases are used.
 	Held []string `cbor:"held,omitempty" json:"held,omitempty,omitzero"`
 
@@ -151,6 +154,15 @@
 	Waits []Wait `cbor:"waits,omitempty" json:"waits,omitempty,omitzero"`
 }
 
+// Evacuation is which failure domains are evacuated.
+type Evacuation struct {
+	// Names of the failure domains.
+	Domains []string `cbor:"domains,omitempty" json:"domains,omitempty,omitzero"`
+
+	// Position of the store at which the set was last read or changed.
+	Position int `cbor:"position" json:"position"`
+}
+
 // Fault describes why one task failed.
 type Fault struct {
 	// Whether the work was started: no, maybe or yes.
