Refuse at once what no reachable server may run

Change: a home whose own failure domain is evacuated refuses jobs at once, with "evacuated", while no other host that reported capacity is left. One that may have been sent before is given up as broken instead, as an earlier attempt may have run. Such a home also asks all homes for frequent reports.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -19,7 +19,7 @@
 		return core.ReasonDeadline
 	case j.pastUse(now):
 		return core.ReasonWait
-	case m.evacuated:
+	case m.lacksServers():
 		return core.ReasonEvacuated
 	}
 	var largest work.Size
@@ -34,6 +34,12 @@
 	return ""
 }
 
+// lacksServers reports whether no job can be started as the backend servers are evacuated: all,
+// or the own ones while the other hosts that reported capacity can't be reached.
+func (m *Model) lacksServers() bool {
+	return m.evacuated.All || m.evacuated.Own && m.borrows && m.TotalCPU() == 0
+}
+
 // estimatedWait estimates the time until the last waiting task of a job starts.
 func (m *Model) estimatedWait(now time.Time, j *job) time.Duration {
 	ahead := 0
@@ -206,7 +212,7 @@
 	case !now.Before(j.Deadline.Add(-answerMargin)):
 		return core.ReasonDeadline
 	case !j.hasWaiting():
-	case m.evacuated && !j.running():
+	case m.lacksServers() && !j.running():
 		return core.ReasonEvacuated
 	case !j.started && j.pastUse(now):
 		return core.ReasonWait
@@ -245,19 +251,33 @@
 
 // refuse ends a job of which no task ran or will run.
 func (m *Model) refuse(now time.Time, j *job, reason core.Reason) []Cmd {
-	wait := max(minRetryAfter, m.estimatedWait(now, j))
 	if reason == core.ReasonEvacuated {
-		wait = max(wait, evacuatedRetryAfter)
+		return m.refuseEvacuated(now, j)
 	}
 	return m.finish(now, j, work.Outcome{
 		State:      work.Refused,
 		Reason:     reason,
-		RetryAfter: wait,
+		RetryAfter: max(minRetryAfter, m.estimatedWait(now, j)),
+	})
+}
+
+// refuseEvacuated ends a job for which no server may be used. An earlier attempt may have run, so
+// only what seems to be the first one is said not to have run.
+func (m *Model) refuseEvacuated(now time.Time, j *job) []Cmd {
+	if !j.First || j.wasElsewhere || j.unconfirmed {
+		return m.finish(now, j, work.Outcome{
+			State:  work.Broken,
+			Reason: core.ReasonEvacuated,
+		})
+	}
+	return m.finish(now, j, work.Outcome{
+		State:      work.Refused,
+		Reason:     core.ReasonEvacuated,
+		RetryAfter: evacuatedRetryAfter,
 	})
 }
 
-// evacuatedRetryAfter is the shortest delay that a caller is told to wait while all failure
-// domains are evacuated.
+// evacuatedRetryAfter is the delay that a caller is told to wait while no server may be used.
 const evacuatedRetryAfter = time.Second
 
 // minRetryAfter is the shortest delay that a refused caller is told to wait.
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -66,7 +66,8 @@
 	ending        map[string]*endingJob   // by job ID
 	lent          map[string]*lentJob     // jobs of other homes with runs in the own pool, by ID
 	suspects      suspects
-	evacuated     bool              // the failure domains of all backend servers are evacuated
+	evacuated     EvacuatedMsg
+	borrows       bool              // another host has reported capacity
 	submissions   int               // number of jobs submitted so far
 	homes         map[string]string // failure domains of the other homes
 	homesByDomain [][]string        // the other homes of each failure domain
@@ -136,10 +137,11 @@
 	case CancelMsg:
 		return m.cancel(now, msg)
 	case CapacityMsg:
+		m.borrows = m.borrows || msg.Host != m.self && msg.Capacity.TotalCPU > 0
 		m.setPool(msg.Host, newPoolView(now, msg))
 		return m.dispatch(now)
 	case EvacuatedMsg:
-		m.evacuated = msg.All
+		m.evacuated = msg
 		return m.expire(now)
 	case PoolGoneMsg:
 		m.dropPool(msg.Host)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -90,9 +90,12 @@
 	Backlog  int // millicores of the tasks that wait at that host; unused for the own one
 }
 
-// EvacuatedMsg reports whether the failure domains of all backend servers of the service are
-// evacuated, so that no job can be started.
-type EvacuatedMsg struct{ All bool }
+// EvacuatedMsg reports which backend servers of the service are in evacuated failure domains, so
+// that nothing can be started on them.
+type EvacuatedMsg struct {
+	Own bool // those of the own failure domain
+	All bool
+}
 
 // PoolGoneMsg reports that a host's pool can no longer be used.
 type PoolGoneMsg struct{ Host string }
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -337,7 +337,7 @@
 			Suspect: optional(slot.Suspect),
 		})
 	}
-	report.Need = float64(free) < lowCapacityRatio*float64(capacity.TotalCPU) || s.jobs.LacksCapacity(now)
+	report.Need = s.evacuated.Own || float64(free) < lowCapacityRatio*float64(capacity.TotalCPU) || s.jobs.LacksCapacity(now)
 	return report
 }
 
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -199,8 +199,9 @@
 	s.servers = byService
 	clear(s.plans)
 	s.mu.Unlock()
+	domain := s.config.Roster.Self().Domain
 	for _, shard := range s.all() {
-		shard.setEvacuated(allEvacuated(byService[shard.service]))
+		shard.setEvacuated(evacuatedServers(byService[shard.service], domain))
 	}
 	s.updateOwnership()
 }
@@ -210,14 +211,24 @@
 	return len(servers) > 0 && !slices.ContainsFunc(servers, func(s listing.Server) bool { return !s.Evacuated })
 }
 
-// setEvacuated sets whether the failure domains of all backend servers are evacuated.
-func (s *Shard) setEvacuated(all bool) {
+// evacuatedServers returns which backend servers are evacuated, for a host in the given failure
+// domain.
+func evacuatedServers(servers []listing.Server, domain string) schedule.EvacuatedMsg {
+	own := slices.DeleteFunc(slices.Clone(servers), func(s listing.Server) bool { return s.Domain != domain })
+	return schedule.EvacuatedMsg{
+		Own: allEvacuated(own),
+		All: allEvacuated(servers),
+	}
+}
+
+// setEvacuated sets which backend servers are evacuated.
+func (s *Shard) setEvacuated(evacuated schedule.EvacuatedMsg) {
 	s.mu.Lock()
-	changed := s.evacuated != all
-	s.evacuated = all
+	changed := s.evacuated != evacuated
+	s.evacuated, s.capacityDirty = evacuated, s.capacityDirty || changed
 	s.mu.Unlock()
 	if changed {
-		s.update(schedule.EvacuatedMsg{All: all})
+		s.update(evacuated)
 	}
 }
 
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -75,7 +75,7 @@
 	capacityRevision  int       // incremented when reportedCapacity changes
 	capacityCheckedAt time.Time // when reportedCapacity was last refreshed
 	capacityDirty     bool      // free capacity may have changed since then
-	evacuated         bool      // the failure domains of all backend servers are evacuated
+	evacuated         schedule.EvacuatedMsg
 
 	joins       map[schedule.JobName][]*joinCall // calls to homes that announced a job
 	loggedHomes schedule.HomesMsg
