--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -90,6 +90,13 @@
 	Backlog  int // millicores of the tasks that wait at that host; unused for the own one
 }
 
+// EvacuatedMsg reports which backend servers of the service are in evacuated failure domains, so
+// that nothing can be started on them.
+type EvacuatedMsg struct {
+	Own bool // those of the own failure domain
+	All bool
+}
+
 // PoolGoneMsg reports that a host's pool can no longer be used.
 type PoolGoneMsg struct{ Host string }
 
@@ -135,6 +142,7 @@
 func (CancelMsg) scheduleMsg()       {}
 func (WithdrawMsg) scheduleMsg()     {}
 func (CapacityMsg) scheduleMsg()     {}
+func (EvacuatedMsg) scheduleMsg()    {}
 func (PoolGoneMsg) scheduleMsg()     {}
 func (EndMsg) scheduleMsg()          {}
 func (LendMsg) scheduleMsg()         {}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -199,9 +199,39 @@
 	s.servers = byService
 	clear(s.plans)
 	s.mu.Unlock()
+	domain := s.config.Roster.Self().Domain
+	for _, shard := range s.all() {
+		shard.setEvacuated(evacuatedServers(byService[shard.service], domain))
+	}
 	s.updateOwnership()
 }
 
+// allEvacuated reports whether there are backend servers, all in evacuated failure domains.
+func allEvacuated(servers []listing.Server) bool {
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(s listing.Server) bool { return !s.Evacuated })
+}
+
+// evacuatedServers returns which backend servers are evacuated, for a host in the given failure
+// domain.
+func evacuatedServers(servers []listing.Server, domain string) schedule.EvacuatedMsg {
+	own := slices.DeleteFunc(slices.Clone(servers), func(s listing.Server) bool { return s.Domain != domain })
+	return schedule.EvacuatedMsg{
+		Own: allEvacuated(own),
+		All: allEvacuated(servers),
+	}
+}
+
+// setEvacuated sets which backend servers are evacuated.
+func (s *Shard) setEvacuated(evacuated schedule.EvacuatedMsg) {
+	s.mu.Lock()
+	changed := s.evacuated != evacuated
+	s.evacuated, s.capacityDirty = evacuated, s.capacityDirty || changed
+	s.mu.Unlock()
+	if changed {
+		s.update(evacuated)
+	}
+}
+
 // Servers returns the listed backend servers of a service.
 func (s *Scheduler) Servers(service string) []listing.Server {
 	s.mu.Lock()
@@ -386,7 +416,7 @@
 		if ok && home.Address != s.config.Self && len(claims[home.Address]) > 0 {
 			continue
 		}
-		if len(s.Servers(shard.service)) > 0 && shard.total() == 0 {
+		if servers := s.Servers(shard.service); len(servers) > 0 && shard.total() == 0 && !allEvacuated(servers) {
 			return false
 		}
 	}
