roster: a host that starts in an outage of the store inherits lists from another host

Cause: a host that starts while the store doesn't answer knows neither backend servers nor the hosts' rows until the store is back. If it has more cores than others it is nevertheless the first home of its failure domain: it owns no servers, has no majority, and acknowledges announcements with no votes, so that no other home has the votes of this failure domain.

Change: after [roster] inherit (200 ms, 0 for never) such a host asks the live hosts in turn for the lists that they have read, with what they know of each row: when it moved, since when it is new, whether it is gone. What counts for majorities then counts as at the host that was asked, and ages on from there; a host that has read anything itself inherits nothing.

--- a/io/roster/lists.go
+++ b/io/roster/lists.go
@@ -123,5 +123,7 @@
 
 // serve answers a peer with a full update.
 func (l *listSharer) serve(context.Context, wire.Frame) (wire.Frame, bool) {
-	return wire.Frame{Listing: updateToWire(l.roster.Self(), l.watcher.Snapshot())}, true
+	lists := updateToWire(l.roster.Self(), l.watcher.Snapshot())
+	lists.Rows = l.roster.rowsToWire()
+	return wire.Frame{Listing: lists}, true
 }
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -134,6 +134,15 @@
 						Max: time.Minute,
 					},
 				},
+				{
+					Name:    "inherit",
+					Default: "200ms",
+					Help:    "Time after its start from which a host that could not read the store's lists fetches those that other hosts have read; 0 for never.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
 				{
 					Name:    "perhome",
 					Default: "100",
@@ -211,7 +220,7 @@
 	Listing peer.Handler `group:"handlers"`
 }
 
-func newHandlers(s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) handlers {
+func newHandlers(lc fx.Lifecycle, s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) handlers {
 	f := &configFetcher{
 		peers:   links,
 		watcher: w,
@@ -233,6 +242,15 @@
 	}
 	w.SetShouldRead(l.shouldRead)
 	w.OnUpdate(l.publishUpdate)
+	if after := s.Duration(section, "inherit"); after > 0 {
+		loop.Append(lc, func(ctx context.Context) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(after):
+				l.inherit(ctx)
+			}
+		})
+	}
 	return handlers{
 		List: peer.Handler{
 			Kind:  peer.KindList,
@@ -259,7 +277,7 @@
 const removePeriod = time.Second
 
 func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
-	w.OnHosts(r.SetListedHosts)
+	w.OnHostsRead(r.setHostsRead)
 	loop.Append(lc, func(ctx context.Context) {
 		loop.Every(ctx, removePeriod, func(ctx context.Context) { r.removeAbandoned(ctx, w.RemoveHost) })
 	})
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -166,7 +166,11 @@
 // SetListedHosts updates the hosts' rows from the store, and uses their addresses as
 // seeds to contact. The first rows cause a heartbeat at once, and so does the first list
 // with this host's own row.
-func (r *Roster) SetListedHosts(hosts []listing.Host) {
+func (r *Roster) SetListedHosts(hosts []listing.Host) { r.setHostsRead(time.Now(), hosts) }
+
+// setHostsRead is SetListedHosts for rows that were read at a time, by this host or another one.
+// It ignores rows that are older than those known.
+func (r *Roster) setHostsRead(readAt time.Time, hosts []listing.Host) {
 	seeds := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
 		seeds = append(seeds, member.Host{
@@ -175,9 +179,13 @@
 		})
 	}
 	r.mu.Lock()
+	if readAt.Before(r.rows.readAt) {
+		r.mu.Unlock()
+		return
+	}
 	self := r.model.Self().Address
 	first := len(r.rows.byName) == 0 || !r.rows.contains(self)
-	r.rows.update(time.Now(), hosts)
+	r.rows.update(readAt, hosts)
 	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
 	if first {
--- a/io/roster/rows.go
+++ b/io/roster/rows.go
@@ -85,6 +85,11 @@
 		}
 	}
 	hr.byName, hr.readAt = rows, now
+	hr.summarize()
+}
+
+// summarize computes what follows from the rows as of the last read.
+func (hr *hostRows) summarize() {
 	hr.live = slices.Clip(hr.youngerThan(hr.staleAfter))
 	hr.electors = slices.Clip(hr.counted())
 	hr.voters = slices.Clip(hr.countedEverywhere())
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -55,7 +55,8 @@
 	Removed  []string // names of removed hosts
 	Invalid  []InvalidEntry
 	Position int64
-	Full     bool // entries that are not on the page were removed
+	Full     bool      // entries that are not on the page were removed
+	ReadAt   time.Time // by another host; zero if this one has just read the store
 }
 
 // Source reads the lists of the store. After position 0 it returns the full list, and
--- a/io/watch/update.go
+++ b/io/watch/update.go
@@ -142,6 +142,31 @@
 	return Applied
 }
 
+// Inherit applies a full update of lists that another host had read by readAt, unless this host
+// has lists, and reports whether it did.
+func (w *Watcher) Inherit(n Update, readAt time.Time) bool {
+	if !n.Full || n.Position == 0 || !w.LacksLists() {
+		return false
+	}
+	if result, _ := w.applyServers(n); result != Applied {
+		return false
+	}
+	w.notifyServers()
+	w.mergeHosts(HostsPage{
+		Hosts:  n.Hosts,
+		Full:   true,
+		ReadAt: readAt,
+	})
+	return true
+}
+
+// LacksLists reports whether neither backend servers nor hosts are known.
+func (w *Watcher) LacksLists() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.serversRead && len(w.hosts) == 0
+}
+
 func (w *Watcher) applyServers(n Update) (result ApplyResult, changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -37,7 +37,7 @@
 	serversFailedAt time.Time                   // when a read of the backend servers last failed
 	onConfig        []func(route.Config)
 	onServers       []func([]listing.Server)
-	onHosts         []func([]listing.Host)
+	onHosts         []func(readAt time.Time, hosts []listing.Host)
 	learnedWaits    func() []listing.RouteWait
 	countRefusedRow func()
 	shouldRead      func() bool // whether this host reads the lists itself
@@ -101,7 +101,14 @@
 func (w *Watcher) OnServers(f func([]listing.Server)) { w.onServers = append(w.onServers, f) }
 
 // OnHosts calls f with all hosts when they change.
-func (w *Watcher) OnHosts(f func([]listing.Host)) { w.onHosts = append(w.onHosts, f) }
+func (w *Watcher) OnHosts(f func([]listing.Host)) {
+	w.OnHostsRead(func(_ time.Time, hosts []listing.Host) { f(hosts) })
+}
+
+// OnHostsRead calls f with all hosts when they change, and with the time of the read.
+func (w *Watcher) OnHostsRead(f func(readAt time.Time, hosts []listing.Host)) {
+	w.onHosts = append(w.onHosts, f)
+}
 
 // SetRouteWaits sets the function that returns the learned waiting times, by route, that
 // this host writes to its row in the store.
@@ -401,9 +408,18 @@
 	return w.source.Remove(ctx, h)
 }
 
-// mergeHosts applies a page, and calls the OnHosts functions with all hosts.
+// mergeHosts applies a page, and calls the OnHosts functions with all hosts. A page that another
+// host read earlier is only applied if no hosts are known.
 func (w *Watcher) mergeHosts(page HostsPage) {
 	w.mu.Lock()
+	readAt := page.ReadAt
+	switch {
+	case readAt.IsZero():
+		readAt = time.Now()
+	case len(w.hosts) > 0:
+		w.mu.Unlock() // this host has read the rows meanwhile
+		return
+	}
 	if page.Full {
 		for name := range w.hosts {
 			w.updates.changedHosts[name] = true
@@ -421,6 +437,6 @@
 	hosts := slices.Collect(maps.Values(w.hosts))
 	w.mu.Unlock()
 	for _, f := range w.onHosts {
-		f(hosts)
+		f(readAt, hosts)
 	}
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -349,6 +349,51 @@
 	Sequence int `cbor:"sequence" json:"sequence"`
 }
 
+// HostRow is the row of one host.
+type HostRow struct {
+	// Peer address.
+	Address string `cbor:"address" json:"address"`
+
+	// Time of the read before that one.
+	After int `cbor:"after" json:"after"`
+
+	// Time of the read that first saw the counter and address.
+	Changed int `cbor:"changed" json:"changed"`
+
+	// Heartbeat counter.
+	Count int `cbor:"count" json:"count"`
+
+	// Failure domain.
+	Domain string `cbor:"domain" json:"domain"`
+
+	// Whether the row was gone at the last read.
+	Missing bool `cbor:"missing" json:"missing"`
+
+	// Name of the host.
+	Name string `cbor:"name" json:"name"`
+
+	// Time from which the row was new to the sender; missing if it is older than its
+	// reads.
+	Seen *int `cbor:"seen,omitempty" json:"seen,omitempty,omitzero"`
+
+	// Milliseconds without a change, in which little of an outage counts.
+	Still int `cbor:"still" json:"still"`
+}
+
+// HostRows carries what the sender knows of the hosts' rows in the store, for a
+// host that can't read them. Times are in milliseconds before the message.
+type HostRows struct {
+	// Time of its first read.
+	First int `cbor:"first" json:"first"`
+
+	// Time of the sender's last read.
+	Read int `cbor:"read" json:"read"`
+
+	// All rows, also those that were gone at the last read and still count for
+	// majorities.
+	Rows []HostRow `cbor:"rows" json:"rows"`
+}
+
 // Known is a host as the sender of a Beat knows it.
 type Known struct {
 	// Peer address.
@@ -499,6 +544,9 @@
 	// Incarnation of the sender.
 	Reader string `cbor:"reader" json:"reader"`
 
+	// Rows corresponds to the JSON schema field "rows".
+	Rows *HostRows `cbor:"rows,omitempty" json:"rows,omitempty,omitzero"`
+
 	// Backend servers that were added or changed.
 	Servers []Server `cbor:"servers,omitempty" json:"servers,omitempty,omitzero"`
 
