member: a host tells the relays of another first home in the next period

Cause: a home has the votes of the hosts that name the same first home as it does in their heartbeats.

Change: with [roster] revote = soon such a host sends to the relays in the next period once it takes another host as the first home.

--- a/core/member/model.go
+++ b/core/member/model.go
@@ -31,6 +31,7 @@
 	RelayFanOut         int           // non-relays to which a relay sends heartbeats per period
 	NonRelayPeriods     int           // periods between heartbeats of a non-relay to the relays
 	Period              time.Duration // heartbeat period
+	RevoteSoon          bool          // a non-relay sends a heartbeat in the next period once it takes another host as the first home
 }
 
 // Msg is an input of Update.
@@ -105,6 +106,7 @@
 	relayCycle  int              // periods in which a relay sends a heartbeat to each non-relay
 	gossipRound int              // periods until a non-relay has received every entry in turn
 	relayGap    int              // periods between heartbeats from any relay at a non-relay
+	votedFor    string           // first home as of the last heartbeats to the relays
 }
 
 // turnOffsets is the number of different turns at which hosts may start.
--- a/core/member/relay.go
+++ b/core/member/relay.go
@@ -124,6 +124,7 @@
 func (m *Model) ownDomainTargets() []string {
 	var targets, silent, nonRelays []string
 	selfIsRelay, relays := m.isRelay(m.self.Address), 0
+	due := m.isDue()
 	for _, p := range m.sorted() {
 		address := p.host.Address
 		switch {
@@ -134,7 +135,7 @@
 			silent = append(silent, address)
 		case m.isRelay(address):
 			relays++
-			if selfIsRelay || (m.period+m.turnOffset)%m.limits.NonRelayPeriods == 0 {
+			if selfIsRelay || due {
 				targets = append(targets, address)
 			}
 		default:
@@ -161,6 +162,18 @@
 	return targets
 }
 
+// isDue reports whether a non-relay sends heartbeats to the relays in this period: each few
+// periods, or as it takes another host as the first home than it told them, so that homes
+// don't lack its votes until its turn.
+func (m *Model) isDue() bool {
+	home := m.FirstHome()
+	due := (m.period+m.turnOffset)%m.limits.NonRelayPeriods == 0 || (m.limits.RevoteSoon && home != m.votedFor)
+	if due {
+		m.votedFor = home
+	}
+	return due
+}
+
 // shouldSend reports whether a receiver gets the entry of a host. If relays are used,
 // only entries of relays cross failure domains.
 func (m *Model) shouldSend(receiver string, h Host) bool {
--- a/core/member/relay_test.go
+++ b/core/member/relay_test.go
@@ -249,3 +249,64 @@
 		return true
 	})
 }
+
+// TestVotesForFormerHome guards against homes that lack the votes of other hosts for several periods
+// after the first home has stopped, as these hosts have told the relays the former one.
+func TestVotesForFormerHome(t *testing.T) {
+	const hosts = 12
+	tests := []struct {
+		name   string
+		revote bool
+		most   int // periods
+	}{
+		{
+			name: "in turn",
+			most: testRest,
+		},
+		{
+			name:   "soon",
+			revote: true,
+			most:   1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := relayLimits()
+			l.RevoteSoon = test.revote
+			for draw := range uint64(20) {
+				m := New(Host{
+					Address: addressOf(hosts),
+					Domain:  "d",
+				}, l, rand.New(rand.NewPCG(draw, 1)))
+				now := startTime
+				hear := func(count int, stopping bool) {
+					for n := range hosts {
+						m.Update(now, HeartbeatMsg{From: Host{
+							Address:        addressOf(n),
+							Domain:         "d",
+							CPU:            hosts - n,
+							HeartbeatCount: count,
+							Stopping:       n == 0 && stopping,
+						}})
+					}
+				}
+				hear(1, false)
+				for range 2 * testRest {
+					now = now.Add(l.Period)
+					m.Update(now, TickMsg{})
+				}
+				hear(2, true)
+				periods, told := 0, false
+				for !told {
+					now = now.Add(l.Period)
+					for _, cmd := range m.Update(now, TickMsg{}) {
+						send, ok := cmd.(SendCmd)
+						told = told || (ok && send.Address == addressOf(1))
+					}
+					periods++
+				}
+				assert.Assert(t, periods <= test.most, "%d periods", periods)
+			}
+		})
+	}
+}
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -26,6 +26,12 @@
 
 const section = "roster"
 
+// Values of the setting revote.
+const (
+	revoteSoon   = "soon"
+	revoteInTurn = "turn"
+)
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:     section,
@@ -107,6 +113,12 @@
 						Max: 1000,
 					},
 				},
+				{
+					Name:    "revote",
+					Default: revoteSoon,
+					Help:    "When a host that is not a relay tells the relays that it takes another host as the first home of its failure domain: in the next period, or in its turn.",
+					Kind:    settings.Choice{Of: []string{revoteSoon, revoteInTurn}},
+				},
 				{
 					Name:    "readers",
 					Default: "4",
@@ -205,6 +217,7 @@
 		RelayFanOut:         s.Integer(section, "fan"),
 		NonRelayPeriods:     s.Integer(section, "rest"),
 		Period:              s.Duration(section, "period"),
+		RevoteSoon:          s.Text(section, "revote") == revoteSoon,
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
 	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log), nil
