roster: hosts vote for 9 s after the last read of the rows, and drop rows 3 s later

Cause: a host that has not read the hosts' rows for 6 s votes for nobody, and needs the votes of all hosts, as hosts that it doesn't know may vote since. An outage of the store that is only a little longer takes all majorities as soon as one host isn't heard.

Change: [roster] outage is that time. New hosts give no votes for as long, and rows are dropped as much later, so that what keeps two homes apart stays as it was: 12 s of the own row, the time without reads, and 3 s. By default it is 9 s, at which the age of the own row, which is written each 2 s and read each 1 s, reaches its limit too. All hosts need the same setting.

Tests: TestLongerOutages runs the simulations of two majorities with 3, 9 and 12 s.

--- a/io/roster/majority_test.go
+++ b/io/roster/majority_test.go
@@ -21,18 +21,62 @@
 	right hostRows // as read by host c, which hears d and e
 }
 
+// maxReadAge is that of newHalves. TestLongerOutages tries others.
+var maxReadAge = 6 * time.Second
+
 func newHalves() *halves {
-	rows := hostRows{
-		staleAfter: 6 * time.Second,
-		forget:     21 * time.Second,
-		unlisted:   12 * time.Second,
-		outdated:   6 * time.Second,
-		byName:     map[string]row{},
-	}
 	return &halves{
 		begin: time.Now(),
-		left:  rows,
-		right: rows,
+		left:  newHostRows(6*time.Second, maxReadAge),
+		right: newHostRows(6*time.Second, maxReadAge),
+	}
+}
+
+// TestLongerOutages guards against two homes with a majority at once where hosts vote for longer
+// without reading the rows.
+func TestLongerOutages(t *testing.T) {
+	tests := []struct {
+		name string
+		test func(*testing.T)
+	}{
+		{
+			name: "rows read long ago",
+			test: TestRowsReadLongAgoTwoMajorities,
+		},
+		{
+			name: "rows forgotten in an outage",
+			test: TestRowsForgottenInOutage,
+		},
+		{
+			name: "deleted rows",
+			test: TestDeletedRowsTwoMajorities,
+		},
+		{
+			name: "a host that moved",
+			test: TestMovedHostTwoMajorities,
+		},
+		{
+			name: "hosts that returned",
+			test: TestReturnedHostTwoMajorities,
+		},
+		{
+			name: "removed rows",
+			test: TestRemovedRowsTwoMajorities,
+		},
+		{
+			name: "inherited rows",
+			test: TestInheritedRows,
+		},
+	}
+	for _, age := range []time.Duration{3 * time.Second, 9 * time.Second, 12 * time.Second} {
+		for _, test := range tests {
+			t.Run(age.String()+" "+test.name, func(t *testing.T) {
+				before := maxReadAge
+				defer func() { maxReadAge = before }()
+				maxReadAge = age
+				test.test(t)
+			})
+		}
 	}
 }
 
--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -68,6 +68,15 @@
 						Max: time.Hour,
 					},
 				},
+				{
+					Name:    "outage",
+					Default: "9s",
+					Help:    "Time without a read of the hosts' rows after which a host votes for nobody. Hosts that are new give no votes for as long. All hosts need the same.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: time.Hour,
+					},
+				},
 				{
 					Name:    "forget",
 					Default: "60s",
@@ -220,7 +229,9 @@
 		RevoteSoon:          s.Text(section, "revote") == revoteSoon,
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
-	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log), nil
+	r := New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log)
+	r.SetMaxReadAge(s.Duration(section, "outage"))
+	return r, nil
 }
 
 // handlers holds the handlers of this plug-in for frames on peer links.
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -68,18 +68,18 @@
 		model:             model,
 		claims:            owner.Claims{},
 		queues:            map[string][]wire.Queue{},
-		rows: hostRows{
-			staleAfter: staleAfter,
-			forget:     time.Duration(forgetFactor * float64(staleAfter)),
-			unlisted:   unlistedFactor * staleAfter,
-			outdated:   readFactor * staleAfter,
-			byName:     map[string]row{},
-		},
-		payload:   func() HeartbeatPayload { return HeartbeatPayload{} },
-		onVersion: func(string, int) {},
+		rows:              newHostRows(staleAfter, staleAfter),
+		payload:           func() HeartbeatPayload { return HeartbeatPayload{} },
+		onVersion:         func(string, int) {},
 	}
 }
 
+// SetMaxReadAge sets how long ago this host may have read the hosts' rows to vote. It must be the
+// same on all hosts, and called before the first read.
+func (r *Roster) SetMaxReadAge(age time.Duration) {
+	r.rows = newHostRows(r.rows.staleAfter, age)
+}
+
 // SetHeartbeatPayload sets the function that returns the payload of each heartbeat.
 func (r *Roster) SetHeartbeatPayload(payload func() HeartbeatPayload) { r.payload = payload }
 
--- a/io/roster/rows.go
+++ b/io/roster/rows.go
@@ -19,14 +19,26 @@
 	missing      bool          // it was not in the store at the last read
 }
 
-// Ages at which rows count for majorities, as multiples of that at which a host counts as
-// dead: a host must know that it is not counted any more before others drop it.
+// Ages at which rows count for majorities: a host must know that it is not counted any more before
+// others drop it.
 const (
-	readFactor     = 1 // of the last read
-	unlistedFactor = 2
-	forgetFactor   = 3.5
+	unlistedFactor = 2   // of the own row, as a multiple of that at which a host counts as dead
+	dropFactor     = 0.5 // the same, by which others drop it later than it may have read that
 )
 
+// newHostRows returns rows that were never read. A host whose last read is older than maxReadAge
+// may not know the hosts that are new since: they give no votes for as long.
+func newHostRows(staleAfter, maxReadAge time.Duration) hostRows {
+	unlisted := unlistedFactor * staleAfter
+	return hostRows{
+		staleAfter: staleAfter,
+		forget:     unlisted + maxReadAge + time.Duration(dropFactor*float64(staleAfter)),
+		unlisted:   unlisted,
+		outdated:   maxReadAge,
+		byName:     map[string]row{},
+	}
+}
+
 // hostRows holds the hosts' rows in the store as of the last read.
 type hostRows struct {
 	staleAfter time.Duration // age at which a row no longer counts as that of a live host
