--- a/io/roster/plugin.go
+++ b/io/roster/plugin.go
@@ -26,6 +26,12 @@
 
 const section = "roster"
 
+// Values of the setting revote.
+const (
+	revoteSoon   = "soon"
+	revoteInTurn = "turn"
+)
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name:     section,
@@ -62,6 +68,15 @@
 						Max: time.Hour,
 					},
 				},
+				{
+					Name:    "outage",
+					Default: "9s",
+					Help:    "Time without a read of the hosts' rows after which a host votes for nobody. Hosts that are new give no votes for as long. All hosts need the same.",
+					Kind: settings.Duration{
+						Min: 100 * time.Millisecond,
+						Max: time.Hour,
+					},
+				},
 				{
 					Name:    "forget",
 					Default: "60s",
@@ -107,6 +122,12 @@
 						Max: 1000,
 					},
 				},
+				{
+					Name:    "revote",
+					Default: revoteSoon,
+					Help:    "When a host that is not a relay tells the relays that it takes another host as the first home of its failure domain: in the next period, or in its turn.",
+					Kind:    settings.Choice{Of: []string{revoteSoon, revoteInTurn}},
+				},
 				{
 					Name:    "readers",
 					Default: "4",
@@ -134,6 +155,15 @@
 						Max: time.Minute,
 					},
 				},
+				{
+					Name:    "inherit",
+					Default: "200ms",
+					Help:    "Time after its start from which a host that could not read the store's lists fetches those that other hosts have read; 0 for never.",
+					Kind: settings.Duration{
+						Min: 0,
+						Max: time.Minute,
+					},
+				},
 				{
 					Name:    "perhome",
 					Default: "100",
@@ -196,9 +226,12 @@
 		RelayFanOut:         s.Integer(section, "fan"),
 		NonRelayPeriods:     s.Integer(section, "rest"),
 		Period:              s.Duration(section, "period"),
+		RevoteSoon:          s.Text(section, "revote") == revoteSoon,
 	}
 	model := member.New(self, limits, mrand.New(mrand.NewPCG(seed, seed)))
-	return New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log), nil
+	r := New(model, links, s.Duration(section, "period"), s.Duration(section, "stale"), s.Integer(section, "perhome"), s.Integer(section, "percore"), s.Integer(section, "target"), counters, log)
+	r.SetMaxReadAge(s.Duration(section, "outage"))
+	return r, nil
 }
 
 // handlers holds the handlers of this plug-in for frames on peer links.
@@ -211,7 +244,7 @@
 	Listing peer.Handler `group:"handlers"`
 }
 
-func newHandlers(s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) handlers {
+func newHandlers(lc fx.Lifecycle, s settings.Settings, r *Roster, links *peer.Links, w *watch.Watcher, meter *late.Meter, counters *telemetry.Counters, log logr.Logger) handlers {
 	f := &configFetcher{
 		peers:   links,
 		watcher: w,
@@ -235,6 +268,15 @@
 	}
 	w.SetShouldRead(l.shouldRead)
 	w.OnUpdate(l.publishUpdate)
+	if after := s.Duration(section, "inherit"); after > 0 {
+		loop.Append(lc, func(ctx context.Context) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(after):
+				l.inherit(ctx)
+			}
+		})
+	}
 	return handlers{
 		List: peer.Handler{
 			Kind:  peer.KindList,
@@ -261,7 +303,7 @@
 const removePeriod = time.Second
 
 func run(lc fx.Lifecycle, w *watch.Watcher, r *Roster) {
-	w.OnHosts(r.SetListedHosts)
+	w.OnHostsRead(r.setHostsRead)
 	loop.Append(lc, func(ctx context.Context) {
 		loop.Every(ctx, removePeriod, func(ctx context.Context) { r.removeAbandoned(ctx, w.RemoveHost) })
 	})
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -72,21 +72,21 @@
 		model:             model,
 		claims:            owner.Claims{},
 		queues:            map[string][]wire.Queue{},
-		rows: hostRows{
-			staleAfter: staleAfter,
-			forget:     time.Duration(forgetFactor * float64(staleAfter)),
-			unlisted:   unlistedFactor * staleAfter,
-			outdated:   readFactor * staleAfter,
-			byName:     map[string]row{},
-		},
-		payload:   func() HeartbeatPayload { return HeartbeatPayload{} },
-		onVersion: func(string, int) {},
+		rows:              newHostRows(staleAfter, staleAfter),
+		payload:           func() HeartbeatPayload { return HeartbeatPayload{} },
+		onVersion:         func(string, int) {},
 
 		evacuated:   func() evacuation.Domains { return evacuation.Domains{} },
 		onEvacuated: func(evacuation.Domains, string) {},
 	}
 }
 
+// SetMaxReadAge sets how long ago this host may have read the hosts' rows to vote. It must be the
+// same on all hosts, and called before the first read.
+func (r *Roster) SetMaxReadAge(age time.Duration) {
+	r.rows = newHostRows(r.rows.staleAfter, age)
+}
+
 // SetHeartbeatPayload sets the function that returns the payload of each heartbeat.
 func (r *Roster) SetHeartbeatPayload(payload func() HeartbeatPayload) { r.payload = payload }
 
@@ -180,7 +180,11 @@
 // SetListedHosts updates the hosts' rows from the store, and uses their addresses as
 // seeds to contact. The first rows cause a heartbeat at once, and so does the first list
 // with this host's own row.
-func (r *Roster) SetListedHosts(hosts []listing.Host) {
+func (r *Roster) SetListedHosts(hosts []listing.Host) { r.setHostsRead(time.Now(), hosts) }
+
+// setHostsRead is SetListedHosts for rows that were read at a time, by this host or another one.
+// It ignores rows that are older than those known.
+func (r *Roster) setHostsRead(readAt time.Time, hosts []listing.Host) {
 	seeds := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
 		seeds = append(seeds, member.Host{
@@ -189,9 +193,13 @@
 		})
 	}
 	r.mu.Lock()
+	if readAt.Before(r.rows.readAt) {
+		r.mu.Unlock()
+		return
+	}
 	self := r.model.Self().Address
 	first := len(r.rows.byName) == 0 || !r.rows.contains(self)
-	r.rows.update(time.Now(), hosts)
+	r.rows.update(readAt, hosts)
 	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
 	if first {
