standalone: an operator can evacuate a failure domain

Cause: the standalone edition and bin/standin platform didn't know the operator's request.

Change: rosemarywalk evacuate DOMAIN [--back] goes to any host, which passes it to the platform; the platform's host list names the evacuated failure domains. core/place sends nothing new to their servers, and refuses with "evacuated" while all are. hosts prints a line for each, and rosemarywalk_evacuated counts them.

--- a/cmd/rosemarywalk/main.go
+++ b/cmd/rosemarywalk/main.go
@@ -29,6 +29,7 @@
 	Cancel   cancelCmd   `cmd:"" help:"Cancel a ticket's job."`
 	Explain  explainCmd  `cmd:"" help:"Print what became of a ticket's job, task by task."`
 	Hosts    hostsCmd    `cmd:"" help:"List the hosts that are alive, with their load."`
+	Evacuate evacuateCmd `cmd:"" help:"Request that nothing new be sent to the backend servers of a failure domain, or take the request back."`
 	Report   reportCmd   `cmd:"" help:"Print what callers got, by cause, kind of job, failure domain and time, from the logs of hosts."`
 	Runs     runsCmd     `cmd:"" help:"Find tasks that may have run twice at once in the logs of hosts, and print the timelines of their jobs. Exits with 1 if there are any."`
 	Config   configCmd   `cmd:"" help:"Check, book and read back the configuration document."`
--- a/cmd/rosemarywalk/operator.go
+++ b/cmd/rosemarywalk/operator.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -69,7 +71,39 @@
 		fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", s.Address, s.Domain, s.Running, s.Waiting,
 			s.Outstanding, s.Servers, s.UsableServers, s.ListingRevision, s.ConfigRevision, strings.Join(s.HomeServices, ","), s.Error)
 	}
-	return out.Flush()
+	if err := out.Flush(); err != nil {
+		return errors.Annotate(err, "print table")
+	}
+	evacuated := map[string]int{}
+	for _, s := range statuses {
+		for _, domain := range s.Evacuated {
+			evacuated[domain]++
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(evacuated)) {
+		fmt.Printf("evacuated: %s, known to %d of %d hosts\n", domain, evacuated[domain], len(statuses))
+	}
+	return nil
+}
+
+// evacuateCmd requests that a failure domain be evacuated, or takes the request back.
+type evacuateCmd struct {
+	operatorFlags
+	Domain string `arg:"" help:"Failure domain."`
+	Back   bool   `help:"Use its backend servers again."`
+}
+
+// Run sends the request to a host, which passes it on to the platform.
+func (c *evacuateCmd) Run() error {
+	method := http.MethodPut
+	if c.Back {
+		method = http.MethodDelete
+	}
+	status, raw, err := c.call(method, "/evacuations/"+url.PathEscape(c.Domain), nil)
+	if err == nil && status != http.StatusNoContent {
+		err = errors.Errorf("host returned status %d: %s", status, strings.TrimSpace(string(raw)))
+	}
+	return err
 }
 
 // configCmd groups the commands for the configuration document.
--- a/core/place/model.go
+++ b/core/place/model.go
@@ -84,7 +84,7 @@
 // Servers returns the number of all servers and of those that accept tasks.
 func (m *Model) Servers(now time.Time) (total, usable int) {
 	for _, b := range m.servers {
-		if !b.Leaving && b.health.State(now) == health.Up {
+		if !b.closed() && b.health.State(now) == health.Up {
 			usable++
 		}
 	}
@@ -172,6 +172,9 @@
 	if !slices.ContainsFunc(m.servers, func(b *backend) bool { return msg.Need.Fits(b.Size) }) {
 		return core.ReasonFit, 0
 	}
+	if m.allEvacuated() {
+		return core.ReasonEvacuated, evacuatedRetryAfter
+	}
 	if m.queue.Len()+msg.Job.Tasks > m.limits.MaxWaiting {
 		return core.ReasonOverload, m.estimateWait(now, m.queue.Len())
 	}
@@ -223,7 +226,7 @@
 	}
 	m.slotsCached, m.usableSlots = true, 0
 	for _, b := range m.servers {
-		if !b.Leaving && b.health.State(now) == health.Up {
+		if !b.closed() && b.health.State(now) == health.Up {
 			m.usableSlots += b.Slots
 		}
 	}
@@ -329,6 +332,9 @@
 
 // startTasks starts tasks until the policy or the servers accept no more.
 func (m *Model) startTasks(now time.Time) []Cmd {
+	if m.allEvacuated() {
+		return m.refuseWaiting()
+	}
 	var cmds []Cmd
 	var skipped []queue.Ref
 	limit := maxOutstanding(m.policy, m.slots(now), m.queues)
--- a/core/place/msg.go
+++ b/core/place/msg.go
@@ -17,6 +17,7 @@
 	Connections int    // connections that it accepts from all hosts together
 	Size        Size
 	Leaving     bool
+	Evacuated   bool // its failure domain is evacuated: nothing new is sent to it
 }
 
 // Size is the declared size of a task, or the capacity of a server.
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -15,7 +15,7 @@
 
 // accepts reports whether one more task may be sent to the server.
 func (b *backend) accepts(now time.Time, connections int) bool {
-	if b.Leaving || b.outstanding >= connections {
+	if b.closed() || b.outstanding >= connections {
 		return false
 	}
 	switch b.health.State(now) {
@@ -28,5 +28,8 @@
 	return false
 }
 
+// closed reports whether no new task may be sent to the server, however well it is.
+func (b *backend) closed() bool { return b.Leaving || b.Evacuated }
+
 // load returns the outstanding tasks of this host per slot.
 func (b *backend) load() float64 { return float64(b.outstanding) / float64(max(1, b.Slots)) }
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -135,7 +135,8 @@
 
 func isRetryable(reason core.Reason) bool {
 	switch reason {
-	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable:
+	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable,
+		core.ReasonEvacuated:
 		return true
 	}
 	return false
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -53,8 +53,9 @@
 	Running         int                `json:"running"`
 	Servers         int                `json:"servers"`
 	UsableServers   int                `json:"usable"`
-	Successors      int                `json:"successors"` // stopped incarnations that this host answers for
-	HomeServices    []string           `json:"homes"`      // services whose queue this host holds
+	Successors      int                `json:"successors"`          // stopped incarnations that this host answers for
+	HomeServices    []string           `json:"homes"`               // services whose queue this host holds
+	Evacuated       []string           `json:"evacuated,omitempty"` // failure domains, by the host's list
 	InForce         []document.InForce `json:"inforce"`
 }
 
@@ -67,6 +68,7 @@
 	peers      Peers
 	dispatcher *dispatch.Dispatcher
 	directory  *platform.Directory
+	client     *platform.Client
 	store      *config.Store
 	booker     *config.Booker
 }
@@ -77,6 +79,7 @@
 	r.HandleFunc("/livez", h.flag.Livez).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", h.flag.Readyz).Methods(http.MethodGet)
 	r.HandleFunc("/hosts", h.hosts).Methods(http.MethodGet)
+	r.HandleFunc("/evacuations/{domain:.+}", h.evacuate).Methods(http.MethodPut, http.MethodDelete)
 	r.HandleFunc("/config", h.showConfig).Methods(http.MethodGet)
 	r.HandleFunc("/config", h.submitConfig).Methods(http.MethodPost)
 	r.HandleFunc("/config/history", h.history).Methods(http.MethodGet)
@@ -97,6 +100,7 @@
 		UsableServers:   load.Usable,
 		Successors:      load.Adopted,
 		HomeServices:    h.homes(),
+		Evacuated:       h.directory.Listing().Evacuated,
 		InForce:         h.store.InForce(),
 	}
 }
@@ -157,6 +161,16 @@
 	return status
 }
 
+// evacuate passes an operator's request about a failure domain on to the platform, whose list of
+// hosts tells all hosts.
+func (h *Handler) evacuate(w http.ResponseWriter, r *http.Request) {
+	if err := h.client.Evacuate(r.Context(), mux.Vars(r)["domain"], r.Method == http.MethodDelete); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (h *Handler) showConfig(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	_, _ = io.WriteString(w, h.booker.Show(r.URL.Query().Get("team")))
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -56,6 +56,7 @@
 	Links       *peer.Links
 	Dispatcher  *dispatch.Dispatcher
 	Directory   *platform.Directory
+	Client      *platform.Client
 	Store       *config.Store
 	Booker      *config.Booker
 }
@@ -73,6 +74,7 @@
 		peers:      n.Links,
 		dispatcher: n.Dispatcher,
 		directory:  n.Directory,
+		client:     n.Client,
 		store:      n.Store,
 		booker:     n.Booker,
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -76,8 +76,9 @@
 
 // Listing is the platform's list of hosts.
 type Listing struct {
-	Revision int          `json:"revision"`
-	Hosts    []ListedHost `json:"hosts"`
+	Revision  int          `json:"revision"`
+	Hosts     []ListedHost `json:"hosts"`
+	Evacuated []string     `json:"evacuated,omitempty"` // failure domains to which nothing new may be sent
 }
 
 // maxResponseBytes bounds the body of a response.
--- a/io/platform/directory.go
+++ b/io/platform/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -19,12 +20,20 @@
 type Directory struct {
 	services Services
 
+	onEvacuated func(domains int)
+
 	mu      sync.Mutex
 	listing Listing
 }
 
-// NewDirectory returns a directory without a list.
-func NewDirectory(services Services) *Directory { return &Directory{services: services} }
+// NewDirectory returns a directory without a list. It passes the number of evacuated failure
+// domains in each list to onEvacuated.
+func NewDirectory(services Services, onEvacuated func(domains int)) *Directory {
+	return &Directory{
+		services:    services,
+		onEvacuated: onEvacuated,
+	}
+}
 
 // Revision returns the revision of the list, or 0 if there is none.
 func (d *Directory) Revision() int {
@@ -48,6 +57,7 @@
 		return false
 	}
 	d.listing = listing
+	d.onEvacuated(len(listing.Evacuated))
 	// The lock is held, so that two lists can't be applied in the wrong order.
 	d.services.SetServers(serversByService(listing))
 	return true
@@ -80,7 +90,9 @@
 	services := map[string][]place.Server{}
 	for _, h := range listing.Hosts {
 		for _, service := range h.Services {
-			services[service] = append(services[service], newServer(h))
+			server := newServer(h)
+			server.Evacuated = slices.Contains(listing.Evacuated, h.Domain)
+			services[service] = append(services[service], server)
 		}
 	}
 	return services
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -56,7 +56,7 @@
 		Module: fx.Options(
 			fx.Provide(
 				newClient,
-				func(d *dispatch.Dispatcher) *Directory { return NewDirectory(d) },
+				func(d *dispatch.Dispatcher, c *telemetry.Counters) *Directory { return NewDirectory(d, c.Evacuated) },
 			),
 			fx.Invoke(startPolling),
 		),
@@ -106,6 +106,6 @@
 		p.log.Info("host list availability changed", "reachable", !failing)
 	}
 	if changed && p.directory.Update(listing) {
-		p.log.Info("host list changed", "revision", listing.Revision, "hosts", len(listing.Hosts))
+		p.log.Info("host list changed", "revision", listing.Revision, "hosts", len(listing.Hosts), "evacuated", listing.Evacuated)
 	}
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -46,7 +47,8 @@
 	revision     int
 	changed      chan struct{} // closed and replaced at each commit, to wake waiting readers
 	hosts        map[string]platform.ListedHost
-	listVersions []listVersion // oldest first
+	evacuated    map[string]bool // by failure domain
+	listVersions []listVersion   // oldest first
 	faults       Faults
 	counts       Counts
 }
@@ -59,6 +61,8 @@
 		objects: map[string][]byte{},
 		changed: make(chan struct{}),
 		hosts:   map[string]platform.ListedHost{},
+
+		evacuated: map[string]bool{},
 	}
 }
 
@@ -70,6 +74,7 @@
 	r.HandleFunc("/hosts/{id}", p.putHost).Methods(http.MethodPut)
 	r.HandleFunc("/hosts/{id}", p.deleteHost).Methods(http.MethodDelete)
 	r.Handle("/hosts", p.withFaults(p.getHosts)).Methods(http.MethodGet)
+	r.Handle("/evacuations/{domain}", p.withFaults(p.evacuate)).Methods(http.MethodPut, http.MethodDelete)
 	r.Handle("/table", p.withFaults(p.getChanges)).Methods(http.MethodGet)
 	r.Handle("/table/{key}", p.withFaults(p.getRow)).Methods(http.MethodGet)
 	r.Handle("/commits", p.withFaults(p.commit)).Methods(http.MethodPost)
@@ -99,7 +104,10 @@
 	if n := len(p.listVersions); n > 0 {
 		revision = p.listVersions[n-1].listing.Revision + 1
 	}
-	listing := platform.Listing{Revision: revision}
+	listing := platform.Listing{
+		Revision:  revision,
+		Evacuated: slices.Sorted(maps.Keys(p.evacuated)),
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.hosts)) {
 		listing.Hosts = append(listing.Hosts, p.hosts[id])
 	}
@@ -178,6 +186,24 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// evacuate adds a failure domain to the evacuated ones, or removes it.
+func (p *Platform) evacuate(w http.ResponseWriter, r *http.Request) {
+	domain, err := url.PathUnescape(mux.Vars(r)["domain"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.Method == http.MethodPut {
+		p.evacuated[domain] = true
+	} else {
+		delete(p.evacuated, domain)
+	}
+	p.addListVersion()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (p *Platform) deleteHost(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
