schedule: jobs that may run elsewhere start with the answers of the homes of before

Cause: a failure domain gives no votes for 1.27 s after one of its homes was replaced, as the new home doesn't know what was announced before.

Change: [schedule] former = ask. Jobs are also announced to homes that left the plan less than 1.27 s ago. These say for how long they were homes; a former home refuses jobs that it runs, or knows to run elsewhere, as a home does. If all homes that a failure domain had in that time, as far as this host saw, have acknowledged a job, and those that it had at its beginning know of earlier runs, its new homes need not. A home that doesn't answer, whose process is new, or that returns is waited for as before, and so are all after a pause of this host. With wait nothing changes.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -273,7 +273,7 @@
 	startable := false // a job that waited for this answer
 	for _, id := range msg.Jobs {
 		j := m.jobs[id]
-		if _, known := m.homes[msg.Host]; !known || j == nil || !msg.SentAt.After(j.answers[msg.Host].sentAt) {
+		if !m.counts(msg.Host) || j == nil || !msg.SentAt.After(j.answers[msg.Host].sentAt) {
 			continue
 		}
 		if j.answers == nil {
@@ -282,7 +282,8 @@
 		awaited := m.awaitsAcknowledgement(now, j)
 		a := j.answers[msg.Host]
 		a.sentAt = msg.SentAt
-		a.votes, a.knows = msg.Votes, !m.isNew(msg.Age) && (m.limits.MajorityWait == 0 || msg.HomeFor >= m.limits.AnnouncementTTL)
+		tenure := max(msg.HomeFor, msg.WasFor+msg.Left)
+		a.votes, a.knows = msg.Votes, !m.isNew(msg.Age) && (m.limits.MajorityWait == 0 || tenure >= m.limits.AnnouncementTTL)
 		j.answers[msg.Host] = a
 		startable = startable || (awaited && !m.awaitsAcknowledgement(now, j))
 		acknowledged = append(acknowledged, j)
@@ -306,6 +307,7 @@
 		_, known := m.homes[host]
 		return known
 	})
+	m.recordMembership(now, homes, msg.Member)
 	for home := range m.homes {
 		if _, stays := homes[home]; !stays {
 			m.removeHome(home)
@@ -316,6 +318,7 @@
 		m.homesByDomain = groupByDomain(homes)
 	}
 	for _, home := range added {
+		m.forgetAnswers(home)
 		m.heardAt[home] = now
 	}
 	joined := msg.Member && !m.member
@@ -344,11 +347,22 @@
 	delete(m.unansweredSince, home)
 	delete(m.heardAt, home)
 	delete(m.homeVotes, home)
+	m.forgetAnswers(home)
+}
+
+func (m *Model) forgetAnswers(home string) {
 	for _, j := range m.jobs {
 		delete(j.answers, home)
 	}
 }
 
+// counts reports whether the acknowledgements of a host count, as one of the homes or a former one.
+func (m *Model) counts(host string) bool {
+	_, home := m.homes[host]
+	_, former := m.former[host]
+	return home || former
+}
+
 // expireAnnouncements deletes the announcements that were not renewed.
 func (m *Model) expireAnnouncements(now time.Time) {
 	m.expiredAt = now
--- a/core/schedule/majority.go
+++ b/core/schedule/majority.go
@@ -122,12 +122,12 @@
 	}
 	votes := m.votesByDomain(func(home string) domainVotes {
 		a := j.answers[home]
-		if !a.knows {
+		if !a.knows && !m.isInformed(now, j, m.homes[home]) {
 			return domainVotes{}
 		}
 		return domainVotes{votes: a.votes}
 	})
-	if m.ownVotes() && now.Sub(m.memberSince) < m.limits.AnnouncementTTL {
+	if m.ownVotes() && now.Sub(m.memberSince) < m.limits.AnnouncementTTL && !m.isInformed(now, j, m.domain) {
 		votes = votes[1:]
 	}
 	return m.isMajority(votes)
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -31,6 +31,7 @@
 	MajorityWait        time.Duration // time without a majority after which jobs don't wait for one; 0 if none is needed
 	MaxLease            time.Duration // longest lease of a run whose end is unknown
 	StopTimeout         time.Duration // longest time that backend servers take to stop a run after that
+	AskFormer           bool          // homes that left the plan recently are asked about jobs in place of their successors
 }
 
 // finishedJob is the outcome of a job that has ended.
@@ -75,16 +76,20 @@
 	heardAt         map[string]time.Time // when a home became one, or last answered, by home
 	member          bool                 // this host is a home
 	memberSince     time.Time
-	domain          string          // own failure domain
-	votes           int             // of the hosts that this one hears in it
-	votedAt         time.Time       // when these were last counted, with this host a home
-	needed          int             // votes that a home must have; 0 if unknown
-	all             int             // votes of all hosts
-	homeVotes       map[string]int  // votes in the latest answers of other homes, by home
-	noMajoritySince time.Time       // since when this home can't have enough votes; zero if it can
-	notAllSince     time.Time       // since when it can't have those of all hosts; zero if it can
-	unheard         map[string]bool // homes whose announcements this one may not know
-	unheardUntil    time.Time       // after which those made before don't count any more
+	domain          string                // own failure domain
+	votes           int                   // of the hosts that this one hears in it
+	votedAt         time.Time             // when these were last counted, with this host a home
+	needed          int                   // votes that a home must have; 0 if unknown
+	all             int                   // votes of all hosts
+	homeVotes       map[string]int        // votes in the latest answers of other homes, by home
+	noMajoritySince time.Time             // since when this home can't have enough votes; zero if it can
+	notAllSince     time.Time             // since when it can't have those of all hosts; zero if it can
+	enteredAt       map[string]time.Time  // when homes entered the plan, by home
+	former          map[string]formerHome // homes that left it recently
+	wasFor          time.Duration         // for how long this host was a home before leftAt
+	leftAt          time.Time             // when it ceased to be one; zero if it didn't
+	unheard         map[string]bool       // homes whose announcements this one may not know
+	unheardUntil    time.Time             // after which those made before don't count any more
 }
 
 // New returns a scheduler without jobs; self is the host of the own pool.
@@ -109,6 +114,8 @@
 		unansweredSince: map[string]time.Time{},
 		heardAt:         map[string]time.Time{},
 		homeVotes:       map[string]int{},
+		enteredAt:       map[string]time.Time{},
+		former:          map[string]formerHome{},
 	}
 }
 
@@ -151,6 +158,7 @@
 	case StallMsg:
 		// It may have missed what homes announced that have left since, as a new home has.
 		m.memberSince = now
+		m.forgetMembership(now)
 		return append(m.giveUpRemote(now), m.ask(now)...)
 	case TickMsg:
 		m.expireOutcomes(now)
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -59,6 +59,8 @@
 	Age     time.Duration // of the other home's process; 0 if unknown
 	Votes   int           // of the hosts that the other home hears in its failure domain; 0 if it isn't a home
 	HomeFor time.Duration // for how long it has been a home
+	WasFor  time.Duration // for how long it was a home before it ceased to be one; 0 if it is one, or was none recently
+	Left    time.Duration // how long ago that was
 }
 
 // HomesMsg sets the homes of the service.
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -26,11 +26,18 @@
 // announceJobs sends jobs to all other homes, and records which of them these leave to this
 // host.
 func (s *Scheduler) announceJobs(shard *Shard, sent time.Time, jobs []string) {
-	for _, home := range s.otherHomes(shard.service) {
+	for _, home := range slices.Concat(s.otherHomes(shard.service), shard.formerHomes()) {
 		go s.announceTo(home, shard, sent, jobs)
 	}
 }
 
+// formerHomes returns the homes that left the plan recently.
+func (s *Shard) formerHomes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs.FormerHomes(s.now())
+}
+
 func (s *Scheduler) announceTo(home string, shard *Shard, sent time.Time, jobs []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -53,9 +60,19 @@
 		Age:     processAge(answer.Opened.Up),
 		Votes:   votes,
 		HomeFor: homeFor,
+		WasFor:  optionalTime(answer.Opened.Was),
+		Left:    optionalTime(answer.Opened.Left),
 	})
 }
 
+// optionalTime returns the time in an optional field in microseconds, 0 if it is missing.
+func optionalTime(field *int) time.Duration {
+	if field == nil {
+		return 0
+	}
+	return microseconds(*field)
+}
+
 // without returns the IDs that are not among the others.
 func without(ids, others []string) []string {
 	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(others, id) })
@@ -269,6 +286,7 @@
 func (s *Scheduler) ServeOpen(_ context.Context, f wire.Frame) (wire.Frame, bool) {
 	shard := s.Shard(f.Open.Service)
 	votes, homeFor := shard.votes()
+	was, left := shard.tenure()
 	answer := s.recordAnnouncements(f.Open)
 	refused := without(f.Open.Jobs, answer.Jobs)
 	if len(refused) > 0 {
@@ -281,9 +299,20 @@
 		Up:       s.up(),
 		Votes:    &votes,
 		Home:     &homeFor,
+		Was:      &was,
+		Left:     &left,
 	}}, true
 }
 
+// tenure returns in microseconds for how long this host was a home until recently, and how long
+// ago it ceased to be one.
+func (s *Shard) tenure() (was, left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ago := s.jobs.Tenure(s.now())
+	return int(d.Microseconds()), int(ago.Microseconds())
+}
+
 // votes returns this home's votes, and for how long it has been one in microseconds, for its
 // answers to other homes.
 func (s *Shard) votes() (votes, homeFor int) {
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -27,6 +27,10 @@
 const (
 	section     = "schedule"
 	sectionPool = "pool"
+
+	// Values of the setting former.
+	formerAsked   = "ask"
+	formerAwaited = "wait"
 )
 
 func init() {
@@ -98,6 +102,12 @@
 				number("hope", "3", "Expected wait of a late job, as a multiple of the time left in which its answer is of use, from which it is refused.", 0, 100),
 				number("spare", "0.1", "Share of the total capacity that must be free before a late job starts.", 0, 1),
 				duration("patience", "10ms", "Grace period in which a job that can't start in time may still find capacity for all of its tasks.", 0, time.Minute),
+				{
+					Name:    "former",
+					Default: formerAsked,
+					Help:    "Whether jobs that may run elsewhere are announced to the homes of before, too, and start once these have answered (ask), or wait until new homes know what was announced before (wait).",
+					Kind:    settings.Choice{Of: []string{formerAsked, formerAwaited}},
+				},
 				{
 					Name:    "jobs",
 					Default: "5000",
@@ -241,6 +251,7 @@
 		MajorityWait:        s.Duration("roster", "dead"),
 		MaxLease:            s.Duration(sectionPool, "granted"),
 		StopTimeout:         s.Duration(sectionPool, "stop"),
+		AskFormer:           s.Text(section, "former") == formerAsked,
 	}
 }
 
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -622,6 +622,9 @@
 	// have been one as long as their process runs.
 	Home *int `cbor:"home,omitempty" json:"home,omitempty,omitzero"`
 
+	// Time since then, in microseconds.
+	Left *int `cbor:"left,omitempty" json:"left,omitempty,omitzero"`
+
 	// IDs of the announced jobs for which this does not hold, as the sender
 	// coordinates them too, or a third home does.
 	Refused []string `cbor:"refused" json:"refused"`
@@ -632,6 +635,10 @@
 	// Votes of the hosts that the sender hears in its failure domain; 0 if it isn't a
 	// home. Versions without it have those of one host.
 	Votes *int `cbor:"votes,omitempty" json:"votes,omitempty,omitzero"`
+
+	// Time for which it was a home, in microseconds, if it has ceased to be one
+	// recently.
+	Was *int `cbor:"was,omitempty" json:"was,omitempty,omitzero"`
 }
 
 // Outcome is the final result of a job.
