scheduler, roster: former homes and inherited lists can be seen in metrics and the log

messages_total counts announcements to former homes, requests for lists of other hosts, and answers to these that are rejected as malformed, which are logged. A peer that has read no lists either is passed over without a line.

--- a/io/roster/inherit.go
+++ b/io/roster/inherit.go
@@ -51,13 +51,19 @@
 	defer cancel()
 	asked := time.Now()
 	answer, err := l.peers.Call(ctx, address, wire.Frame{List: &wire.List{}})
-	if err == nil {
-		err = checkInherited(answer.Listing)
-	}
+	l.counters.Messages("inherit", 1)
 	if err != nil {
 		l.log.V(1).Info("lists not inherited", "address", address, "error", err.Error())
 		return
 	}
+	if answer.Listing == nil || answer.Listing.Position == 0 || answer.Listing.Rows == nil {
+		return // it has read none either
+	}
+	if err := checkInherited(answer.Listing); err != nil {
+		l.counters.Messages("malformed", 1)
+		l.log.Info("lists not inherited", "address", address, "error", err.Error())
+		return
+	}
 	// All times count from the request, so that the rows don't seem younger than they are.
 	rows := answer.Listing.Rows
 	l.roster.inheritRows(asked, rows)
@@ -71,10 +77,8 @@
 // checkInherited reports why lists can't be used by a host that has none.
 func checkInherited(lists *wire.Listing) error {
 	switch {
-	case lists == nil:
-		return errors.New("peer response contains no lists")
-	case !lists.Whole || lists.Position <= 0 || lists.Rows == nil:
-		return errors.New("the peer has not read the lists")
+	case !lists.Whole || lists.Position < 0:
+		return errors.New("the lists are not whole")
 	case lists.Rows.Read < 0 || lists.Rows.First < lists.Rows.Read:
 		return errors.Errorf("rows were read %d to %d ms ago", lists.Rows.First, lists.Rows.Read)
 	}
--- a/io/scheduler/announce.go
+++ b/io/scheduler/announce.go
@@ -26,7 +26,9 @@
 // announceJobs sends jobs to all other homes, and records which of them these leave to this
 // host.
 func (s *Scheduler) announceJobs(shard *Shard, sent time.Time, jobs []string) {
-	for _, home := range slices.Concat(s.otherHomes(shard.service), shard.formerHomes()) {
+	former := shard.formerHomes()
+	s.config.Counters.Messages("former", len(former))
+	for _, home := range slices.Concat(s.otherHomes(shard.service), former) {
 		go s.announceTo(home, shard, sent, jobs)
 	}
 }
