Limit what clients hold: bytes of requests, connections, headers and times

What callers saw: clients that send large bodies and stop short of their end, heads without end or nothing at all took memory and descriptors until the process ended or took no more connections.

Cause: bodies were read without a bound on all of them together, headers up to 1 MB, connections without a request had no time limit; the configuration's limits for headers and idle connections were decoded by nobody.

A request that gives way gets 503 if it is its caller's first attempt, else 502 (standalone: ran maybe). The memory of the host can be set in the standalone edition too; [memory] host is 0 by default, that of the machine.

--- a/core/reason.go
+++ b/core/reason.go
@@ -42,6 +42,7 @@
 	ReasonStall        Reason = "stall"       // the process of the job's host was stalled for too long
 	ReasonElsewhere    Reason = "elsewhere"   // another home has runs of the job
 	ReasonMajority     Reason = "majority"    // too few hosts vote for the home of the job
+	ReasonMemory       Reason = "memory"      // the memory for requests was needed for others
 	ReasonUnconfirmed  Reason = "unconfirmed" // the job's caller was not confirmed to be waiting recently enough
 )
 
@@ -56,6 +57,6 @@
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonCapacity, ReasonSlow,
 		ReasonLeaseExpired, ReasonCrashed, ReasonCrashes, ReasonUnsupported, ReasonShared, ReasonStall, ReasonUnconfirmed, ReasonMajority,
-		ReasonElsewhere,
+		ReasonElsewhere, ReasonMemory,
 	}
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -21,10 +21,11 @@
 // Queue returns what callers know a route by: the host and the path prefix of its requests.
 func (r Route) Queue() string { return r.Host + r.Prefix }
 
-// Limits bounds the requests of callers.
+// Limits bounds the requests of callers. A value of 0 is unknown.
 type Limits struct {
 	MaxBodyBytes   int           // maximum body size in bytes
 	MaxHeaderBytes int           // maximum header size in bytes
+	HeaderTimeout  time.Duration // maximum time for which a header is received
 	IdleTimeout    time.Duration // idle timeout of a connection
 }
 
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 
 	"rosemarywalk/core"
 	"rosemarywalk/core/job"
+	"rosemarywalk/io/server"
 	"rosemarywalk/io/wire"
 )
 
@@ -229,12 +229,17 @@
 // response.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := int64(h.service.limits.MaxBodyBytes)
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	raw, err := server.ReadBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		writeResponse(w, invalidResponse(http.StatusRequestEntityTooLarge, errors.Errorf("body is over %d bytes", limit)))
 		return nil, false
+	case errors.Is(err, server.ErrMemory):
+		// An earlier submission under this ticket or key may have run.
+		h.service.counters.Refused(core.ReasonMemory)
+		writeResponse(w, failedResponse(job.Failed(core.RanMaybe, core.ReasonMemory)))
+		return nil, false
 	case err != nil:
 		writeResponse(w, invalidResponse(http.StatusBadRequest, errors.Annotate(err, "read body")))
 		return nil, false
--- a/io/caller/plugin.go
+++ b/io/caller/plugin.go
@@ -13,6 +13,7 @@
 	"rosemarywalk/io/claim"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/intake"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/ready"
@@ -128,12 +129,12 @@
 // Server is the HTTP server for callers. The plug-in drain shuts it down.
 type Server struct{ *server.Server }
 
-func newServer(s settings.Settings, service *Service, claims *claim.Claimer, flag *ready.Flag, log logr.Logger) Server {
+func newServer(s settings.Settings, service *Service, claims *claim.Claimer, flag *ready.Flag, limits *intake.Intake, log logr.Logger) Server {
 	router := mux.NewRouter()
 	NewHandler(service, claims).Routes(router)
 	router.HandleFunc("/readyz", flag.Readyz).Methods(http.MethodGet)
 	router.HandleFunc("/livez", flag.Livez).Methods(http.MethodGet)
-	return Server{Server: server.New(section, s.Text(section, "listen"), router, log)}
+	return Server{Server: server.New(section, s.Text(section, "listen"), router, limits.Callers(), log)}
 }
 
 func listen(lc fx.Lifecycle, s Server) {
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -135,7 +135,7 @@
 
 func isRetryable(reason core.Reason) bool {
 	switch reason {
-	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable:
+	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable, core.ReasonMemory:
 		return true
 	}
 	return false
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +31,8 @@
 	idDigits         = 16
 	configRetryDelay = 500 * time.Millisecond
 	stopRetryDelay   = 100 * time.Millisecond
+	memoryRetryDelay = time.Second
+	largeBodyBytes   = 16 << 10
 )
 
 // Handler serves the callers' HTTP API.
@@ -44,6 +46,7 @@
 	log           logr.Logger
 	latency       *telemetry.Latency
 	maxTasks      int // of one job
+	parsing       sync.Mutex
 	startGate     startGate
 	rejecting     atomic.Bool // set once a planned stop rejects new requests
 	aged          atomic.Bool // set once startsAny was true
@@ -142,17 +145,21 @@
 	if limit == 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := server.ReadBody(w, r, limit)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		h.refuse(w, http.StatusRequestEntityTooLarge, core.ReasonLarge, fmt.Sprintf("request body exceeds %d bytes", limit), 0)
 		return
+	case errors.Is(err, server.ErrMemory):
+		h.refuseUnread(w, r, req)
+		return
 	case err != nil:
 		h.refuse(w, http.StatusBadRequest, core.ReasonMalformed, "request body is incomplete", 0)
 		return
 	}
-	submission, err := h.format.ParseJob(body)
+	submission, err := h.parse(body)
+	server.ReleaseBody(r.Context())
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, core.ReasonMalformed, err.Error(), 0)
 		return
@@ -178,6 +185,29 @@
 	h.format.WriteOutcome(w, outcome)
 }
 
+// refuseUnread refuses a request that wasn't read completely for want of memory. Unless it is
+// its caller's first attempt, the job may run already.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, req request) {
+	if wait := h.format.Timeout(r.Header); wait > 0 {
+		if _, first := h.waitEstimator.elapsed(req.route.Name, wait); first {
+			h.refuse(w, http.StatusServiceUnavailable, core.ReasonMemory, "too little memory to read the request; the job will not run", memoryRetryDelay)
+			return
+		}
+	}
+	h.counters.Failed(core.ReasonMemory)
+	h.format.WriteError(w, http.StatusBadGateway, string(core.ReasonMemory), "too little memory to read the request; an earlier one for the job may have run", memoryRetryDelay)
+}
+
+// parse parses the body of a submission. Large ones are parsed one at a time, as a parsed job
+// takes many times the memory of its body.
+func (h *Handler) parse(body []byte) (Submission, error) {
+	if len(body) > largeBodyBytes {
+		h.parsing.Lock()
+		defer h.parsing.Unlock()
+	}
+	return h.format.ParseJob(body)
+}
+
 // callerOf returns when the caller of a request was last known to wait: its connection is
 // open.
 func callerOf(ctx context.Context) peer.Confirmation {
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"rosemarywalk/core/route"
+	"rosemarywalk/io/intake"
 	"rosemarywalk/io/loop"
 	"rosemarywalk/io/ready"
 	"rosemarywalk/io/roster"
@@ -124,6 +125,7 @@
 	Flag      *ready.Flag
 	Counters  *telemetry.Counters
 	Latency   *telemetry.Latency
+	Intake    *intake.Intake
 	Log       logr.Logger
 }
 
@@ -143,19 +145,26 @@
 	}
 	n.Watcher.SetRouteWaits(h.waitEstimator.estimates)
 	n.Watcher.OnHosts(h.waitEstimator.adopt)
-	n.Watcher.OnConfig(func(route.Config) { h.waitEstimator.retain(n.Watcher.Config().Routes) })
+	n.Watcher.OnConfig(func(c route.Config) {
+		h.waitEstimator.retain(n.Watcher.Config().Routes)
+		n.Intake.SetCallers(server.Limits{
+			HeadBytes:   c.Limits.MaxHeaderBytes,
+			HeadTimeout: c.Limits.HeaderTimeout,
+			IdleTimeout: c.Limits.IdleTimeout,
+		})
+	})
 	return h
 }
 
-func listen(lc fx.Lifecycle, s settings.Settings, h *Handler, registry *prometheus.Registry, log logr.Logger) {
+func listen(lc fx.Lifecycle, s settings.Settings, h *Handler, limits *intake.Intake, registry *prometheus.Registry, log logr.Logger) {
 	probes := mux.NewRouter()
 	probes.HandleFunc(h.format.ReadinessPath(), h.Ready)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	callers := server.New("callers", s.Text(section, "listen"), h.Router(), log)
+	callers := server.New("callers", s.Text(section, "listen"), h.Router(), limits.Callers(), log)
 	others := []*server.Server{
-		server.New("readiness", s.Text(section, "ready"), probes, log),
-		server.New("metrics", s.Text(section, "metrics"), metrics, log),
+		server.New("readiness", s.Text(section, "ready"), probes, limits.Other(), log),
+		server.New("metrics", s.Text(section, "metrics"), metrics, limits.Other(), log),
 	}
 	loop.Append(lc, h.releaseHeld)
 	for _, web := range others {
--- a/io/memory/plugin.go
+++ b/io/memory/plugin.go
@@ -4,6 +4,7 @@
 	"runtime/debug"
 
 	"go.uber.org/fx"
+	"golang.org/x/sys/unix"
 
 	"rosemarywalk/io/settings"
 	"rosemarywalk/kernel"
@@ -16,9 +17,12 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
-		Name:     section,
-		Order:    0,
-		Editions: []kernel.Edition{kernel.Platform},
+		Name:  section,
+		Order: 0,
+		Editions: []kernel.Edition{
+			kernel.Standalone,
+			kernel.Platform,
+		},
 		Settings: settings.Section{
 			Name: section,
 			Help: "Garbage collection and memory limit of the process.",
@@ -26,7 +30,7 @@
 				{
 					Name:    "growth",
 					Default: "400",
-					Help:    "Heap growth between garbage collections, in percent of the live heap; higher values use more memory and less processor time.",
+					Help:    "Heap growth between garbage collections, in percent of the live heap, if the memory is set; higher values use more memory and less processor time.",
 					Kind: settings.Integer{
 						Min: 10,
 						Max: 10000,
@@ -34,10 +38,10 @@
 				},
 				{
 					Name:    "host",
-					Default: "284",
-					Help:    "Memory available to the process, in megabytes; garbage collection aims to keep the process below half of it.",
+					Default: "0",
+					Help:    "Memory available to the process, in megabytes; garbage collection aims to keep the process below half of it. 0 is the memory of the machine, without a limit for garbage collection.",
 					Kind: settings.Integer{
-						Min: 16,
+						Min: 0,
 						Max: 1_000_000,
 					},
 				},
@@ -51,6 +55,22 @@
 // operating system's kernel for buffers that it holds on behalf of the process.
 func setLimits(s settings.Settings) {
 	const half = 2
+	host := s.Integer(section, "host")
+	if host == 0 {
+		return
+	}
 	debug.SetGCPercent(s.Integer(section, "growth"))
-	debug.SetMemoryLimit(int64(s.Integer(section, "host")) * mebibyte / half)
+	debug.SetMemoryLimit(int64(host) * mebibyte / half)
+}
+
+// Available returns the memory available to the process, in bytes; 0 if it isn't known.
+func Available(s settings.Settings) int64 {
+	if host := s.Integer(section, "host"); host > 0 {
+		return int64(host) * mebibyte
+	}
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
 }
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core/ticket"
 	"rosemarywalk/io/config"
 	"rosemarywalk/io/dispatch"
+	"rosemarywalk/io/intake"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/member"
 	"rosemarywalk/io/peer"
@@ -92,10 +93,10 @@
 	}}
 }
 
-func listen(lc fx.Lifecycle, s settings.Settings, h *Handler, log logr.Logger) {
+func listen(lc fx.Lifecycle, s settings.Settings, h *Handler, limits *intake.Intake, log logr.Logger) {
 	router := mux.NewRouter()
 	h.Routes(router)
-	web := server.New(section, s.Text(section, "listen"), router, log)
+	web := server.New(section, s.Text(section, "listen"), router, limits.Other(), log)
 	lc.Append(fx.StartStopHook(web.Start, web.Close))
 }
 
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"rosemarywalk/io/intake"
 	"rosemarywalk/io/late"
 	"rosemarywalk/io/local"
 	"rosemarywalk/io/server"
@@ -112,8 +113,8 @@
 	return NewServer(p.Handlers, s.Duration(section, "silence"), p.Stalls, orUnmeasured(p.Meter), counters, log)
 }
 
-func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, log logr.Logger) {
-	httpServer := server.New("peer", s.Text(section, "listen"), handler, log)
+func listen(lc fx.Lifecycle, s settings.Settings, handler *Server, limits *intake.Intake, log logr.Logger) {
+	httpServer := server.New("peer", s.Text(section, "listen"), handler, limits.Peers(), log)
 	lc.Append(fx.StartStopHook(httpServer.Start, func() {
 		handler.Close()
 		httpServer.Close()
--- a/io/plugins/plugins.go
+++ b/io/plugins/plugins.go
@@ -12,6 +12,7 @@
 	_ "rosemarywalk/io/executor"
 	_ "rosemarywalk/io/feed"
 	_ "rosemarywalk/io/host"
+	_ "rosemarywalk/io/intake"
 	_ "rosemarywalk/io/member"
 	_ "rosemarywalk/io/memory"
 	_ "rosemarywalk/io/operator"
--- a/io/server/conn_test.go
+++ b/io/server/conn_test.go
@@ -60,7 +60,7 @@
 			s := New("test", "127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				requests <- r
 				<-done
-			}), logr.Discard())
+			}), newTestGuard(testLimits), logr.Discard())
 			assert.NilError(t, s.Start())
 			defer s.Close()
 			defer close(done)
@@ -104,7 +104,7 @@
 			arrivals := make(chan time.Time, 1)
 			s := New("test", "", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				arrivals <- Arrived(r.Context())
-			}), logr.Discard())
+			}), newTestGuard(testLimits), logr.Discard())
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			defer s.Close()
--- a/io/server/listener.go
+++ b/io/server/listener.go
@@ -5,7 +5,6 @@
 	"math"
 	"net"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,16 +13,22 @@
 
 // listener is a TCP listener that can be stopped without a reset of connections that the
 // operating system has already accepted.
-type listener struct{ *net.TCPListener }
+type listener struct {
+	*net.TCPListener
+	guard *Guard
+}
 
-func listen(address string) (listener, error) {
+func listen(address string, guard *Guard) (listener, error) {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // its sockets can't have a filter
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return listener{}, err
 	}
-	return listener{TCPListener: l.(*net.TCPListener)}, nil
+	return listener{
+		TCPListener: l.(*net.TCPListener),
+		guard:       guard,
+	}, nil
 }
 
 // refuseNew is a filter of the operating system that drops the packets that open a new
@@ -70,7 +75,12 @@
 	for {
 		tcp, err := l.AcceptTCP()
 		if err == nil {
-			return &conn{TCPConn: tcp}, nil
+			c := newConn(tcp, l.guard)
+			if l.guard.open(c) {
+				return c, nil
+			}
+			_ = tcp.Close()
+			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
@@ -99,32 +109,3 @@
 	})
 	return n > 0 && err == nil
 }
-
-// conn is a connection that counts the bytes that have arrived and those of answered requests.
-type conn struct {
-	*net.TCPConn
-	read     atomic.Uint64 // bytes that the server has read
-	answered atomic.Uint64 // those of them that belong to requests that it has answered
-}
-
-// Read reads from the connection.
-func (c *conn) Read(buffer []byte) (int, error) {
-	n, err := c.TCPConn.Read(buffer)
-	c.read.Add(uint64(n))
-	return n, err
-}
-
-// received returns the number of bytes that have arrived. Bytes that a goroutine has taken
-// from the operating system and not yet counted are included.
-func (c *conn) received() uint64 {
-	received := uint64(0)
-	if raw, err := c.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			if err == nil {
-				received = info.Bytes_received
-			}
-		})
-	}
-	return max(received, c.read.Load())
-}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -10,12 +10,10 @@
 	"github.com/juju/errors"
 )
 
-// headerTimeout closes connections of clients that don't send a complete request header.
-const headerTimeout = 10 * time.Second
-
 // Server is an HTTP listener.
 type Server struct {
 	name    string
+	guard   *Guard
 	http    *http.Server
 	tracker *connTracker
 	log     logr.Logger
@@ -25,18 +23,19 @@
 }
 
 // New returns a Server that isn't started.
-func New(name, address string, handler http.Handler, log logr.Logger) *Server {
+func New(name, address string, handler http.Handler, guard *Guard, log logr.Logger) *Server {
 	a := &connTracker{conns: map[*conn]connState{}}
 	return &Server{
 		name:    name,
+		guard:   guard,
 		tracker: a,
 		log:     log.WithName(name),
 		http: &http.Server{
-			Addr:              address,
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			ConnState:         a.track,
-			ConnContext:       withConn,
+			Addr:           address,
+			Handler:        rejectInterrupted(handler),
+			MaxHeaderBytes: maxHeadBytes,
+			ConnState:      a.track,
+			ConnContext:    withConn,
 		},
 		stopped: make(chan struct{}),
 	}
@@ -45,7 +44,7 @@
 // Start opens the listener synchronously, so that an address in use is reported as an
 // error.
 func (s *Server) Start() error {
-	listener, err := listen(s.http.Addr)
+	listener, err := listen(s.http.Addr, s.guard)
 	if err != nil {
 		return errors.Annotatef(err, "listen for %s", s.name)
 	}
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -30,7 +30,7 @@
 				<-release
 			}
 			_, _ = fmt.Fprint(w, "answer")
-		}), logr.Discard()),
+		}), newTestGuard(testLimits), logr.Discard()),
 		release: release,
 	}
 }
--- a/io/server/tracker.go
+++ b/io/server/tracker.go
@@ -28,6 +28,7 @@
 	if !ok {
 		return
 	}
+	c.guard.track(c, state)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known := a.conns[c]
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -39,11 +39,13 @@
 
 // fleetOptions configures a test's fleet.
 type fleetOptions struct {
-	hosts         int
-	servers       int
-	slots         int
-	homeScope     string // scope of a service's home; "host" when empty
-	extraSettings string // lines appended to every host's settings file
+	hosts          int
+	servers        int
+	slots          int
+	homeScope      string                          // scope of a service's home; "host" when empty
+	extraSettings  string                          // lines appended to every host's settings file
+	callerSettings string                          // lines of the section caller
+	command        func(settings string) *exec.Cmd // runs a host; the test's own program if nil
 }
 
 // fleet consists of host processes, and of a fake platform and fake backend servers
@@ -64,9 +66,10 @@
 	name         string
 	ip           string
 	settingsFile string
-	peerProxy    *proxy.Proxy // in front of the peer address
-	callerURL    string       // base URL
-	operatorURL  string       // base URL
+	peerProxy    *proxy.Proxy                    // in front of the peer address
+	callerURL    string                          // base URL
+	operatorURL  string                          // base URL
+	command      func(settings string) *exec.Cmd // the test's own program if nil
 	cmd          *exec.Cmd
 	log          *logBuffer
 }
@@ -180,6 +183,7 @@
 		settingsFile: filepath.Join(f.dir, fmt.Sprintf("host-%d.ini", i)),
 		callerURL:    "http://" + net.JoinHostPort(ip, "7000"),
 		operatorURL:  "http://" + net.JoinHostPort(ip, "7200"),
+		command:      f.options.command,
 	}
 	peer := net.JoinHostPort(ip, "7100")
 	h.peerProxy = f.newProxy(peer)
@@ -200,7 +204,7 @@
 	text := strings.Join([]string{
 		"[host]", "domain = " + domain, "secret = a-secret-for-the-proofs",
 		"[log]", "level = info",
-		"[caller]", "listen = " + strings.TrimPrefix(h.callerURL, "http://"),
+		"[caller]", "listen = " + strings.TrimPrefix(h.callerURL, "http://"), f.options.callerSettings,
 		"[operator]", "listen = " + strings.TrimPrefix(h.operatorURL, "http://"),
 		"[platform]", "url = http://" + f.platformProxy.Address(), "poll = 200ms", "timeout = 1s",
 		"[member]", "period = 200ms", "dead = 2s",
@@ -216,6 +220,10 @@
 func (h *hostProcess) start() {
 	h.t.Helper()
 	h.log = &logBuffer{}
+	if h.command != nil {
+		h.startCommand(h.command(h.settingsFile))
+		return
+	}
 	h.startCommand(exec.Command(os.Args[0]))
 }
 
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -39,25 +39,30 @@
 	servers         []*standin.Server
 	serverAddresses []string // addresses as listed in the store
 	hosts           []*platformHost
-	hostDomains     []string                    // assigned to hosts in turn; usedDomains if empty
-	serverDomains   []string                    // assigned to backend servers in turn; usedDomains if empty
-	wrapAddress     func(address string) string // returns the address that hosts use instead, such as a proxy's
-	longTimeouts    bool                        // hosts use longer timeouts than in production
-	waitsRemaining  bool                        // hosts are set to callers that state what remains of their wait
-	slack           time.Duration               // of the jobs of all routes; 500 ms if 0
-	stretch         float64                     // the same; 4 if 0
-	neverLate       bool                        // hosts refuse no job because the machine is loaded; not with longTimeouts
-	bornListed      bool                        // entries of backend servers say when their processes started
+	hostDomains     []string                        // assigned to hosts in turn; usedDomains if empty
+	serverDomains   []string                        // assigned to backend servers in turn; usedDomains if empty
+	wrapAddress     func(address string) string     // returns the address that hosts use instead, such as a proxy's
+	longTimeouts    bool                            // hosts use longer timeouts than in production
+	waitsRemaining  bool                            // hosts are set to callers that state what remains of their wait
+	slack           time.Duration                   // of the jobs of all routes; 500 ms if 0
+	stretch         float64                         // the same; 4 if 0
+	neverLate       bool                            // hosts refuse no job because the machine is loaded; not with longTimeouts
+	bornListed      bool                            // entries of backend servers say when their processes started
+	limits          wire.Limits                     // of the configuration; bodies of 4,000 bytes if 0
+	extraSettings   string                          // lines appended to every host's settings file
+	command         func(settings string) *exec.Cmd // runs a host; the test's own program if nil
 }
 
 // platformHost is a host process of the platform edition.
 type platformHost struct {
 	*hostProcess
 
-	entryURL     string            // base URL
-	readinessURL string            // base URL
-	logOffset    int               // start of the latest process's output in the log
-	transport    http.RoundTripper // for call; http.DefaultTransport if nil
+	entryURL       string // base URL
+	readinessURL   string // base URL
+	metricsAddress string
+	peerAddress    string
+	logOffset      int               // start of the latest process's output in the log
+	transport      http.RoundTripper // for call; http.DefaultTransport if nil
 }
 
 const (
@@ -108,7 +113,7 @@
 			Name:           service,
 			AdmissionCheck: true,
 		}},
-		Limits: wire.Limits{MaxBodyBytes: 4000},
+		Limits: cmp.Or(s.limits, wire.Limits{MaxBodyBytes: 4000}),
 	}
 	for _, prefix := range prefixes {
 		config.Routes = append(config.Routes, wire.Route{
@@ -228,7 +233,7 @@
 	if s.neverLate {
 		lines = append(lines, "[schedule]", "late = 0s")
 	}
-	lines = append(lines, "[store]", "address = "+s.storeAddress, "[log]", "level = debug")
+	lines = append(lines, "[store]", "address = "+s.storeAddress, "[log]", "level = debug", s.extraSettings)
 	file := filepath.Join(s.t.TempDir(), "host.ini")
 	assert.NilError(s.t, os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
 	h := &platformHost{
@@ -236,10 +241,13 @@
 			t:            s.t,
 			name:         fmt.Sprintf("host-%d", i),
 			settingsFile: file,
+			command:      s.command,
 			log:          &logBuffer{},
 		},
-		entryURL:     "http://" + entryAddress,
-		readinessURL: "http://" + readinessAddress,
+		entryURL:       "http://" + entryAddress,
+		readinessURL:   "http://" + readinessAddress,
+		metricsAddress: addresses[2],
+		peerAddress:    addresses[3],
 	}
 	h.start()
 	s.hosts = append(s.hosts, h)
@@ -248,6 +256,10 @@
 // start starts the host's process, for the first time or again.
 func (h *platformHost) start() {
 	h.logOffset = len(h.log.String())
+	if h.command != nil {
+		h.startCommand(h.command(h.settingsFile))
+		return
+	}
 	h.startCommand(exec.Command(os.Args[0]), editionEnv+"=platform")
 }
 
