--- a/io/server/client.go
+++ b/io/server/client.go
@@ -20,9 +20,10 @@
 type conn struct {
 	*net.TCPConn
 	guard    *Guard
-	address  string        // of the client, without its port
-	read     atomic.Uint64 // bytes that the server has read
-	answered atomic.Uint64 // those of them that belong to requests that it has answered
+	address  string              // of the client, without its port
+	counted  func(fd int) uint64 // bytes that the operating system has received, 0 if it doesn't count them
+	read     atomic.Uint64       // bytes that the server has read
+	answered atomic.Uint64       // those of them that belong to requests that it has answered
 
 	serving     atomic.Bool // a handler runs
 	hijacked    atomic.Bool // the connection is no longer one of HTTP
@@ -46,6 +47,7 @@
 		TCPConn: tcp,
 		guard:   guard,
 		address: address,
+		counted: bytesReceived,
 		since:   time.Now(),
 	}
 }
@@ -217,17 +219,36 @@
 // unread reports whether bytes have arrived that the server has not read.
 func (c *conn) unread() bool { return c.received() > c.read.Load() }
 
-// received returns the number of bytes that have arrived. Bytes that a goroutine has taken
-// from the operating system and not yet counted are included.
+// received returns the number of bytes that have arrived, unread ones included, at least as far
+// as it shows whether there are any. Bytes that a goroutine has taken from the operating system
+// and not yet counted are included if the operating system counts them.
 func (c *conn) received() uint64 {
-	received := uint64(0)
+	received, unread := uint64(0), uint64(0)
 	if raw, err := c.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			if err == nil {
-				received = info.Bytes_received
-			}
+			received = c.counted(int(fd))
+			unread = peek(int(fd))
 		})
 	}
-	return max(received, c.read.Load())
+	return max(received, c.read.Load()+unread)
+}
+
+// bytesReceived returns the number of bytes that the operating system has received on a
+// connection, 0 if it doesn't count them.
+func bytesReceived(fd int) uint64 {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return info.Bytes_received
+}
+
+// peek returns 1 if a connection has unread bytes, and 0 otherwise.
+func peek(fd int) uint64 {
+	var buffer [1]byte
+	n, _, err := unix.Recvfrom(fd, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return uint64(n)
 }
