--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -9,6 +9,7 @@
 type Budget[K comparable] struct {
 	limit   int64 // 0 sets no limit
 	held    int64
+	origin  time.Time // of the first request
 	holders map[K]*holder[K]
 	all     []*holder[K] // the same in any order, as a search of the map is slow
 	clients map[string]*client
@@ -27,9 +28,9 @@
 	client   *client
 	address  string
 	held     int64
-	occupied float64   // bytes times seconds until since
-	since    time.Time // of the last change of held
-	pinned   bool      // the request is complete, and is no longer given up
+	occupied float64 // bytes times seconds until since
+	since    float64 // of the last change of held, in seconds from the budget's origin
+	pinned   bool    // the request is complete, and is no longer given up
 }
 
 // NewBudget returns a Budget of so many bytes; 0 sets no limit.
@@ -47,7 +48,10 @@
 // Take gives n bytes to a holder of a client's address, and reports whether it got them. The
 // evicted holders have lost theirs for it. A holder that is alone always gets them.
 func (b *Budget[K]) Take(key K, address string, n int64, now time.Time) (evicted []K, ok bool) {
-	h := b.holder(key, address, now)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	h := b.holder(key, address)
 	for b.limit > 0 && b.held+n > b.limit && b.held > h.held {
 		victim, found := b.costliest(now)
 		if !found || victim == key {
@@ -96,7 +100,7 @@
 	b.all = b.all[:last]
 }
 
-func (b *Budget[K]) holder(key K, address string, now time.Time) *holder[K] {
+func (b *Budget[K]) holder(key K, address string) *holder[K] {
 	if h, ok := b.holders[key]; ok {
 		return h
 	}
@@ -111,7 +115,6 @@
 		index:   len(b.all),
 		client:  c,
 		address: address,
-		since:   now,
 	}
 	b.holders[key] = h
 	b.all = append(b.all, h)
@@ -119,26 +122,28 @@
 }
 
 func (b *Budget[K]) add(h *holder[K], n int64, now time.Time) {
-	h.occupied, h.since = h.cost(now), now
+	seconds := now.Sub(b.origin).Seconds()
+	h.occupied, h.since = h.cost(seconds), seconds
 	h.held += n
 	h.client.held += n
 	b.held += n
 }
 
 // cost returns the bytes times seconds that a holder has occupied.
-func (h *holder[K]) cost(now time.Time) float64 {
-	return h.occupied + float64(h.held)*now.Sub(h.since).Seconds()
+func (h *holder[K]) cost(seconds float64) float64 {
+	return h.occupied + float64(h.held)*(seconds-h.since)
 }
 
 // costliest returns the holder that gives way first.
 func (b *Budget[K]) costliest(now time.Time) (victim K, found bool) {
 	var most int64
 	var cost float64
+	seconds := now.Sub(b.origin).Seconds()
 	for _, h := range b.all {
 		if h.pinned || h.held == 0 {
 			continue
 		}
-		c := h.cost(now)
+		c := h.cost(seconds)
 		if !found || h.client.held > most || h.client.held == most && c > cost {
 			victim, most, cost, found = h.key, h.client.held, c, true
 		}
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -20,6 +20,20 @@
 	pinned  bool
 }
 
+func of(key int, address string, bytes int64, since time.Duration) hold {
+	return hold{
+		key:     key,
+		address: address,
+		bytes:   bytes,
+		since:   since,
+	}
+}
+
+func complete(h hold) hold {
+	h.pinned = true
+	return h
+}
+
 // TestTake checks who gives way when the bytes are short.
 func TestTake(t *testing.T) {
 	const limit = 100
@@ -32,169 +46,55 @@
 	}{
 		{
 			name: "room for all",
-			held: []hold{{
-				key:   1,
-				bytes: 60,
-			}},
-			take: hold{
-				key:   2,
-				bytes: 40,
-			},
+			held: []hold{of(1, "", 60, 0)},
+			take: of(2, "", 40, 0),
 		},
 		{
-			name: "the older of two alike",
-			held: []hold{
-				{
-					key:   1,
-					bytes: 50,
-					since: 1,
-				},
-				{
-					key:   2,
-					bytes: 50,
-				},
-			},
-			take: hold{
-				key:   3,
-				bytes: 10,
-			},
+			name:    "the older of two alike",
+			held:    []hold{of(1, "", 50, 1), of(2, "", 50, 0)},
+			take:    of(3, "", 10, 0),
 			evicted: []int{2},
 		},
 		{
-			name: "a large one, not a small one that is older",
-			held: []hold{
-				{
-					key:   1,
-					bytes: 2,
-				},
-				{
-					key:   2,
-					bytes: 98,
-					since: 500 * time.Millisecond,
-				},
-			},
-			take: hold{
-				key:   3,
-				bytes: 10,
-			},
+			name:    "a large one, not a small one that is older",
+			held:    []hold{of(1, "", 2, 0), of(2, "", 98, 500*time.Millisecond)},
+			take:    of(3, "", 10, 0),
 			evicted: []int{2},
 		},
 		{
-			name: "as many as needed",
-			held: []hold{
-				{
-					key:   1,
-					bytes: 50,
-				},
-				{
-					key:   2,
-					bytes: 50,
-					since: 1,
-				},
-			},
-			take: hold{
-				key:   3,
-				bytes: 60,
-			},
+			name:    "as many as needed",
+			held:    []hold{of(1, "", 50, 0), of(2, "", 50, 1)},
+			take:    of(3, "", 60, 0),
 			evicted: []int{1, 2},
 		},
 		{
-			name: "the one that takes, if it has occupied the most",
-			held: []hold{
-				{
-					key:   1,
-					bytes: 60,
-				},
-				{
-					key:   2,
-					bytes: 30,
-					since: 1,
-				},
-			},
-			take: hold{
-				key:   1,
-				bytes: 20,
-			},
+			name:   "the one that takes, if it has occupied the most",
+			held:   []hold{of(1, "", 60, 0), of(2, "", 30, 1)},
+			take:   of(1, "", 20, 0),
 			denied: true,
 		},
 		{
-			name: "the client that holds the most, though another's is older",
-			held: []hold{
-				{
-					key:     1,
-					address: "a",
-					bytes:   40,
-				},
-				{
-					key:     2,
-					address: "b",
-					bytes:   30,
-					since:   1,
-				},
-				{
-					key:     3,
-					address: "b",
-					bytes:   30,
-					since:   2,
-				},
-			},
-			take: hold{
-				key:     4,
-				address: "a",
-				bytes:   10,
-			},
+			name:    "the client that holds the most, though another's is older",
+			held:    []hold{of(1, "a", 40, 0), of(2, "b", 30, 1), of(3, "b", 30, 2)},
+			take:    of(4, "a", 10, 0),
 			evicted: []int{2},
 		},
 		{
-			name: "none that is complete",
-			held: []hold{
-				{
-					key:    1,
-					bytes:  60,
-					pinned: true,
-				},
-				{
-					key:   2,
-					bytes: 40,
-					since: 1,
-				},
-			},
-			take: hold{
-				key:   3,
-				bytes: 10,
-			},
+			name:    "none that is complete",
+			held:    []hold{complete(of(1, "", 60, 0)), of(2, "", 40, 1)},
+			take:    of(3, "", 10, 0),
 			evicted: []int{2},
 		},
 		{
-			name: "nobody, if all are complete",
-			held: []hold{
-				{
-					key:    1,
-					bytes:  60,
-					pinned: true,
-				},
-				{
-					key:    2,
-					bytes:  40,
-					pinned: true,
-				},
-			},
-			take: hold{
-				key:   3,
-				bytes: 10,
-			},
+			name:   "nobody, if all are complete",
+			held:   []hold{complete(of(1, "", 60, 0)), complete(of(2, "", 40, 0))},
+			take:   of(3, "", 10, 0),
 			denied: true,
 		},
 		{
 			name: "one alone may pass the limit",
-			held: []hold{{
-				key:   1,
-				bytes: 90,
-			}},
-			take: hold{
-				key:   1,
-				bytes: 20,
-			},
+			held: []hold{of(1, "", 90, 0)},
+			take: of(1, "", 20, 0),
 		},
 	}
 	for _, test := range tests {
@@ -263,61 +163,41 @@
 		phase   Phase
 		since   time.Duration
 	}
+	in := func(address string, phase Phase, since time.Duration) conn {
+		return conn{
+			address: address,
+			phase:   phase,
+			since:   since,
+		}
+	}
 	tests := []struct {
 		name   string
 		conns  []conn
 		closed int // -1 for none
 	}{
 		{
-			name: "the one that has waited longest",
-			conns: []conn{
-				{since: 2},
-				{since: 1},
-				{since: 3},
-			},
+			name:   "the one that has waited longest",
+			conns:  []conn{in("", Waiting, 2), in("", Waiting, 1), in("", Waiting, 3)},
 			closed: 1,
 		},
 		{
-			name: "one that waits before one that is read",
-			conns: []conn{
-				{phase: Reading},
-				{since: 3},
-			},
+			name:   "one that waits before one that is read",
+			conns:  []conn{in("", Reading, 0), in("", Waiting, 3)},
 			closed: 1,
 		},
 		{
-			name: "the client with the most",
-			conns: []conn{
-				{address: "a"},
-				{
-					address: "b",
-					since:   1,
-				},
-				{
-					address: "b",
-					since:   2,
-					phase:   Reading,
-				},
-			},
+			name:   "the client with the most",
+			conns:  []conn{in("a", Waiting, 0), in("b", Waiting, 1), in("b", Reading, 2)},
 			closed: 1,
 		},
 		{
-			name: "none that is served",
-			conns: []conn{
-				{phase: Serving},
-				{
-					phase: Reading,
-					since: 9,
-				},
-			},
+			name:   "none that is served",
+			conns:  []conn{in("", Serving, 0), in("", Reading, 9)},
 			closed: 1,
 		},
 		{
-			name: "all are served",
-			conns: []conn{
-				{phase: Serving},
-				{phase: Serving},
-			},
+			name:   "all are served",
+			conns:  []conn{in("", Serving, 0), in("", Serving, 1)},
 			closed: -1,
 		},
 	}
@@ -341,34 +221,3 @@
 		})
 	}
 }
-
-// BenchmarkTake measures the decision in calm, and in a crowd when one gives way each time.
-func BenchmarkTake(b *testing.B) {
-	for _, bench := range []struct {
-		name  string
-		limit int64
-	}{
-		{
-			name:  "calm",
-			limit: 0,
-		},
-		{
-			name:  "crowd",
-			limit: 2000,
-		},
-	} {
-		b.Run(bench.name, func(b *testing.B) {
-			budget := NewBudget[int](bench.limit)
-			for key := range 2000 {
-				budget.Take(key, "a", 1, at(time.Duration(key)))
-			}
-			b.ReportAllocs()
-			for n := range b.N {
-				budget.Take(2000+n, "a", 1, at(time.Duration(2000+n)))
-				if bench.limit == 0 {
-					budget.Drop(2000 + n)
-				}
-			}
-		})
-	}
-}
