--- a/core/reason.go
+++ b/core/reason.go
@@ -43,6 +43,7 @@
 	ReasonElsewhere    Reason = "elsewhere"   // another home has runs of the job
 	ReasonMajority     Reason = "majority"    // too few hosts vote for the home of the job
 	ReasonEvacuated    Reason = "evacuated"   // the failure domain of the backend server is evacuated, or those of all
+	ReasonMemory       Reason = "memory"      // the memory for requests was needed for others
 	ReasonUnconfirmed  Reason = "unconfirmed" // the job's caller was not confirmed to be waiting recently enough
 )
 
@@ -57,6 +58,6 @@
 		ReasonMismatch, ReasonLink, ReasonDrainLimit, ReasonAttempts,
 		ReasonUnknown, ReasonConfig, ReasonHome, ReasonCapacity, ReasonSlow,
 		ReasonLeaseExpired, ReasonCrashed, ReasonCrashes, ReasonUnsupported, ReasonShared, ReasonStall, ReasonUnconfirmed, ReasonMajority,
-		ReasonElsewhere, ReasonEvacuated,
+		ReasonElsewhere, ReasonEvacuated, ReasonMemory,
 	}
 }
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -136,7 +136,7 @@
 func isRetryable(reason core.Reason) bool {
 	switch reason {
 	case core.ReasonDraining, core.ReasonOverload, core.ReasonWait, core.ReasonQuota, core.ReasonStore, core.ReasonUnreachable,
-		core.ReasonEvacuated:
+		core.ReasonEvacuated, core.ReasonMemory:
 		return true
 	}
 	return false
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -30,7 +30,7 @@
 				<-release
 			}
 			_, _ = fmt.Fprint(w, "answer")
-		}), logr.Discard()),
+		}), newTestGuard(testLimits), logr.Discard()),
 		release: release,
 	}
 }
@@ -208,7 +208,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l, err := listen("127.0.0.1:0")
+			l, err := listen("127.0.0.1:0", newTestGuard(testLimits))
 			assert.NilError(t, err)
 			defer l.Close()
 			caller, err := net.Dial("tcp", l.Addr().String())
