Place tasks by the speeds that backend servers are learned to have

Cause: a server was slow or not (MaxSlowdown 1.8), so one at 0.55 of the others' speed was taken for good or bad by its last runs, long tasks were placed there and ended late, and the run times of a route mixed all speeds.

Change: core/speed estimates the speed of a server from the runs that ended there, relative to the mean of its pool's servers. It is used for predicted ends (release rate, overdue and slow runs), for run times of a route (those on the usual server), and for a minimum speed of each task: one that would end late on a slow server waits for a faster one as long as that ends it in time. [pool] speed and [schedule] haste switch it off.

--- a/core/overload/fleet_test.go
+++ b/core/overload/fleet_test.go
@@ -168,6 +168,9 @@
 	Pauses   time.Duration // mean time between pauses of a host; 0 for none
 	SlowFor  time.Duration // time from the first job after which hosts aren't slow any more; 0 for never
 	WarmUp   time.Duration // time from the first job until jobs count
+	Speeds   []float64     // of the servers of each home in turn; all are equal without any
+	Learn    bool          // the speeds of servers are learned and used
+	Load     float64       // multiple of the usual load; 0 for that
 }
 
 // verdict counts the outcomes of jobs.
@@ -325,7 +328,10 @@
 
 // submitNext submits jobs until an end.
 func (f *fleet) submitNext(n int, end time.Time) {
-	const rate = fleetRate * simulatedDomains / fleetDomains
+	rate := fleetRate * simulatedDomains / fleetDomains
+	if f.Load > 0 {
+		rate *= f.Load
+	}
 	f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		if f.now.Before(end) {
 			f.submit(n)
@@ -529,11 +535,11 @@
 			cores:  hostCores / f.Slowness,
 			period: f.Period,
 		},
-		pool:       pool.New(domain, poolLimits()),
+		pool:       pool.New(domain, f.poolLimits()),
 		controller: overload.New(f.Target),
 		idle:       map[string]int{},
 	}
-	h.jobs = schedule.New(h.name, jobLimits())
+	h.jobs = schedule.New(h.name, f.jobLimits())
 	return h
 }
 
@@ -550,6 +556,9 @@
 			runs:  map[string]int{},
 			last:  map[string]int{},
 		}
+		if len(f.Speeds) > 0 {
+			f.servers[id].speed = f.Speeds[i%len(f.Speeds)]
+		}
 		entries = append(entries, listing.Server{
 			ID:              id,
 			Address:         id,
@@ -717,6 +726,7 @@
 						Task:   cmd.Task,
 						End:    cmd.End,
 						Server: cmd.Server,
+						Speed:  cmd.Speed,
 						Took:   cmd.Took,
 						Reason: cmd.Reason,
 						Loss:   cmd.Loss,
--- a/core/overload/server_test.go
+++ b/core/overload/server_test.go
@@ -23,6 +23,7 @@
 	ended   []pool.ListedEnd
 	ends    int // numbered so far
 	waiting []func()
+	speed   float64 // 0 for 1
 }
 
 func (s *server) clock() int64 { return s.fleet.now.Sub(s.born).Milliseconds() }
@@ -78,10 +79,18 @@
 	}
 	s.runs[name] = cmd.Task.Run
 	index, _ := strconv.Atoi(name[strings.LastIndexByte(name, '.')+1:])
-	s.endAfter(s.fleet.jobs[cmd.Task.Job].runTimes[index], name, work.EndDone)
+	s.endAfter(s.runTime(s.fleet.jobs[cmd.Task.Job].runTimes[index]), name, work.EndDone)
 	return pool.Accepted
 }
 
+// runTime returns how long a run takes that is given for the usual server.
+func (s *server) runTime(usual time.Duration) time.Duration {
+	if s.speed == 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) / s.speed)
+}
+
 func (s *server) extend(deadline int64) {
 	if deadline <= s.lease {
 		return
--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemarywalk/core/speed"
 	"rosemarywalk/core/work"
 )
 
@@ -10,7 +11,8 @@
 type Slot struct {
 	Free   work.Size
 	Labels []string
-	Slow   bool // slower than predicted; used last
+	Slow   bool    // slower than predicted; used last
+	Speed  float64 // work a second relative to the usual server; 1 if unknown
 
 	Busy    bool // has runs
 	Suspect bool // one of them is of a suspected task
@@ -22,18 +24,24 @@
 	TotalCPU    int       // thousandths of a core of all servers that accept tasks
 	ReleaseRate int       // thousandths of a core that runs are predicted to release per second
 	Largest     work.Size // largest capacity of any server, in each dimension
+	Fast        float64   // speed of the fastest servers, by which tasks may be planned; 0 if unknown
 }
 
+// fastShare is the share of the capacity that the fastest servers must have together.
+const fastShare = 0.125
+
 // Capacity returns the free and the total capacity at the given time.
 func (m *Model) Capacity(now time.Time) Capacity {
 	servers := m.sortedServers()
 	capacity := Capacity{Slots: make([]Slot, 0, len(servers))}
+	var speeds speed.Shares
 	for _, s := range servers {
 		if !m.acceptsWork(now, s) {
 			continue
 		}
 		capacity.TotalCPU += s.entry.Capacity.CPU
 		capacity.ReleaseRate += s.releaseRate(now)
+		speeds.Add(s.speed, s.entry.Capacity.CPU)
 		capacity.Largest = capacity.Largest.Max(s.entry.Capacity)
 		free := s.entry.Capacity.Sub(s.used)
 		if free.CPU <= 0 || free.Memory < 0 || free.GPU < 0 {
@@ -43,11 +51,13 @@
 			Free:   free,
 			Labels: s.entry.Labels,
 			Slow:   s.slowdown > m.limits.MaxSlowdown,
+			Speed:  s.speed,
 
 			Busy:    len(s.runs) > 0,
 			Suspect: s.suspects > 0,
 		})
 	}
+	capacity.Fast = speeds.Top(fastShare)
 	return capacity
 }
 
@@ -83,8 +93,9 @@
 func (s *server) releaseRate(now time.Time) int {
 	sum := 0.0
 	for _, r := range s.sortedRuns() {
-		if r.task.PredictedTime > 0 && now.Sub(r.firstSent) < overdueFactor*r.task.PredictedTime {
-			sum += float64(r.task.Size.CPU) / r.task.PredictedTime.Seconds()
+		predicted := s.predicted(r)
+		if predicted > 0 && now.Sub(r.firstSent) < overdueFactor*predicted {
+			sum += float64(r.task.Size.CPU) / predicted.Seconds()
 		}
 	}
 	return int(sum)
--- a/core/pool/cmd.go
+++ b/core/pool/cmd.go
@@ -52,6 +52,7 @@
 	End    work.End
 	Proof  Proof // of the end
 	Server string
+	Speed  float64       // of the server, relative to the usual one; 1 if unknown
 	Took   time.Duration // from the confirmation of the start until the end was learned
 	Reason core.Reason
 	Loss   Loss // of the server; zero if the run did not end with it
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/health"
 	"rosemarywalk/core/listing"
+	"rosemarywalk/core/speed"
 	"rosemarywalk/core/work"
 )
 
@@ -31,6 +32,7 @@
 	Health         health.Limits
 	SlowdownWeight float64 // weight of a new run in a server's average slowdown
 	MaxSlowdown    float64 // average slowdown above which a server is used last
+	SpeedWeight    float64 // weight of a new run in a server's estimated speed; 0 takes all servers for equally fast
 
 	// StopTimeout is the longest time that servers take to stop a run, on their clocks.
 	StopTimeout time.Duration
@@ -51,6 +53,8 @@
 	limits       Limits
 	servers      map[string]*server
 	sorted       []*server            // servers sorted by ID; nil if outdated
+	usual        speed.Usual          // speed of the servers
+	speedsAt     time.Time            // when all speeds were last updated
 	maxToken     int64                // highest token used so far
 	lossRate     float64              // moving average of calls without an answer
 	tickedAt     time.Time            // of the latest tick
@@ -180,6 +184,7 @@
 }
 
 func (m *Model) remove(s *server) {
+	m.forgetSpeed(s)
 	delete(m.servers, s.entry.ID)
 	m.sorted = nil
 }
@@ -216,6 +221,9 @@
 		if entry.Address != s.entry.Address {
 			s.movedAt = now
 		}
+		if !slices.Equal(s.entry.Labels, entry.Labels) || s.entry.Capacity != entry.Capacity {
+			m.forgetSpeed(s)
+		}
 		s.entry, s.releasing = entry, false
 		if again && known {
 			return m.doubt(now, s, fmt.Sprintf("by its entry, born %d, %d before", entry.StartedAtMillis, s.born))
@@ -285,6 +293,7 @@
 	cmds := m.crash(now, s, ProofBorn)
 	s.born, s.restartedAt, s.doubtedAt = born, now, time.Time{}
 	s.orphans, s.lastEnd = nil, 0
+	m.forgetSpeed(s)
 	if !s.clockAt.IsZero() {
 		s.clockLost = true
 		s.maxDeadline = max(s.maxDeadline, s.estimateClock(now)+m.maxLease().Milliseconds())
@@ -403,6 +412,8 @@
 	if !r.confirmedAt.IsZero() {
 		took = now.Sub(r.confirmedAt)
 	}
+	// The prediction was made for the speed before this run.
+	speed := s.speed
 	m.recordEnd(now, s, r, end, took)
 	cmds := []Cmd{
 		EndCmd{
@@ -412,6 +423,7 @@
 			Proof:  proof,
 			Server: s.entry.ID,
 			Took:   took,
+			Speed:  speed,
 			Reason: cmp.Or(r.stopReason, reason),
 		},
 		CapacityChangedCmd{},
@@ -419,7 +431,7 @@
 	return append(cmds, m.releaseIfEmpty(now, s)...)
 }
 
-// recordEnd updates the health and the slowdown of a server with a run that ended
+// recordEnd updates the health, the slowdown and the speed of a server with a run that ended
 // there.
 func (m *Model) recordEnd(now time.Time, s *server, r *run, end work.End, took time.Duration) {
 	switch end {
@@ -428,7 +440,8 @@
 		if r.task.PredictedTime <= 0 {
 			return
 		}
-		ratio := float64(took) / float64(r.task.PredictedTime)
+		ratio := float64(took) / float64(s.predicted(r))
+		m.recordSpeed(now, s, took, r.task.PredictedTime)
 		s.slowdown += m.limits.SlowdownWeight * (ratio - s.slowdown)
 		if ratio < m.limits.MaxSlowdown {
 			s.lastNormalEnd = now
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -109,7 +109,7 @@
 	if !m.acceptsWork(now, s) || !s.entry.HasLabel(t.Requires) {
 		return false
 	}
-	if t.Suspect && s.suspects > 0 {
+	if s.speed < t.MinSpeed || t.Suspect && s.suspects > 0 {
 		return false
 	}
 	if t.MaxPerServer > 0 && s.countRuns(t.Job, t.Step) >= t.MaxPerServer {
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -353,7 +353,7 @@
 			s.health = s.health.WithFailure(now)
 		} else {
 			// If the task itself is long, the next server must not count as slow.
-			r.task.PredictedTime = total
+			r.task.PredictedTime = time.Duration(float64(total) * s.speed)
 		}
 		cmds = append(cmds, LogCmd{
 			Server: s.entry.ID,
@@ -379,7 +379,7 @@
 const percentDone = 100
 
 // slowRun reports whether a run would end sooner if it were restarted on another
-// server, and its estimated total run time on this one. If the server completed
+// server of the usual speed, and its estimated total run time on this one. If the server completed
 // another run at normal speed in the meantime, the task is long and the server is
 // not slow.
 func (m *Model) slowRun(now time.Time, s *server, r *run) (total time.Duration, slow bool) {
@@ -388,14 +388,15 @@
 	}
 	// The lists may be that old.
 	elapsed := now.Sub(r.confirmedAt) - delaysPerCall*m.delay
-	if elapsed < m.limits.SlowMargin+r.task.PredictedTime/2 {
+	predicted := s.predicted(r)
+	if elapsed < m.limits.SlowMargin+predicted/2 {
 		return 0, false
 	}
 	total = elapsed * percentDone / time.Duration(max(r.percent, 1))
 	if r.percent > 0 && s.lastNormalEnd.After(r.confirmedAt) {
 		return total, false
 	}
-	return total, float64(total) > m.limits.SlowFactor*float64(r.task.PredictedTime) && total-elapsed > 2*r.task.PredictedTime
+	return total, float64(total) > m.limits.SlowFactor*float64(predicted) && total-elapsed > 2*r.task.PredictedTime
 }
 
 // delaysPerCall is how often a call waits for this host: to be sent, to be read, and to be handled.
@@ -411,6 +412,7 @@
 	// nobody has read.
 	late := !m.tickedAt.IsZero() && now.Sub(m.tickedAt) > m.limits.HedgeDelay
 	m.tickedAt, m.delay = now, delay
+	m.updateSpeeds(now)
 	for _, s := range m.sortedServers() {
 		if s.phase == fenced {
 			continue
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -10,6 +10,7 @@
 	"rosemarywalk/core"
 	"rosemarywalk/core/health"
 	"rosemarywalk/core/listing"
+	"rosemarywalk/core/speed"
 	"rosemarywalk/core/work"
 )
 
@@ -85,6 +86,8 @@
 	health        health.Server
 	lastNormalEnd time.Time // when a run last ended close to its predicted run time
 	slowdown      float64   // moving average of run time divided by predicted run time; 1 is as predicted
+	estimate      speed.Estimate
+	speed         float64 // by the estimate when it was last updated
 
 	clock       int64     // latest known server clock, in milliseconds
 	clockAt     time.Time // local time at which clock was received
@@ -117,6 +120,7 @@
 		phase:    inspecting,
 		health:   health.New(l.Health),
 		slowdown: 1,
+		speed:    1,
 		runs:     map[string]*run{},
 	}
 }
--- a/core/schedule/capacity.go
+++ b/core/schedule/capacity.go
@@ -18,6 +18,7 @@
 	releaseRate int       // millicores per second that ending runs release
 	backlog     int       // millicores of the tasks that wait at the host itself
 	largest     work.Size // largest capacity of any server, by component
+	fast        float64   // speed of the fastest servers, 0 if unknown
 }
 
 // newPoolView converts a capacity report, and takes ownership of its slots.
@@ -29,6 +30,7 @@
 		releaseRate: msg.Capacity.ReleaseRate,
 		backlog:     msg.Backlog,
 		largest:     msg.Capacity.Largest,
+		fast:        msg.Capacity.Fast,
 	}
 	for _, s := range p.slots {
 		p.free += s.Free.CPU
@@ -73,14 +75,15 @@
 }
 
 // bestSlot returns the index of the slot with the least free CPU that a task fits into,
-// or -1. Slow slots are used last.
+// or -1. Slow slots are used last, and those whose servers are slower than the task allows
+// aren't used.
 func (p *poolView) bestSlot(t work.Task) int {
 	found := -1
 	for i, s := range p.slots {
 		if !t.Size.Fits(s.Free) || (t.Requires != "" && !slices.Contains(s.Labels, t.Requires)) {
 			continue
 		}
-		if t.Suspect && s.Suspect {
+		if speedOf(s) < t.MinSpeed || t.Suspect && s.Suspect {
 			continue
 		}
 		if found < 0 || preferSlot(s, p.slots[found], t) {
@@ -129,7 +132,7 @@
 // covers reports whether a task needs at least as much as one that could not be placed.
 func (u *unplaceable) covers(t work.Task) bool {
 	for _, o := range u.tasks {
-		if (o.Requires == "" || o.Requires == t.Requires) && (!o.Suspect || t.Suspect) && o.Size.Fits(t.Size) {
+		if (o.Requires == "" || o.Requires == t.Requires) && (!o.Suspect || t.Suspect) && o.MinSpeed <= t.MinSpeed && o.Size.Fits(t.Size) {
 			return true
 		}
 	}
--- a/core/schedule/finish.go
+++ b/core/schedule/finish.go
@@ -68,7 +68,7 @@
 func (m *Model) done(now time.Time, j *job, t *task, msg EndMsg) []Cmd {
 	j.set(t, done)
 	j.unfinished[t.step]--
-	m.runTimes[j.Route] = m.runTimes[j.Route].withRun(msg.Took, j.Steps[t.step].Estimate)
+	m.runTimes[j.Route] = m.runTimes[j.Route].withRun(usualTime(msg), j.Steps[t.step].Estimate)
 	if !j.complete() {
 		return nil
 	}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -39,14 +39,16 @@
 	unfinished  []int           // number of tasks not done, by step
 	predicted   []time.Duration // predicted run time of a task, by step
 	callers     []string
-	acceptedAt  time.Time // when this host received it
-	latestStart time.Time // start by which the latency objective is met
-	usefulUntil time.Time // time after which its outcome is of no use
-	demoted     bool      // queued behind the jobs that can still start in time
-	started     bool      // a task was sent to a pool
-	remote      bool      // received from the caller by another host
-	waitedAt    time.Time // when a caller was last known to wait
-	confirmedAt time.Time // the same, or earlier: when all other homes were last known not to start it
+	acceptedAt  time.Time       // when this host received it
+	after       []time.Duration // predicted duration of what waits for a step, by step
+	objective   time.Time       // when it should have ended
+	latestStart time.Time       // start by which the latency objective is met
+	usefulUntil time.Time       // time after which its outcome is of no use
+	demoted     bool            // queued behind the jobs that can still start in time
+	started     bool            // a task was sent to a pool
+	remote      bool            // received from the caller by another host
+	waitedAt    time.Time       // when a caller was last known to wait
+	confirmedAt time.Time       // the same, or earlier: when all other homes were last known not to start it
 
 	unconfirmed bool // its runs had to end for a time, in which another home may have started it
 
@@ -78,6 +80,7 @@
 	}
 	criticalPath := j.criticalPath()
 	objective := w.Objective(criticalPath)
+	j.after, j.objective = durationsAfter(w, predicted), objective
 	j.latestStart = objective.Add(-criticalPath)
 	j.usefulUntil = w.Arrived.Add(time.Duration(usefulFactor * float64(objective.Sub(w.Arrived))))
 	if w.Deadline.Before(j.usefulUntil) || !j.usefulUntil.After(w.Arrived.Add(criticalPath)) {
@@ -161,6 +164,23 @@
 	return nil
 }
 
+// timeOf returns the predicted run time of a task.
+func (j *job) timeOf(t *task) time.Duration { return cmp.Or(t.predicted, j.predicted[t.step]) }
+
+// durationsAfter returns, by step, the predicted duration of the longest chain of steps that
+// wait for it.
+func durationsAfter(w work.Job, predicted []time.Duration) []time.Duration {
+	after := make([]time.Duration, len(w.Steps))
+	for i := len(w.Steps) - 1; i >= 0; i-- {
+		for _, dependency := range w.Steps[i].DependsOn {
+			if dependency < i {
+				after[dependency] = max(after[dependency], predicted[i]+after[i])
+			}
+		}
+	}
+	return after
+}
+
 // order returns the task as it is sent to a pool.
 func (j *job) order(t *task) work.Task {
 	s := j.Steps[t.step]
@@ -175,7 +195,7 @@
 		Requires:      s.Requires,
 		Affinity:      s.Affinity,
 		MaxPerServer:  s.MaxPerServer,
-		PredictedTime: cmp.Or(t.predicted, j.predicted[t.step]),
+		PredictedTime: j.timeOf(t),
 		Deadline:      j.Deadline,
 		ConfirmedAt:   j.confirmedAt,
 		AvoidServer:   t.avoidServer,
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -30,6 +30,7 @@
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
 	MajorityWait        time.Duration // time without a majority after which jobs don't wait for one; 0 if none is needed
 	MaxLease            time.Duration // longest lease of a run whose end is unknown
+	SpeedFactor         float64       // speed that a task's server must have, as a multiple of that at which the task ends in time; 0 if any will do
 	StopTimeout         time.Duration // longest time that backend servers take to stop a run after that
 }
 
@@ -376,6 +377,7 @@
 	m.dropStalePools(now)
 	var cmds []Cmd
 	var unplaced unplaceable
+	fast := m.fastest()
 	for _, j := range m.queue {
 		if !m.isEligible(now, j) {
 			continue
@@ -397,6 +399,7 @@
 				continue
 			}
 			order := j.order(t)
+			order.MinSpeed = m.minSpeed(now, j, t, fast)
 			if m.suspects.byJob[j.ID] > 0 {
 				suspect, blocked := m.suspects.suspected(order.Name())
 				if blocked {
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -100,6 +100,7 @@
 	End    work.End
 	Server string
 	Took   time.Duration
+	Speed  float64 // of the server, relative to the usual one of its pool; 0 if unknown
 	Reason core.Reason
 	Loss   pool.Loss // of the server; zero if the run did not end with it
 	Fate   pool.Fate // of the server, if it is lost
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -125,6 +125,7 @@
 	PredictedTime time.Duration // predicted run time
 	Deadline      time.Time     // time after which its result is of no use
 	ConfirmedAt   time.Time     // when the job's caller was last known to wait for it, on this host's clock
+	MinSpeed      float64       // slowest backend server that may run it, relative to the usual one; 0 for any
 	AvoidServer   string        // backend server on which an earlier run failed or was stopped; ranked last
 	Suspect       bool          // backend servers were lost that may have run it
 }
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -68,6 +69,7 @@
 			end.Loss, end.Fate = loss.Loss, loss.Fate
 		}
 		end.Took = microseconds(answer.Lent.Took)
+		end.Speed = speedFromWire(answer.Lent.Speed)
 		end.Task.PredictedTime = microseconds(answer.Lent.Expect)
 	}
 	return end
@@ -127,6 +129,7 @@
 		Left:     int(t.Deadline.Sub(now).Microseconds()),
 		Avoid:    t.AvoidServer,
 		Suspect:  optional(t.Suspect),
+		Least:    leastToWire(t.MinSpeed),
 	}
 }
 
@@ -145,9 +148,50 @@
 		Deadline:      now.Add(microseconds(l.Left)),
 		AvoidServer:   l.Avoid,
 		Suspect:       isSet(l.Suspect),
+		MinSpeed:      leastFromWire(l.Least),
 	}
 }
 
+// percent is the number of hundredths in a speed of 1, the usual one.
+const percent = 100
+
+// maxPercent is the highest speed that another host may report or ask for.
+const maxPercent = 400
+
+// speedToWire returns a speed as a message holds it; the usual one, or 0 for an unknown one, is
+// left out.
+func speedToWire(speed float64) *int {
+	if speed == 0 || speed == 1 {
+		return nil
+	}
+	return new(int(math.Round(speed * percent)))
+}
+
+// speedFromWire returns a speed that another host reports. One that is missing or impossible
+// counts as the usual one.
+func speedFromWire(speed *int) float64 {
+	if speed == nil || *speed <= 0 || *speed > maxPercent {
+		return 1
+	}
+	return float64(*speed) / percent
+}
+
+// leastToWire returns the minimum speed of a task, which is left out if there is none.
+func leastToWire(speed float64) *int {
+	if speed == 0 {
+		return nil
+	}
+	return new(int(math.Round(speed * percent)))
+}
+
+// leastFromWire returns the minimum speed of a task, 0 if it is missing or impossible.
+func leastFromWire(speed *int) float64 {
+	if speed == nil || *speed <= 0 || *speed > maxPercent {
+		return 0
+	}
+	return float64(*speed) / percent
+}
+
 func sizeToWire(s work.Size) wire.Size {
 	return wire.Size{
 		Cpu:    s.CPU,
@@ -176,6 +220,7 @@
 		Run:    end.Task.Run,
 		Server: end.Server,
 		Took:   int(end.Took.Microseconds()),
+		Speed:  speedToWire(end.Speed),
 		Expect: int(end.Task.PredictedTime.Microseconds()),
 		Reason: string(end.Reason),
 		Loss:   lentLoss(end),
@@ -236,12 +281,14 @@
 		TotalCPU:    r.Total,
 		ReleaseRate: r.Flow,
 		Largest:     sizeFromWire(r.Largest),
+		Fast:        speedFromWire(r.Fast),
 	}
 	for _, slot := range r.Slots {
 		capacity.Slots = append(capacity.Slots, pool.Slot{
 			Free:   sizeFromWire(slot.Free),
 			Labels: slot.Labels,
 			Slow:   slot.Slow,
+			Speed:  speedFromWire(slot.Speed),
 
 			Busy:    isSet(slot.Busy),
 			Suspect: isSet(slot.Suspect),
@@ -323,6 +370,7 @@
 		Service: s.service,
 		Total:   capacity.TotalCPU,
 		Flow:    capacity.ReleaseRate,
+		Fast:    speedToWire(capacity.Fast),
 		Largest: sizeToWire(capacity.Largest),
 	}
 	free := 0
@@ -332,6 +380,7 @@
 			Free:   sizeToWire(slot.Free),
 			Labels: slot.Labels,
 			Slow:   slot.Slow,
+			Speed:  speedToWire(slot.Speed),
 
 			Busy:    optional(slot.Busy),
 			Suspect: optional(slot.Suspect),
@@ -346,6 +395,6 @@
 	return a.Need == b.Need && (a.Backlog > 0) == (b.Backlog > 0) &&
 		a.Total == b.Total && a.Largest == b.Largest &&
 		slices.EqualFunc(a.Slots, b.Slots, func(a, b wire.Slot) bool {
-			return a.Free == b.Free && a.Slow == b.Slow && isSet(a.Suspect) == isSet(b.Suspect) && slices.Equal(a.Labels, b.Labels)
+			return a.Free == b.Free && a.Slow == b.Slow && speedFromWire(a.Speed) == speedFromWire(b.Speed) && isSet(a.Suspect) == isSet(b.Suspect) && slices.Equal(a.Labels, b.Labels)
 		})
 }
--- a/io/scheduler/lend_test.go
+++ b/io/scheduler/lend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -134,3 +135,23 @@
 		}
 	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(5*time.Second))
 }
+
+// TestSpeedsBetweenHosts checks that speeds reach other hosts, and that impossible ones, as well as those that
+// hosts of an older version leave out, count as unknown.
+func TestSpeedsBetweenHosts(t *testing.T) {
+	for _, speed := range []float64{0.1, 0.55, 1, 1.2, 4} {
+		assert.Equal(t, speedFromWire(speedToWire(speed)), speed)
+		assert.Equal(t, leastFromWire(leastToWire(speed)), speed)
+	}
+	assert.Equal(t, speedFromWire(speedToWire(0)), 1.0)
+	assert.Equal(t, leastFromWire(leastToWire(0)), 0.0)
+	for _, impossible := range []int{-1, 0, 401, math.MaxInt, math.MinInt} {
+		assert.Equal(t, speedFromWire(&impossible), 1.0)
+		assert.Equal(t, leastFromWire(&impossible), 0.0)
+	}
+	task := work.Task{
+		Job:      "j",
+		MinSpeed: 0.85,
+	}
+	assert.Equal(t, taskFromWire(taskToWire("s", task, time.Now()), time.Now()).MinSpeed, task.MinSpeed)
+}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -54,6 +54,7 @@
 				duration("backoffmax", "4s", "Upper bound of the backoff of a failing backend server.", 0, time.Hour),
 				number("slow", "3", "Ratio of actual to predicted run time from which a run is moved to another backend server.", 1, 1000),
 				number("learn", "0.3", "Weight of a new run time in a backend server's moving average.", 0.01, 1),
+				number("speed", "0.04", "Weight of a new run time in the estimated speed of a backend server; 0 takes all for equally fast.", 0, 1),
 				number("last", "1.8", "Ratio of average to predicted run time from which a backend server is used only as a last resort.", 1, 1000),
 				{
 					Name:    "failures",
@@ -97,6 +98,7 @@
 				number("useful", "3", "Latency, as a multiple of the objective, up to which a late answer is useful to callers.", 1, 1000),
 				number("hope", "3", "Expected wait of a late job, as a multiple of the time left in which its answer is of use, from which it is refused.", 0, 100),
 				number("spare", "0.1", "Share of the total capacity that must be free before a late job starts.", 0, 1),
+				number("haste", "1.3", "Speed that a backend server must have for a task, as a multiple of that at which the task ends in time; 0 takes any.", 0, 10),
 				duration("patience", "10ms", "Grace period in which a job that can't start in time may still find capacity for all of its tasks.", 0, time.Minute),
 				{
 					Name:    "jobs",
@@ -216,6 +218,7 @@
 		StopUnconfirmed: bounds.StopUnconfirmed,
 		SlowdownWeight:  s.Number(sectionPool, "learn"),
 		MaxSlowdown:     s.Number(sectionPool, "last"),
+		SpeedWeight:     s.Number(sectionPool, "speed"),
 	}
 }
 
@@ -241,6 +244,7 @@
 		MajorityWait:        s.Duration("roster", "dead"),
 		MaxLease:            s.Duration(sectionPool, "granted"),
 		StopTimeout:         s.Duration(sectionPool, "stop"),
+		SpeedFactor:         s.Number(section, "haste"),
 	}
 }
 
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -177,6 +177,7 @@
 			End:    cmd.End,
 			Server: cmd.Server,
 			Took:   cmd.Took,
+			Speed:  cmd.Speed,
 			Reason: cmd.Reason,
 			Loss:   cmd.Loss,
 			Fate:   cmd.Fate,
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -406,6 +406,10 @@
 	// ID of the job.
 	Job string `cbor:"job" json:"job"`
 
+	// Speed that a backend server must have for the task, in hundredths of that of
+	// the usual one; any if missing.
+	Least *int `cbor:"least,omitempty" json:"least,omitempty,omitzero"`
+
 	// Time until the result is of no more use, in microseconds.
 	Left int `cbor:"left" json:"left"`
 
@@ -451,6 +455,10 @@
 	// Backend server that ran the task.
 	Server string `cbor:"server" json:"server"`
 
+	// Work that the backend server does in a second, in hundredths of that of the
+	// usual one; 100 if missing.
+	Speed *int `cbor:"speed,omitempty" json:"speed,omitempty,omitzero"`
+
 	// Run time, in microseconds.
 	Took int `cbor:"took" json:"took"`
 }
@@ -668,6 +676,10 @@
 	// CPU of the tasks that wait at the sender, in thousandths of a core.
 	Backlog int `cbor:"backlog" json:"backlog"`
 
+	// Speed of the sender's fastest backend servers, in hundredths of that of the
+	// usual one; 100 if missing.
+	Fast *int `cbor:"fast,omitempty" json:"fast,omitempty,omitzero"`
+
 	// CPU that the sender's running tasks are predicted to release per second, in
 	// thousandths of a core.
 	Flow int `cbor:"flow" json:"flow"`
@@ -769,6 +781,10 @@
 	// Whether the backend server is slow and used last.
 	Slow bool `cbor:"slow" json:"slow"`
 
+	// Work that it does in a second, in hundredths of that of the usual one; 100 if
+	// missing.
+	Speed *int `cbor:"speed,omitempty" json:"speed,omitempty,omitzero"`
+
 	// Whether it runs a task that may crash backend servers.
 	Suspect *bool `cbor:"suspect,omitempty" json:"suspect,omitempty,omitzero"`
 }
