--- a/core/pool/bench_test.go
+++ b/core/pool/bench_test.go
@@ -80,6 +80,35 @@
 	}
 }
 
+// BenchmarkCapacity measures the free capacity of servers with a run each.
+func BenchmarkCapacity(b *testing.B) {
+	for _, servers := range []int{350, 1122} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			bench := newBusyHarness(b, limits, servers)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				_ = bench.model.Capacity(bench.now)
+			}
+		})
+	}
+}
+
+// BenchmarkChooseServer measures the choice of a server among as many.
+func BenchmarkChooseServer(b *testing.B) {
+	for _, servers := range []int{350, 1122} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			bench := newBusyHarness(b, limits, servers)
+			task := bench.confirmedTask("job", 0)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				_, _ = bench.model.chooseServer(bench.now, task)
+			}
+		})
+	}
+}
+
 // newBusyHarness returns a harness with a run on each server.
 func newBusyHarness(b *testing.B, l Limits, servers int) *harness {
 	b.Helper()
--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -11,8 +11,8 @@
 type Slot struct {
 	Free   work.Size
 	Labels []string
-	Slow   bool    // slower than predicted; used last
 	Speed  float64 // work a second relative to the usual server; 1 if unknown
+	Slow   bool    // slower than predicted; used last
 
 	Busy    bool // has runs
 	Suspect bool // one of them is of a suspected task
--- a/core/pool/speed.go
+++ b/core/pool/speed.go
@@ -44,13 +44,16 @@
 	}
 }
 
-// Speeds returns the speed of each owned server, relative to the usual one.
-func (m *Model) Speeds() []float64 {
-	var speeds []float64
-	for _, s := range m.sortedServers() {
-		if s.owned() {
-			speeds = append(speeds, s.speed)
+// Uneven returns how many of the owned servers are slower and faster than the usual one.
+func (m *Model) Uneven() (slower, faster int) {
+	for _, s := range m.servers {
+		switch {
+		case !s.owned():
+		case s.speed < 1:
+			slower++
+		case s.speed > 1:
+			faster++
 		}
 	}
-	return speeds
+	return slower, faster
 }
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -152,46 +151,6 @@
 	}
 }
 
-// percent is the number of hundredths in a speed of 1, the usual one.
-const percent = 100
-
-// maxPercent is the highest speed that another host may report or ask for.
-const maxPercent = 400
-
-// speedToWire returns a speed as a message holds it; the usual one, or 0 for an unknown one, is
-// left out.
-func speedToWire(speed float64) *int {
-	if speed == 0 || speed == 1 {
-		return nil
-	}
-	return new(int(math.Round(speed * percent)))
-}
-
-// speedFromWire returns a speed that another host reports. One that is missing or impossible
-// counts as the usual one.
-func speedFromWire(speed *int) float64 {
-	if speed == nil || *speed <= 0 || *speed > maxPercent {
-		return 1
-	}
-	return float64(*speed) / percent
-}
-
-// leastToWire returns the minimum speed of a task, which is left out if there is none.
-func leastToWire(speed float64) *int {
-	if speed == 0 {
-		return nil
-	}
-	return new(int(math.Round(speed * percent)))
-}
-
-// leastFromWire returns the minimum speed of a task, 0 if it is missing or impossible.
-func leastFromWire(speed *int) float64 {
-	if speed == nil || *speed <= 0 || *speed > maxPercent {
-		return 0
-	}
-	return float64(*speed) / percent
-}
-
 func sizeToWire(s work.Size) wire.Size {
 	return wire.Size{
 		Cpu:    s.CPU,
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"rosemarywalk/core/confirm"
@@ -300,7 +301,8 @@
 	}
 }
 
-func run(lc fx.Lifecycle, set settings.Settings, s *Scheduler, r *roster.Roster, w *watch.Watcher) {
+func run(lc fx.Lifecycle, set settings.Settings, s *Scheduler, r *roster.Roster, w *watch.Watcher, registry *prometheus.Registry) {
+	registerSpeeds(registry, s)
 	w.OnServers(s.SetServers)
 	w.OnConfig(s.setConfig)
 	r.OnChange(s.hostsChanged)
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -225,7 +225,7 @@
 	}
 	return []effect{func() {
 		s.log.Info("run ended", "job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run,
-			"end", cmd.End, "proof", cmd.Proof, "for", cmd.Owner, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String())
+			"end", cmd.End, "proof", cmd.Proof, "for", cmd.Owner, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String(), "speed", cmd.Speed)
 	}}
 }
 
