--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -68,6 +68,7 @@
 			end.Loss, end.Fate = loss.Loss, loss.Fate
 		}
 		end.Took = microseconds(answer.Lent.Took)
+		end.Speed = speedFromWire(answer.Lent.Speed)
 		end.Task.PredictedTime = microseconds(answer.Lent.Expect)
 	}
 	return end
@@ -127,6 +128,7 @@
 		Left:     int(t.Deadline.Sub(now).Microseconds()),
 		Avoid:    t.AvoidServer,
 		Suspect:  optional(t.Suspect),
+		Least:    leastToWire(t.MinSpeed),
 	}
 }
 
@@ -145,6 +147,7 @@
 		Deadline:      now.Add(microseconds(l.Left)),
 		AvoidServer:   l.Avoid,
 		Suspect:       isSet(l.Suspect),
+		MinSpeed:      leastFromWire(l.Least),
 	}
 }
 
@@ -176,6 +179,7 @@
 		Run:    end.Task.Run,
 		Server: end.Server,
 		Took:   int(end.Took.Microseconds()),
+		Speed:  speedToWire(end.Speed),
 		Expect: int(end.Task.PredictedTime.Microseconds()),
 		Reason: string(end.Reason),
 		Loss:   lentLoss(end),
@@ -236,12 +240,14 @@
 		TotalCPU:    r.Total,
 		ReleaseRate: r.Flow,
 		Largest:     sizeFromWire(r.Largest),
+		Fast:        speedFromWire(r.Fast),
 	}
 	for _, slot := range r.Slots {
 		capacity.Slots = append(capacity.Slots, pool.Slot{
 			Free:   sizeFromWire(slot.Free),
 			Labels: slot.Labels,
 			Slow:   slot.Slow,
+			Speed:  speedFromWire(slot.Speed),
 
 			Busy:    isSet(slot.Busy),
 			Suspect: isSet(slot.Suspect),
@@ -323,6 +329,7 @@
 		Service: s.service,
 		Total:   capacity.TotalCPU,
 		Flow:    capacity.ReleaseRate,
+		Fast:    speedToWire(capacity.Fast),
 		Largest: sizeToWire(capacity.Largest),
 	}
 	free := 0
@@ -332,6 +339,7 @@
 			Free:   sizeToWire(slot.Free),
 			Labels: slot.Labels,
 			Slow:   slot.Slow,
+			Speed:  speedToWire(slot.Speed),
 
 			Busy:    optional(slot.Busy),
 			Suspect: optional(slot.Suspect),
@@ -346,6 +354,6 @@
 	return a.Need == b.Need && (a.Backlog > 0) == (b.Backlog > 0) &&
 		a.Total == b.Total && a.Largest == b.Largest &&
 		slices.EqualFunc(a.Slots, b.Slots, func(a, b wire.Slot) bool {
-			return a.Free == b.Free && a.Slow == b.Slow && isSet(a.Suspect) == isSet(b.Suspect) && slices.Equal(a.Labels, b.Labels)
+			return a.Free == b.Free && a.Slow == b.Slow && speedFromWire(a.Speed) == speedFromWire(b.Speed) && isSet(a.Suspect) == isSet(b.Suspect) && slices.Equal(a.Labels, b.Labels)
 		})
 }
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -178,6 +178,7 @@
 			End:    cmd.End,
 			Server: cmd.Server,
 			Took:   cmd.Took,
+			Speed:  cmd.Speed,
 			Reason: cmd.Reason,
 			Loss:   cmd.Loss,
 			Fate:   cmd.Fate,
@@ -225,7 +226,7 @@
 	}
 	return []effect{func() {
 		s.log.Info("run ended", "job", cmd.Task.Job, "task", cmd.Task.Name(), "run", cmd.Task.Run,
-			"end", cmd.End, "proof", cmd.Proof, "for", cmd.Owner, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String())
+			"end", cmd.End, "proof", cmd.Proof, "for", cmd.Owner, "reason", cmd.Reason, "server", cmd.Server, "took", cmd.Took.String(), "speed", cmd.Speed)
 	}}
 }
 
