--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"rosemarywalk/core/work"
@@ -8,17 +10,28 @@
 
 // Slot is the free capacity of one backend server.
 type Slot struct {
+	Server string // ID; "" in reports of other hosts
 	Free   work.Size
 	Labels []string
 	Slow   bool // slower than predicted; used last
 
 	Busy    bool // has runs
 	Suspect bool // one of them is of a suspected task
+
+	Kept bool  // takes only tasks that name it
+	Ends []End // predicted ends of its runs, the earliest first
+}
+
+// End is the predicted end of a run.
+type End struct {
+	In   time.Duration
+	Size work.Size // that it releases
 }
 
 // Capacity is the free and the total capacity of a pool.
 type Capacity struct {
 	Slots       []Slot
+	Full        []Slot    // servers without free capacity, if ends are predicted
 	TotalCPU    int       // thousandths of a core of all servers that accept tasks
 	ReleaseRate int       // thousandths of a core that runs are predicted to release per second
 	Largest     work.Size // largest capacity of any server, in each dimension
@@ -36,17 +49,27 @@
 		capacity.ReleaseRate += s.releaseRate(now)
 		capacity.Largest = capacity.Largest.Max(s.entry.Capacity)
 		free := s.entry.Capacity.Sub(s.used)
-		if free.CPU <= 0 || free.Memory < 0 || free.GPU < 0 {
+		full := free.CPU <= 0 || free.Memory < 0 || free.GPU < 0
+		if full && m.limits.MaxEnds == 0 {
 			continue
 		}
-		capacity.Slots = append(capacity.Slots, Slot{
+		slot := Slot{
+			Server: s.entry.ID,
 			Free:   free,
 			Labels: s.entry.Labels,
 			Slow:   s.slowdown > m.limits.MaxSlowdown,
 
 			Busy:    len(s.runs) > 0,
 			Suspect: s.suspects > 0,
-		})
+
+			Kept: m.kept[s.entry.ID],
+			Ends: s.ends(now, m.limits.MaxEnds),
+		}
+		if full {
+			capacity.Full = append(capacity.Full, slot)
+		} else {
+			capacity.Slots = append(capacity.Slots, slot)
+		}
 	}
 	return capacity
 }
@@ -89,3 +112,32 @@
 	}
 	return int(sum)
 }
+
+// ends returns the predicted ends of the server's runs, the earliest first, and at most a number
+// of them.
+func (s *server) ends(now time.Time, limit int) []End {
+	if limit == 0 || len(s.runs) == 0 {
+		return nil
+	}
+	ends := make([]End, 0, len(s.runs))
+	for _, r := range s.sortedRuns() {
+		if r.task.PredictedTime > 0 {
+			ends = append(ends, End{
+				In:   remaining(r.task.PredictedTime, now.Sub(r.firstSent)),
+				Size: r.task.Size,
+			})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b End) int { return cmp.Compare(a.In, b.In) })
+	return ends[:min(limit, len(ends))]
+}
+
+// leastRemaining is the share of its predicted time for which a run that is due still runs.
+const leastRemaining = 0.1
+
+// remaining returns how long a run will go on. One that is past its prediction ends the later, the
+// longer it is overdue.
+func remaining(predicted, elapsed time.Duration) time.Duration {
+	least := time.Duration(leastRemaining * float64(predicted))
+	return max(predicted-elapsed, least, elapsed-predicted)
+}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -32,6 +32,8 @@
 	SlowdownWeight float64 // weight of a new run in a server's average slowdown
 	MaxSlowdown    float64 // average slowdown above which a server is used last
 
+	MaxEnds int // predicted ends that are reported for each server; 0 for none
+
 	// StopTimeout is the longest time that servers take to stop a run, on their clocks.
 	StopTimeout time.Duration
 
@@ -57,6 +59,7 @@
 	delay        time.Duration        // how late this host got to its work at that time
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
+	kept         map[string]bool      // servers that take only tasks that name them, by ID
 	orphanLeases map[string]time.Time // when unknown runs at servers that were removed have ended, by task name
 }
 
@@ -123,6 +126,8 @@
 		return m.stop(now, msg)
 	case ConfirmMsg:
 		m.confirm(msg)
+	case KeepMsg:
+		m.keep(msg)
 	case StartedMsg:
 		return m.started(now, msg)
 	case StoppedMsg:
--- a/core/pool/msg.go
+++ b/core/pool/msg.go
@@ -37,6 +37,9 @@
 	At    time.Time
 }
 
+// KeepMsg sets the servers that take only tasks that name them, as room is kept there.
+type KeepMsg struct{ Servers []string }
+
 // Result is the outcome of an order to a backend server.
 type Result uint8
 
@@ -112,6 +115,7 @@
 func (AssignMsg) poolMsg()     {}
 func (RunMsg) poolMsg()        {}
 func (StopMsg) poolMsg()       {}
+func (KeepMsg) poolMsg()       {}
 func (ConfirmMsg) poolMsg()    {}
 func (StartedMsg) poolMsg()    {}
 func (StoppedMsg) poolMsg()    {}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -90,6 +90,7 @@
 		r := rank{
 			slow:     s.slowdown > m.limits.MaxSlowdown || s.health.State(now) == health.Probing || s.entry.ID == t.AvoidServer,
 			remote:   t.Affinity != "" && !s.entry.HasLabel(t.Affinity),
+			unnamed:  t.Server != "" && s.entry.ID != t.Server,
 			company:  (t.Suspect && len(s.runs) > 0) || (!t.Suspect && s.suspects > 0),
 			spareCPU: s.entry.Capacity.Sub(s.used).CPU - t.Size.CPU,
 		}
@@ -112,6 +113,9 @@
 	if t.Suspect && s.suspects > 0 {
 		return false
 	}
+	if m.kept[s.entry.ID] && t.Server != s.entry.ID {
+		return false
+	}
 	if t.MaxPerServer > 0 && s.countRuns(t.Job, t.Step) >= t.MaxPerServer {
 		return false
 	}
@@ -120,6 +124,7 @@
 
 // rank is the sort key of servers for a task; the lowest is the best.
 type rank struct {
+	unnamed  bool // the task names another server
 	company  bool // a suspected task and another one would share the server
 	slow     bool
 	remote   bool
@@ -127,6 +132,9 @@
 }
 
 func (r rank) before(o rank) bool {
+	if r.unnamed != o.unnamed {
+		return o.unnamed
+	}
 	if r.company != o.company {
 		return o.company
 	}
@@ -169,6 +177,14 @@
 	}}
 }
 
+// keep sets the servers on which room is kept.
+func (m *Model) keep(msg KeepMsg) {
+	m.kept = map[string]bool{}
+	for _, id := range msg.Servers {
+		m.kept[id] = true
+	}
+}
+
 // confirm records that the callers of an owner's jobs were waiting. It does not prolong
 // runs that are being stopped.
 func (m *Model) confirm(msg ConfirmMsg) {
--- a/core/schedule/capacity.go
+++ b/core/schedule/capacity.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarywalk/core/pool"
+	"rosemarywalk/core/room"
 	"rosemarywalk/core/work"
 )
 
@@ -13,11 +14,13 @@
 type poolView struct {
 	updatedAt   time.Time // when the report arrived
 	slots       []pool.Slot
-	free        int       // millicores free in all slots
-	total       int       // millicores
-	releaseRate int       // millicores per second that ending runs release
-	backlog     int       // millicores of the tasks that wait at the host itself
-	largest     work.Size // largest capacity of any server, by component
+	full        []pool.Slot  // servers without free capacity, if known
+	room        room.Profile // of slots and full; the room that is kept in this pass
+	free        int          // millicores free in all slots
+	total       int          // millicores
+	releaseRate int          // millicores per second that ending runs release
+	backlog     int          // millicores of the tasks that wait at the host itself
+	largest     work.Size    // largest capacity of any server, by component
 }
 
 // newPoolView converts a capacity report, and takes ownership of its slots.
@@ -25,6 +28,7 @@
 	p := &poolView{
 		updatedAt:   now,
 		slots:       msg.Capacity.Slots,
+		full:        msg.Capacity.Full,
 		total:       msg.Capacity.TotalCPU,
 		releaseRate: msg.Capacity.ReleaseRate,
 		backlog:     msg.Backlog,
@@ -39,8 +43,8 @@
 // usable returns the free millicores that tasks of a size can use.
 func (p *poolView) usable(size work.Size) int {
 	sum := 0
-	for _, s := range p.slots {
-		if size.CPU > 0 && size.Fits(s.Free) {
+	for i, s := range p.slots {
+		if size.CPU > 0 && size.Fits(s.Free) && !p.room.Keeps(i) {
 			sum += s.Free.CPU / size.CPU * size.CPU
 		}
 	}
@@ -80,7 +84,7 @@
 		if !t.Size.Fits(s.Free) || (t.Requires != "" && !slices.Contains(s.Labels, t.Requires)) {
 			continue
 		}
-		if t.Suspect && s.Suspect {
+		if (t.Suspect && s.Suspect) || p.room.Delays(i, t.Size, t.PredictedTime) {
 			continue
 		}
 		if found < 0 || preferSlot(s, p.slots[found], t) {
@@ -122,13 +126,19 @@
 }
 
 // unplaceable records the tasks that could not be placed in one pass over the queue.
-// Free capacity only shrinks during a pass, so a task that needs at least as much can't
-// be placed either.
-type unplaceable struct{ tasks []work.Task }
+// Free capacity only shrinks during a pass, so a task that needs at least as much, for at least
+// as long, can't be placed either.
+type unplaceable struct {
+	tasks []work.Task
+	timed bool // shorter tasks may be placed where longer ones can't
+}
 
 // covers reports whether a task needs at least as much as one that could not be placed.
 func (u *unplaceable) covers(t work.Task) bool {
 	for _, o := range u.tasks {
+		if u.timed && t.PredictedTime < o.PredictedTime {
+			continue
+		}
 		if (o.Requires == "" || o.Requires == t.Requires) && (!o.Suspect || t.Suspect) && o.Size.Fits(t.Size) {
 			return true
 		}
@@ -138,7 +148,10 @@
 
 // add records a task that could not be placed, and removes those that it covers.
 func (u *unplaceable) add(t work.Task) {
-	one := unplaceable{tasks: []work.Task{t}}
+	one := unplaceable{
+		tasks: []work.Task{t},
+		timed: u.timed,
+	}
 	u.tasks = append(slices.DeleteFunc(u.tasks, one.covers), t)
 }
 
--- a/core/schedule/fleet_test.go
+++ b/core/schedule/fleet_test.go
@@ -1,8 +1,10 @@
 package schedule
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -44,6 +46,7 @@
 	serversPerHome   = 12 // backend servers
 	serverMillicores = 32000
 	hopLatency       = time.Millisecond // one way between hosts
+	tailFactor       = 7
 )
 
 // fleetJob is a job of a fleet replay.
@@ -62,6 +65,7 @@
 	reporter *Reporter
 	free     []int
 	changes  int
+	kept     map[string]bool // servers on which room is kept
 	running  map[string]fleetRun
 }
 
@@ -78,9 +82,18 @@
 	ages              []time.Duration // of refused jobs
 	usefulCoreSeconds float64         // of jobs answered in time
 	busyCoreSeconds   float64         // of all runs
-	serverFree        int             // jobs refused while a server had capacity for any one of their tasks
-	rejectedLends     int             // tasks for other homes that did not fit
-	packingLimit      float64         // share of all cores that tasks of the submitted sizes can occupy
+	answers           []fleetAnswer
+	serverFree        int     // jobs refused while a server had capacity for any one of their tasks
+	rejectedLends     int     // tasks for other homes that did not fit
+	packingLimit      float64 // share of all cores that tasks of the submitted sizes can occupy
+}
+
+// fleetAnswer is the answer to one job.
+type fleetAnswer struct {
+	cpu    int           // of each of its tasks
+	wait   time.Duration // beyond its mean run time, if it was done
+	onTime bool
+	done   bool
 }
 
 func (r *fleetReport) credit() float64 {
@@ -109,6 +122,7 @@
 	report *fleetReport
 	window [2]time.Duration // jobs submitted in this interval count
 	sizes  []int            // millicores of all tasks submitted
+	tail   float64          // share of the tasks that take tailFactor times as long
 }
 
 func newFleetReplay(seed uint64, l Limits) *fleetReplay {
@@ -166,12 +180,21 @@
 			Memory: 1000,
 		},
 	}
-	for _, free := range h.free {
-		if free > 0 {
-			capacity.Slots = append(capacity.Slots, pool.Slot{Free: work.Size{
+	ends := h.ends(now)
+	for i, free := range h.free {
+		slot := pool.Slot{
+			Server: fmt.Sprint(i),
+			Free: work.Size{
 				CPU:    free,
 				Memory: 1000,
-			}})
+			},
+			Kept: h.kept[fmt.Sprint(i)],
+			Ends: ends[i],
+		}
+		if free > 0 {
+			capacity.Slots = append(capacity.Slots, slot)
+		} else if len(slot.Ends) > 0 {
+			capacity.Full = append(capacity.Full, slot)
 		}
 	}
 	for _, run := range h.running {
@@ -182,6 +205,26 @@
 	return capacity
 }
 
+// ends returns the predicted ends of the runs on each server as a pool reports them.
+func (h *fleetHome) ends(now time.Time) [][]pool.End {
+	ends := make([][]pool.End, len(h.free))
+	if h.model.limits.KeptJobs == 0 {
+		return ends
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.running)) {
+		run := h.running[name]
+		predicted, elapsed := run.task.PredictedTime, now.Sub(run.startedAt)
+		ends[run.server] = append(ends[run.server], pool.End{
+			In:   max(predicted-elapsed, predicted/10, elapsed-predicted),
+			Size: run.task.Size,
+		})
+	}
+	for _, e := range ends {
+		slices.SortStableFunc(e, func(a, b pool.End) int { return cmp.Compare(a.In, b.In) })
+	}
+	return ends
+}
+
 // update passes a message to a home and executes the commands that it returns.
 func (r *fleetReplay) update(now time.Time, h *fleetHome, msg Msg) {
 	pending := []Msg{msg}
@@ -209,6 +252,12 @@
 				r.after(now, hopLatency, func(now time.Time) { r.halt(now, lender, cmd.Name) })
 			case AnswerCmd:
 				r.answer(now, cmd)
+			case KeepCmd:
+				h.kept = map[string]bool{}
+				for _, server := range cmd.Servers {
+					h.kept[server] = true
+				}
+				h.changes++
 			case LogCmd:
 			}
 		}
@@ -245,7 +294,11 @@
 func (r *fleetReplay) start(now time.Time, h, owner *fleetHome, t work.Task) bool {
 	best := -1
 	for i, free := range h.free {
-		if free >= t.Size.CPU && (best < 0 || free < h.free[best]) {
+		server := fmt.Sprint(i)
+		if free < t.Size.CPU || (h.kept[server] && t.Server != server) {
+			continue
+		}
+		if best < 0 || t.Server == server || (t.Server != fmt.Sprint(best) && free < h.free[best]) {
 			best = i
 		}
 	}
@@ -261,6 +314,9 @@
 	}
 	const runTimeSpread = 0.15
 	took := time.Duration(lognormal(r.rng, float64(r.jobs[t.Job].run), runTimeSpread))
+	if r.tail > 0 && r.rng.Float64() < r.tail {
+		took *= tailFactor
+	}
 	r.after(now, took, func(now time.Time) {
 		if run, ok := h.running[t.Name()]; !ok || run.startedAt != now.Add(-took) {
 			return
@@ -315,6 +371,12 @@
 		return
 	}
 	v, took := r.report.verdicts[j.class], now.Sub(j.sent)
+	r.report.answers = append(r.report.answers, fleetAnswer{
+		cpu:    j.taskSize.CPU,
+		wait:   max(0, took-j.run),
+		onTime: cmd.Outcome.State == work.Completed && took <= j.objective,
+		done:   cmd.Outcome.State == work.Completed,
+	})
 	switch {
 	case cmd.Outcome.State == work.Refused:
 		v.refused++
@@ -385,6 +447,7 @@
 func (r *fleetReplay) exchangeCapacity(now time.Time) {
 	for _, h := range r.homes {
 		capacity := h.capacity(now)
+		capacity.Slots = slices.DeleteFunc(capacity.Slots, func(s pool.Slot) bool { return s.Kept })
 		free := 0
 		for _, s := range capacity.Slots {
 			free += s.Free.CPU
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -25,6 +25,7 @@
 	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
 	MaxUnconfirmed      time.Duration // time since a job's caller was last known to wait by which its runs have ended, also those in other hosts' pools; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
+	KeptJobs            int           // number of jobs at the head of the queue for which room is kept in the own pool
 	AnnounceAge         time.Duration // time since its arrival from which the announcement of an unfinished job is repeated, and without an answer after which another home counts as unreachable
 	ShortJob            time.Duration // duration below which the history of an attempt may be guessed; 0 to start jobs that weren't announced
 	AnnouncementTTL     time.Duration // how long another home's announcement of a job counts; 0 disables announcements
@@ -59,6 +60,7 @@
 	finished map[string]finishedJob // by job ID
 	retained []retention            // of finished, oldest first
 	demands  map[string]demand      // by route
+	kept     []string               // sorted IDs of the backend servers of the own pool on which room is kept
 
 	startedAt     time.Time               // of the first message
 	announcements map[string]announcement // of other homes, by job ID
@@ -170,7 +172,7 @@
 
 // Idle reports whether there is no state that a TickMsg could change.
 func (m *Model) Idle() bool {
-	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0
+	return len(m.jobs) == 0 && len(m.finished) == 0 && len(m.ending) == 0 && len(m.kept) == 0
 }
 
 // Unfinished returns the sorted IDs of the jobs that have not ended.
@@ -375,7 +377,8 @@
 func (m *Model) dispatch(now time.Time) []Cmd {
 	m.dropStalePools(now)
 	var cmds []Cmd
-	var unplaced unplaceable
+	unplaced := unplaceable{timed: m.limits.KeptJobs > 0}
+	keeper := m.newKeeper()
 	for _, j := range m.queue {
 		if !m.isEligible(now, j) {
 			continue
@@ -405,15 +408,19 @@
 				order.Suspect = suspect
 			}
 			if unplaced.covers(order) {
+				keeper.add(order)
 				continue
 			}
 			if cmd, ok := m.place(j, t, order); ok {
 				cmds = append(cmds, cmd)
 			} else {
 				unplaced.add(order)
+				keeper.add(order)
 			}
 		}
+		keeper.keep(now, j)
 	}
+	cmds = append(m.keepCmds(), cmds...)
 	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool { return !j.hasWaiting() })
 	return cmds
 }
@@ -431,7 +438,14 @@
 	if slot < 0 {
 		return nil, false
 	}
-	m.pools[host].reserve(slot, order)
+	p := m.pools[host]
+	if p.room.Keeps(slot) {
+		order.Server = p.slots[slot].Server
+	}
+	p.reserve(slot, order)
+	if m.limits.KeptJobs > 0 && host == m.self {
+		p.predictEnd(slot, order)
+	}
 	j.set(t, placed)
 	t.host = host
 	j.started = true
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -157,6 +157,9 @@
 	Name string
 }
 
+// KeepCmd sets the backend servers of the own pool that take only tasks that name them.
+type KeepCmd struct{ Servers []string }
+
 // ConfirmCmd passes on to the own pool when the callers of a job were last known to wait.
 type ConfirmCmd struct {
 	Job string
@@ -201,6 +204,7 @@
 
 func (RunCmd) scheduleCmd()         {}
 func (HaltCmd) scheduleCmd()        {}
+func (KeepCmd) scheduleCmd()        {}
 func (ConfirmCmd) scheduleCmd()     {}
 func (AskCmd) scheduleCmd()         {}
 func (AnnounceCmd) scheduleCmd()    {}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -126,6 +126,7 @@
 	Deadline      time.Time     // time after which its result is of no use
 	ConfirmedAt   time.Time     // when the job's caller was last known to wait for it, on this host's clock
 	AvoidServer   string        // backend server on which an earlier run failed or was stopped; ranked last
+	Server        string        // backend server on which room is kept that the task may take; "" for any other
 	Suspect       bool          // backend servers were lost that may have run it
 }
 
