schedule: [schedule] keep, the number of jobs for which room is kept

The pool reports predicted ends and the scheduler keeps room only if the setting asks for it. Servers on which room is kept aren't offered to other homes.

--- a/core/room/profile.go
+++ b/core/room/profile.go
@@ -66,8 +66,9 @@
 	return slices.ContainsFunc(p.kept, func(k Start) bool { return k.Slot == slot })
 }
 
-// Earliest returns when and where the tasks of a request can start, the earliest start first. It
-// returns fewer starts than tasks if the ends of the known runs don't release room for all.
+// Earliest returns when and where the tasks of a request can start. Of two servers it prefers the
+// one on which less capacity stays idle until then, which is mostly the one where they start first.
+// It returns fewer starts than tasks if the ends of the known runs don't release room for all.
 func (p Profile) Earliest(r Request) []Start {
 	next := make([]time.Duration, len(p.slots))
 	for i := range p.slots {
@@ -77,7 +78,7 @@
 	for len(starts) < r.Count {
 		best := -1
 		for i, in := range next {
-			if in >= 0 && (best < 0 || in < next[best]) {
+			if in != never && (best < 0 || p.idle(i, in, r.Size) < p.idle(best, next[best], r.Size)) {
 				best = i
 			}
 		}
@@ -96,6 +97,11 @@
 	return starts
 }
 
+// idle returns what stays idle on a slot's server until a start there, with the task's own size.
+func (p Profile) idle(slot int, in time.Duration, size work.Size) float64 {
+	return in.Seconds() * float64(size.CPU+p.slots[slot].Free.CPU)
+}
+
 // never is the start of a task for which no room is predicted.
 const never = time.Duration(-1)
 
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -327,6 +327,9 @@
 	}
 	free := 0
 	for _, slot := range capacity.Slots {
+		if slot.Kept {
+			continue
+		}
 		free += slot.Free.CPU
 		report.Slots = append(report.Slots, wire.Slot{
 			Free:   sizeToWire(slot.Free),
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -97,6 +97,15 @@
 				number("useful", "3", "Latency, as a multiple of the objective, up to which a late answer is useful to callers.", 1, 1000),
 				number("hope", "3", "Expected wait of a late job, as a multiple of the time left in which its answer is of use, from which it is refused.", 0, 100),
 				number("spare", "0.1", "Share of the total capacity that must be free before a late job starts.", 0, 1),
+				{
+					Name:    "keep",
+					Default: "1",
+					Help:    "Number of jobs at the head of the queue for which room is kept: on the backend servers where their waiting tasks can start soonest, other tasks start only if they don't delay that. 0 keeps none.",
+					Kind: settings.Integer{
+						Min: 0,
+						Max: 100,
+					},
+				},
 				duration("patience", "10ms", "Grace period in which a job that can't start in time may still find capacity for all of its tasks.", 0, time.Minute),
 				{
 					Name:    "jobs",
@@ -216,7 +225,18 @@
 		StopUnconfirmed: bounds.StopUnconfirmed,
 		SlowdownWeight:  s.Number(sectionPool, "learn"),
 		MaxSlowdown:     s.Number(sectionPool, "last"),
+		MaxEnds:         maxEnds(s),
+	}
+}
+
+// maxEnds returns how many ends of runs are predicted for each backend server: none unless room is
+// kept.
+func maxEnds(s settings.Settings) int {
+	const limit = 16
+	if s.Integer(section, "keep") == 0 {
+		return 0
 	}
+	return limit
 }
 
 func jobLimits(s settings.Settings) schedule.Limits {
@@ -235,6 +255,7 @@
 		MaxConfirmAge:       bounds.MaxAge,
 		MaxUnconfirmed:      bounds.MaxUnconfirmed,
 		MaxJobs:             s.Integer(section, "jobs"),
+		KeptJobs:            s.Integer(section, "keep"),
 		AnnounceAge:         bounds.AnnounceAge,
 		ShortJob:            bounds.ShortJob,
 		AnnouncementTTL:     bounds.AnnouncementTTL,
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -244,6 +244,9 @@
 			Task:  cmd.Task,
 			Owner: ownerSelf,
 		}}, nil
+	case schedule.KeepCmd:
+		s.capacityDirty = true
+		return []any{pool.KeepMsg{Servers: cmd.Servers}}, nil
 	case schedule.HaltCmd:
 		if cmd.Host != s.self {
 			return nil, []effect{func() { go s.lender.Halt(cmd.Host, s.service, cmd.Name) }}
