--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -27,6 +27,7 @@
 	avoidServer string        // backend server of its last run that failed or was stopped
 	predicted   time.Duration // predicted run time reported by its last run; 0 to use that of its step
 	notBefore   time.Time     // earliest time of the next attempt
+	declined    bool          // it was kept from starting as room is kept for another job
 }
 
 // job is a job with the state of its tasks.
--- a/core/schedule/keep.go
+++ b/core/schedule/keep.go
@@ -17,6 +17,8 @@
 	own    *poolView // nil if no room is kept
 	limit  int       // of jobs
 	orders []work.Task
+
+	declined int // tasks that fit somewhere, but would delay a kept start
 }
 
 // newKeeper returns a keeper for a new pass, in which no room is kept yet.
@@ -39,6 +41,20 @@
 	}
 }
 
+// decline counts a task that could not be placed, the first time that this is because room is kept.
+func (k *keeper) decline(t *task, order work.Task) {
+	if k.own == nil || t.declined || len(k.own.room.Kept()) == 0 {
+		return
+	}
+	for i, s := range k.own.slots {
+		if order.Size.Fits(s.Free) && k.own.room.Delays(i, order.Size, order.PredictedTime) {
+			t.declined = true
+			k.declined++
+			return
+		}
+	}
+}
+
 // keep keeps room for the recorded tasks of a job, unless they would start too late to be of use.
 func (k *keeper) keep(now time.Time, j *job) {
 	if len(k.orders) == 0 {
@@ -70,8 +86,9 @@
 	}
 }
 
-// keepCmds returns a command if the servers on which room is kept have changed.
-func (m *Model) keepCmds() []Cmd {
+// keepCmds returns a command if the servers on which room is kept have changed, or tasks were
+// declined.
+func (m *Model) keepCmds(declined int) []Cmd {
 	var servers []string
 	if own := m.pools[m.self]; own != nil {
 		for _, s := range own.room.Kept() {
@@ -80,11 +97,21 @@
 	}
 	slices.Sort(servers)
 	servers = slices.Compact(servers)
-	if slices.Equal(servers, m.kept) {
+	if declined == 0 && slices.Equal(servers, m.kept) {
 		return nil
 	}
+	added := 0
+	for _, id := range servers {
+		if _, kept := slices.BinarySearch(m.kept, id); !kept {
+			added++
+		}
+	}
 	m.kept = servers
-	return []Cmd{KeepCmd{Servers: servers}}
+	return []Cmd{KeepCmd{
+		Servers:  servers,
+		Added:    added,
+		Declined: declined,
+	}}
 }
 
 // slot returns a slot of the pool's profile.
--- a/core/schedule/keep_test.go
+++ b/core/schedule/keep_test.go
@@ -196,7 +196,10 @@
 		Job:    job,
 		Caller: "c",
 	})
-	assert.DeepEqual(t, pick.OfType[KeepCmd](cmds), []KeepCmd{{Servers: []string{"a"}}})
+	assert.DeepEqual(t, pick.OfType[KeepCmd](cmds), []KeepCmd{{
+		Servers: []string{"a"},
+		Added:   1,
+	}})
 	m.Update(epoch, CallerGoneMsg{Caller: "c"})
 	assert.Assert(t, !m.Idle())
 	cmds = m.Update(epoch, TickMsg{})
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -415,12 +415,13 @@
 				cmds = append(cmds, cmd)
 			} else {
 				unplaced.add(order)
+				keeper.decline(t, order)
 				keeper.add(order)
 			}
 		}
 		keeper.keep(now, j)
 	}
-	cmds = append(m.keepCmds(), cmds...)
+	cmds = append(m.keepCmds(keeper.declined), cmds...)
 	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool { return !j.hasWaiting() })
 	return cmds
 }
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -158,7 +158,11 @@
 }
 
 // KeepCmd sets the backend servers of the own pool that take only tasks that name them.
-type KeepCmd struct{ Servers []string }
+type KeepCmd struct {
+	Servers  []string // sorted IDs
+	Added    int      // of them, that were not set before
+	Declined int      // tasks that fitted there and were kept from starting for the first time
+}
 
 // ConfirmCmd passes on to the own pool when the callers of a job were last known to wait.
 type ConfirmCmd struct {
--- a/io/scheduler/shard.go
+++ b/io/scheduler/shard.go
@@ -246,6 +246,7 @@
 		}}, nil
 	case schedule.KeepCmd:
 		s.capacityDirty = true
+		s.counters.Kept(cmd.Added, cmd.Declined)
 		return []any{pool.KeepMsg{Servers: cmd.Servers}}, nil
 	case schedule.HaltCmd:
 		if cmd.Host != s.self {
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -29,6 +29,8 @@
 	starts   prometheus.Counter
 	rows     prometheus.Counter
 	store    prometheus.Counter
+	kept     prometheus.Counter
+	declined prometheus.Counter
 	jobs     *prometheus.CounterVec
 	joins    *prometheus.CounterVec
 }
@@ -48,6 +50,16 @@
 			Name:      "starts_total",
 			Help:      "Tasks sent to a backend server.",
 		}),
+		kept: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "kept_total",
+			Help:      "Backend servers on which room was kept for a waiting job.",
+		}),
+		declined: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "declined_total",
+			Help:      "Tasks that were not started where they fitted, as room is kept for another job.",
+		}),
 		rows: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace,
 			Name:      "row_refusals_total",
@@ -64,7 +76,7 @@
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows, c.store)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.kept, c.declined, c.rows, c.store)
 	return c
 }
 
@@ -104,6 +116,12 @@
 // Started counts a task sent to a backend server.
 func (c *Counters) Started() { c.starts.Inc() }
 
+// Kept counts backend servers on which room is kept from now on, and tasks that were declined for it.
+func (c *Counters) Kept(servers, declined int) {
+	c.kept.Add(float64(servers))
+	c.declined.Add(float64(declined))
+}
+
 // Finished counts a finished job by its state.
 func (c *Counters) Finished(state string) { c.jobs.WithLabelValues(state).Inc() }
 
