--- a/core/schedule/keep_test.go
+++ b/core/schedule/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -206,3 +207,60 @@
 	assert.DeepEqual(t, pick.OfType[KeepCmd](cmds), []KeepCmd{{}})
 	assert.Assert(t, m.Idle())
 }
+
+// BenchmarkDispatch measures a report of capacity at a home whose servers are full, or have a gap,
+// while 100 jobs wait.
+func BenchmarkDispatch(b *testing.B) {
+	for _, servers := range []int{50, 350, 1122} {
+		for _, kept := range []int{0, 1} {
+			b.Run(fmt.Sprintf("%d servers, room for %d jobs", servers, kept), func(b *testing.B) {
+				l := limits
+				l.KeptJobs, l.AdmitWaitFactor, l.MaxJobs = kept, 100, 1000
+				m := New(self, l)
+				report := CapacityMsg{
+					Host:     self,
+					Capacity: fullPool(servers),
+				}
+				if kept == 0 {
+					for i := range report.Capacity.Slots {
+						report.Capacity.Slots[i].Ends = nil
+					}
+				}
+				m.Update(epoch, report)
+				const jobs = 100
+				for n := range jobs {
+					job := jobOf(fmt.Sprint(n), 4)
+					job.Steps[0].Size.CPU = 18000
+					job.Arrived, job.Slack, job.Deadline = epoch, time.Hour, epoch.Add(time.Hour)
+					m.Update(epoch, SubmitMsg{
+						Job:    job,
+						Caller: job.ID,
+					})
+				}
+				assert.Equal(b, m.Queued(), jobs)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					m.Update(epoch, report)
+				}
+			})
+		}
+	}
+}
+
+// fullPool returns the capacity of servers with 8 of 32 cores free and two runs.
+func fullPool(servers int) pool.Capacity {
+	capacity := poolWith(servers)
+	for i := range capacity.Slots {
+		s := &capacity.Slots[i]
+		s.Server, s.Free.CPU = fmt.Sprintf("i-%04d", i), 8000
+		for _, in := range []int{40 + i%50, 100 + i%500} {
+			s.Ends = append(s.Ends, pool.End{
+				In:   time.Duration(in) * time.Millisecond,
+				Size: work.Size{CPU: 12000},
+			})
+		}
+	}
+	capacity.Largest.CPU = 32000
+	return capacity
+}
