--- a/core/schedule/keep.go
+++ b/core/schedule/keep.go
@@ -34,9 +34,10 @@
 	}
 }
 
-// add records a task of the current job that could not be placed.
+// add records a task of the current job that could not be placed. A suspected one may wait for
+// another reason than room.
 func (k *keeper) add(order work.Task) {
-	if k.own != nil && k.limit > 0 {
+	if k.own != nil && k.limit > 0 && !order.Suspect {
 		k.orders = append(k.orders, order)
 	}
 }
