--- a/core/pool/bench_test.go
+++ b/core/pool/bench_test.go
@@ -26,6 +26,11 @@
 			servers: 88,
 			limits:  limits,
 		},
+		{
+			name:    "88 servers, ends predicted",
+			servers: 88,
+			limits:  predictingLimits(),
+		},
 		{
 			name:    "12 servers, callers confirmed",
 			servers: 12,
@@ -95,3 +100,10 @@
 	}
 	return bench
 }
+
+// predictingLimits returns limits with which the ends of all runs are predicted.
+func predictingLimits() Limits {
+	l := limits
+	l.MaxEnds = 16
+	return l
+}
