schedule: [schedule] excess refuses late jobs at once while new ones bring more work than can be done

Cause: demoted jobs waited for capacity that others always took, as the estimate of their wait counts the demand of admitted jobs only.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -208,7 +208,7 @@
 		return core.ReasonWait
 	case !j.running() && now.Add(j.minRemaining()).After(j.Deadline):
 		return core.ReasonDeadline
-	case j.demoted && !j.started && m.waitsTooLong(now, j, m.estimatedWaitBehind(now, j, ahead)):
+	case j.demoted && !j.started && (m.overloaded(now, j) || m.waitsTooLong(now, j, m.estimatedWaitBehind(now, j, ahead))):
 		return core.ReasonWait
 	}
 	return ""
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -46,3 +46,29 @@
 	}
 	return int(sum)
 }
+
+// overloaded reports whether new jobs bring more work than the own pool can do, and no other pool
+// lends capacity that a job could use. A job that is late then waits in vain: others that can still
+// start in time take all that becomes free. Estimates of its wait don't show this, as they count
+// the demand of admitted jobs only, which can't exceed the capacity for long.
+func (m *Model) overloaded(now time.Time, j *job) bool {
+	own := m.pools[m.self]
+	if m.limits.MaxOfferedWork == 0 || own == nil || own.total == 0 {
+		return false
+	}
+	for _, p := range m.pools {
+		if p != own && (p.backlog == 0 || p.usable(j.largest()) > 0) {
+			return false
+		}
+	}
+	return m.offered.rate(now) > m.limits.MaxOfferedWork*float64(own.total)
+}
+
+// work returns the predicted work of a job's tasks, in thousandths of a core second.
+func (j *job) work() int {
+	sum := 0.0
+	for i, s := range j.Steps {
+		sum += float64(s.Count*s.Size.CPU) * j.predicted[i].Seconds()
+	}
+	return int(sum)
+}
--- a/core/schedule/model.go
+++ b/core/schedule/model.go
@@ -25,6 +25,7 @@
 	MaxConfirmAge       time.Duration // time since a job's caller was last known to wait after which none of its tasks is started; 0 for no limit
 	MaxUnconfirmed      time.Duration // time since a job's caller was last known to wait by which its runs have ended, also those in other hosts' pools; 0 for no limit
 	MaxJobs             int           // maximum number of jobs
+	MaxOfferedWork      float64       // work that new jobs bring, as a multiple of what the own pool can do, above which no late job waits for what others leave; 0 for no limit
 	KeptJobs            int           // number of jobs at the head of the queue for which room is kept in the own pool
 	AnnounceAge         time.Duration // time since its arrival from which the announcement of an unfinished job is repeated, and without an answer after which another home counts as unreachable
 	ShortJob            time.Duration // duration below which the history of an attempt may be guessed; 0 to start jobs that weren't announced
@@ -60,6 +61,7 @@
 	finished map[string]finishedJob // by job ID
 	retained []retention            // of finished, oldest first
 	demands  map[string]demand      // by route
+	offered  demand                 // work of all new jobs, in thousandths of a core second
 	kept     []string               // sorted IDs of the backend servers of the own pool on which room is kept
 
 	startedAt     time.Time               // of the first message
@@ -335,6 +337,7 @@
 	if msg.Overloaded {
 		return m.finish(now, j, OverloadOutcome())
 	}
+	m.offered = m.offered.with(now, j.startSlack(), j.work())
 	m.jobs[id] = j
 	m.callers[msg.Caller] = id
 	m.enqueue(j)
