--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -34,6 +34,8 @@
 	MaxSlowdown    float64 // average slowdown above which a server is used last
 	SpeedWeight    float64 // weight of a new run in a server's estimated speed; 0 takes all servers for equally fast
 
+	MaxEnds int // predicted ends that are reported for each server; 0 for none
+
 	// StopTimeout is the longest time that servers take to stop a run, on their clocks.
 	StopTimeout time.Duration
 
@@ -61,6 +63,7 @@
 	delay        time.Duration        // how late this host got to its work at that time
 	fencedAt     map[string]time.Time // when another host took over a server, by server ID
 	serverByTask map[string]string    // server ID by the name of a running task
+	kept         map[string]bool      // servers that take only tasks that name them, by ID
 	orphanLeases map[string]time.Time // when unknown runs at servers that were removed have ended, by task name
 }
 
@@ -127,6 +130,8 @@
 		return m.stop(now, msg)
 	case ConfirmMsg:
 		m.confirm(msg)
+	case KeepMsg:
+		m.keep(msg)
 	case StartedMsg:
 		return m.started(now, msg)
 	case StoppedMsg:
--- a/core/schedule/msg.go
+++ b/core/schedule/msg.go
@@ -168,6 +168,13 @@
 	Name string
 }
 
+// KeepCmd sets the backend servers of the own pool that take only tasks that name them.
+type KeepCmd struct {
+	Servers  []string // sorted IDs
+	Added    int      // of them, that were not set before
+	Declined int      // tasks that fitted there and were kept from starting for the first time
+}
+
 // ConfirmCmd passes on to the own pool when the callers of a job were last known to wait.
 type ConfirmCmd struct {
 	Job string
@@ -212,6 +219,7 @@
 
 func (RunCmd) scheduleCmd()         {}
 func (HaltCmd) scheduleCmd()        {}
+func (KeepCmd) scheduleCmd()        {}
 func (ConfirmCmd) scheduleCmd()     {}
 func (AskCmd) scheduleCmd()         {}
 func (AnnounceCmd) scheduleCmd()    {}
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarywalk/core/pool"
+	"rosemarywalk/core/work"
 )
 
 // usualTime returns how long a run would have taken on the usual server.
@@ -24,6 +25,11 @@
 	return s.Speed
 }
 
+// timeAt returns the predicted run time of a task on a slot's server, 0 if it is unknown.
+func timeAt(s pool.Slot, t work.Task) time.Duration {
+	return time.Duration(float64(t.PredictedTime) / speedOf(s))
+}
+
 // fastest returns the speed of the fastest servers of all pools. Those of pools that don't report it
 // count as the usual ones.
 func (m *Model) fastest() float64 {
