--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -89,8 +89,7 @@
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.rows, c.store, c.evacuated, c.evacuationErrors)
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.kept, c.declined, c.rows, c.store)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.kept, c.declined, c.rows, c.store, c.evacuated, c.evacuationErrors)
 	return c
 }
 
