schedule, roster: a new home that starts anew, and late lists, are not taken for the earlier ones

With [schedule] former = ask, a home that had entered the plan within 1.27 s and then started anew counted with the acknowledgement of its new process, which doesn't know the run that the old one had acknowledged: two runs of a job for 1.14 s. A process that is younger than its entry in the plan doesn't count now.

Inherited rows counted the time since which a new host is seen from the request, so an answer that takes long let it vote too early. A read that was inherited isn't applied a second time, and ages beyond a year are rejected.

--- a/core/schedule/announce.go
+++ b/core/schedule/announce.go
@@ -282,6 +282,10 @@
 		awaited := m.awaitsAcknowledgement(now, j)
 		a := j.answers[msg.Host]
 		a.sentAt = msg.SentAt
+		a.startedBy = time.Time{}
+		if msg.Age > 0 {
+			a.startedBy = now.Add(-msg.Age)
+		}
 		tenure := max(msg.HomeFor, msg.WasFor+msg.Left)
 		a.votes, a.knows = msg.Votes, !m.isNew(msg.Age) && (m.limits.MajorityWait == 0 || tenure >= m.limits.AnnouncementTTL)
 		j.answers[msg.Host] = a
--- a/core/schedule/former.go
+++ b/core/schedule/former.go
@@ -93,7 +93,8 @@
 	covers := func(home string, since time.Time) bool {
 		a := j.answers[home]
 		if since.After(begin) {
-			return !a.sentAt.IsZero()
+			// A process that is younger than that doesn't know what its predecessor acknowledged.
+			return !a.sentAt.IsZero() && !a.startedBy.After(since)
 		}
 		known = true
 		return a.knows
--- a/core/schedule/majority.go
+++ b/core/schedule/majority.go
@@ -12,9 +12,10 @@
 
 // answer is what another home has answered to announcements of a job.
 type answer struct {
-	sentAt time.Time // when the latest announcement was sent that it acknowledged
-	votes  int       // of the hosts that it hears in its failure domain, as of that answer
-	knows  bool      // it would know of earlier runs in its failure domain
+	startedBy time.Time // the other home's process had started then; zero if unknown
+	sentAt    time.Time // when the latest announcement was sent that it acknowledged
+	votes     int       // of the hosts that it hears in its failure domain, as of that answer
+	knows     bool      // it would know of earlier runs in its failure domain
 }
 
 // Votes returns the votes that this host gives to other homes, and for how long it
--- a/io/roster/inherit.go
+++ b/io/roster/inherit.go
@@ -66,7 +66,7 @@
 	}
 	// All times count from the request, so that the rows don't seem younger than they are.
 	rows := answer.Listing.Rows
-	l.roster.inheritRows(asked, rows)
+	l.roster.inheritRows(asked, time.Now(), rows)
 	update, readAt := updateFromWire(answer.Listing), before(asked, rows.Read)
 	if l.watcher.Inherit(update, readAt) {
 		l.log.Info("lists inherited", "address", address, "position", update.Position,
@@ -74,16 +74,24 @@
 	}
 }
 
+// maxInheritedAge limits the ages that another host states, in milliseconds.
+const maxInheritedAge = int(365 * 24 * time.Hour / time.Millisecond)
+
 // checkInherited reports why lists can't be used by a host that has none.
 func checkInherited(lists *wire.Listing) error {
 	switch {
 	case !lists.Whole || lists.Position < 0:
 		return errors.New("the lists are not whole")
-	case lists.Rows.Read < 0 || lists.Rows.First < lists.Rows.Read:
+	case lists.Rows.Read < 0 || lists.Rows.First < lists.Rows.Read || lists.Rows.First > maxInheritedAge:
 		return errors.Errorf("rows were read %d to %d ms ago", lists.Rows.First, lists.Rows.Read)
 	}
 	for _, r := range lists.Rows.Rows {
-		if r.Name == "" || r.Address == "" || r.Changed < lists.Rows.Read || r.After < r.Changed || r.Still < 0 {
+		seen := 0
+		if r.Seen != nil {
+			seen = *r.Seen
+		}
+		if r.Name == "" || r.Address == "" || r.Changed < lists.Rows.Read || r.After < r.Changed || r.Still < 0 || seen < 0 ||
+			max(r.After, r.Still, seen) > maxInheritedAge {
 			return errors.Errorf("row %q of host %q is malformed", r.Name, r.Address)
 		}
 	}
@@ -106,11 +114,11 @@
 }
 
 // inheritRows adopts the rows that another host knows, unless this one has read some.
-func (r *Roster) inheritRows(now time.Time, rows *wire.HostRows) {
+func (r *Roster) inheritRows(asked, answered time.Time, rows *wire.HostRows) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.rows.readAt.IsZero() {
-		r.rows.inherit(now, rows)
+		r.rows.inherit(asked, answered, rows)
 	}
 }
 
@@ -143,7 +151,7 @@
 
 // inherit replaces all rows by those that another host knew at a time. What counts for majorities
 // then counts as it does there.
-func (hr *hostRows) inherit(now time.Time, rows *wire.HostRows) {
+func (hr *hostRows) inherit(now, answered time.Time, rows *wire.HostRows) {
 	hr.readAt, hr.firstRead = before(now, rows.Read), before(now, rows.First)
 	hr.byName = map[string]row{}
 	for _, r := range rows.Rows {
@@ -160,7 +168,7 @@
 			missing:      r.Missing,
 		}
 		if r.Seen != nil {
-			inherited.seenAt = before(now, *r.Seen)
+			inherited.seenAt = before(answered, *r.Seen) // a new row must not vote too early
 		}
 		hr.byName[r.Name] = inherited
 	}
--- a/io/roster/inherit_test.go
+++ b/io/roster/inherit_test.go
@@ -58,7 +58,7 @@
 				}
 			}
 			if step == inheritAt {
-				heir.inherit(h.at(seconds), h.left.toWire(h.at(seconds)))
+				heir.inherit(h.at(seconds), h.at(seconds), h.left.toWire(h.at(seconds)))
 			}
 			if step < inheritAt {
 				continue
--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -185,7 +185,10 @@
 	}
 	self := r.model.Self().Address
 	first := len(r.rows.byName) == 0 || !r.rows.contains(self)
-	r.rows.update(readAt, hosts)
+	if readAt.After(r.rows.readAt) {
+		// Rows that were inherited with the same read say more than these.
+		r.rows.update(readAt, hosts)
+	}
 	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
 	if first {
