Use backend servers that are warming up after the others

Servers of a failure domain that is taken back may be cold.

Change: a server whose entry says that it is warming up gets tasks after all warm ones, in its own pool and from other homes, and the times of its runs then don't count against it later. [pool] cold = equal switches it off.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -17,6 +17,7 @@
 	Capacity         work.Size
 	EnforcesCapacity bool  // the server rejects tasks that exceed its capacity
 	Draining         bool  // the server will shut down and accepts no new work
+	Cold             bool  // the server has not warmed up, and is slower than it will be
 	Evacuated        bool  // its failure domain is evacuated: nothing new is started on it; not part of the entry
 	StartedAtMillis  int64 // start time in Unix milliseconds; 0 if unknown
 }
@@ -81,5 +82,5 @@
 	s.Labels, o.Labels = nil, nil
 	return labels && s.ID == o.ID && s.Service == o.Service && s.Address == o.Address &&
 		s.Domain == o.Domain && s.Capacity == o.Capacity && s.EnforcesCapacity == o.EnforcesCapacity &&
-		s.Draining == o.Draining && s.StartedAtMillis == o.StartedAtMillis
+		s.Draining == o.Draining && s.Cold == o.Cold && s.StartedAtMillis == o.StartedAtMillis
 }
--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -42,7 +42,7 @@
 		capacity.Slots = append(capacity.Slots, Slot{
 			Free:   free,
 			Labels: s.entry.Labels,
-			Slow:   s.slowdown > m.limits.MaxSlowdown,
+			Slow:   m.isSlow(s),
 
 			Busy:    len(s.runs) > 0,
 			Suspect: s.suspects > 0,
--- a/core/pool/evacuation_test.go
+++ b/core/pool/evacuation_test.go
@@ -147,3 +147,40 @@
 	assert.Equal(t, len(ends(cmds))+len(stops(cmds))+len(starts(cmds)), 0)
 	assert.Equal(t, b.model.Pending(), 1)
 }
+
+// TestColdServer checks that a server that is warming up gets tasks only if the others are full,
+// that the times of its runs don't count against it later, and that it is used as any other once
+// it is warm.
+func TestColdServer(t *testing.T) {
+	l := limits
+	l.ColdLast = true
+	b := newHarnessWith(t, l, "s", "t")
+	warm := func(isWarm bool) {
+		servers := entries("s", "t")
+		servers[0].Cold = !isWarm
+		b.update(AssignMsg{
+			Servers: servers,
+			Token:   7,
+		})
+	}
+	warm(false)
+	for i, want := range []string{"t", "t", "s"} {
+		order := starts(b.update(RunMsg{Task: taskOf(string(rune('a' + i)))}))[0]
+		assert.Equal(t, order.Server, want)
+		b.acceptStart(order.Server, order.Task.Name(), 1)
+	}
+	slots := b.model.Capacity(b.now).Slots
+	assert.Assert(t, slots[0].Slow && !slots[1].Slow)
+	b.advance(400 * time.Millisecond)
+	b.answerPoll("s", func(msg *PollResultMsg) {
+		msg.Ended = []ListedEnd{{
+			Number: 1,
+			Name:   taskOf("c").Name(),
+			Run:    1,
+			End:    work.EndDone,
+		}}
+	})
+	warm(true)
+	assert.Equal(t, b.model.servers["s"].slowdown, 1.0)
+	assert.Assert(t, !b.model.Capacity(b.now).Slots[0].Slow)
+}
--- a/core/pool/model.go
+++ b/core/pool/model.go
@@ -31,6 +31,7 @@
 	Health         health.Limits
 	SlowdownWeight float64 // weight of a new run in a server's average slowdown
 	MaxSlowdown    float64 // average slowdown above which a server is used last
+	ColdLast       bool    // servers that are warming up are used last, and not judged
 
 	// StopTimeout is the longest time that servers take to stop a run, on their clocks.
 	StopTimeout time.Duration
@@ -425,7 +426,7 @@
 	switch end {
 	case work.EndDone:
 		s.health = s.health.WithSuccess()
-		if r.task.PredictedTime <= 0 {
+		if r.task.PredictedTime <= 0 || m.isCold(s) {
 			return
 		}
 		ratio := float64(took) / float64(r.task.PredictedTime)
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		r := rank{
-			slow:     s.slowdown > m.limits.MaxSlowdown || s.health.State(now) == health.Probing || s.entry.ID == t.AvoidServer,
+			slow:     m.isSlow(s) || s.health.State(now) == health.Probing || s.entry.ID == t.AvoidServer,
 			remote:   t.Affinity != "" && !s.entry.HasLabel(t.Affinity),
 			company:  (t.Suspect && len(s.runs) > 0) || (!t.Suspect && s.suspects > 0),
 			spareCPU: s.entry.Capacity.Sub(s.used).CPU - t.Size.CPU,
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -340,6 +340,16 @@
 		s.health.State(now) != health.Ejected && len(s.losses) == 0 && s.capacityKnown()
 }
 
+// isSlow reports whether a server is slower than predicted, or still warming up, so that it is
+// used after the others.
+func (m *Model) isSlow(s *server) bool {
+	return s.slowdown > m.limits.MaxSlowdown || m.isCold(s)
+}
+
+// isCold reports whether a server is warming up. What it does then says nothing about its speed
+// afterwards.
+func (m *Model) isCold(s *server) bool { return m.limits.ColdLast && s.entry.Cold }
+
 // capacityKnown reports whether the entry describes the current process. After a restart under
 // the same ID, its capacity and labels may differ from those of the previous one.
 func (s *server) capacityKnown() bool {
--- a/io/roster/listing.go
+++ b/io/roster/listing.go
@@ -36,6 +36,7 @@
 			},
 			Draining: s.Draining,
 			Born:     int(s.StartedAtMillis),
+			Cold:     coldToWire(s.Cold),
 		})
 	}
 	for _, h := range n.Hosts {
@@ -83,6 +84,7 @@
 				GPU:    s.Room.Gpu,
 			},
 			Draining:        s.Draining,
+			Cold:            s.Cold != nil && *s.Cold,
 			StartedAtMillis: int64(s.Born),
 		})
 	}
@@ -106,6 +108,14 @@
 	return n
 }
 
+// coldToWire encodes an optional field, which most servers lack.
+func coldToWire(cold bool) *bool {
+	if !cold {
+		return nil
+	}
+	return &cold
+}
+
 // milliseconds returns the duration in an optional field, 0 if it is missing.
 func milliseconds(field *int) time.Duration {
 	if field == nil {
--- a/io/roster/listing_test.go
+++ b/io/roster/listing_test.go
@@ -28,6 +28,7 @@
 			GPU:    2,
 		},
 		Draining:        true,
+		Cold:            true,
 		StartedAtMillis: 7,
 	}
 	host := listing.Host{
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -27,6 +27,9 @@
 const (
 	section     = "schedule"
 	sectionPool = "pool"
+
+	coldLast  = "last"
+	coldEqual = "equal"
 )
 
 func init() {
@@ -64,6 +67,12 @@
 						Max: 1000,
 					},
 				},
+				{
+					Name:    "cold",
+					Default: coldLast,
+					Help:    "Use of a backend server whose entry says that it is warming up: after the others, or as any other.",
+					Kind:    settings.Choice{Of: []string{coldLast, coldEqual}},
+				},
 			},
 		},
 		Module: fx.Options(),
@@ -216,6 +225,7 @@
 		StopUnconfirmed: bounds.StopUnconfirmed,
 		SlowdownWeight:  s.Number(sectionPool, "learn"),
 		MaxSlowdown:     s.Number(sectionPool, "last"),
+		ColdLast:        s.Text(sectionPool, "cold") == coldLast,
 	}
 }
 
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -736,6 +736,9 @@
 	// Process start in Unix milliseconds; 0 if unknown.
 	Born int `cbor:"born" json:"born"`
 
+	// Whether the backend server has not warmed up; absent if it has.
+	Cold *bool `cbor:"cold,omitempty" json:"cold,omitempty,omitzero"`
+
 	// Failure domain.
 	Domain string `cbor:"domain" json:"domain"`
 
