--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -71,7 +71,7 @@
 			Server: s.entry.ID,
 			Free:   free,
 			Labels: s.entry.Labels,
-			Slow:   s.slowdown > m.limits.MaxSlowdown,
+			Slow:   m.isSlow(s),
 			Speed:  s.speed,
 
 			Busy:    len(s.runs) > 0,
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -32,6 +32,8 @@
 	// Values of the setting former.
 	formerAsked   = "ask"
 	formerAwaited = "wait"
+	coldLast      = "last"
+	coldEqual     = "equal"
 )
 
 func init() {
@@ -70,6 +72,12 @@
 						Max: 1000,
 					},
 				},
+				{
+					Name:    "cold",
+					Default: coldLast,
+					Help:    "Use of a backend server whose entry says that it is warming up: after the others, or as any other.",
+					Kind:    settings.Choice{Of: []string{coldLast, coldEqual}},
+				},
 			},
 		},
 		Module: fx.Options(),
@@ -241,6 +249,7 @@
 		MaxSlowdown:     s.Number(sectionPool, "last"),
 		SpeedWeight:     s.Number(sectionPool, "speed"),
 		MaxEnds:         maxEnds(s),
+		ColdLast:        s.Text(sectionPool, "cold") == coldLast,
 	}
 }
 
