--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -47,8 +47,8 @@
 	return int(sum)
 }
 
-// overloaded reports whether new jobs bring more work than the own pool can do, and no other pool
-// lends capacity that a job could use. A job that is late then waits in vain: others that can still
+// overloaded reports whether new jobs bring more work than the own pool can do, and no pool has
+// capacity that a job could use. A job that is late then waits in vain: others that can still
 // start in time take all that becomes free. Estimates of its wait don't show this, as they count
 // the demand of admitted jobs only, which can't exceed the capacity for long.
 func (m *Model) overloaded(now time.Time, j *job) bool {
@@ -57,7 +57,7 @@
 		return false
 	}
 	for _, p := range m.pools {
-		if p != own && (p.backlog == 0 || p.usable(j.largest()) > 0) {
+		if (p != own && p.backlog == 0) || p.usable(j.largest()) > 0 {
 			return false
 		}
 	}
--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -96,7 +96,7 @@
 				number("overdue", "1", "Expected start of an admitted job that has not begun, as a multiple of its slack, from which it queues behind jobs that can still finish in time.", 0, 100),
 				number("useful", "3", "Latency, as a multiple of the objective, up to which a late answer is useful to callers.", 1, 1000),
 				number("hope", "3", "Expected wait of a late job, as a multiple of the time left in which its answer is of use, from which it is refused.", 0, 100),
-				number("excess", "0", "Work that new jobs bring, as a multiple of what this home's backend servers can do, above which a late job is refused at once instead of waiting for free capacity, unless another home lends some. 0 lets it wait.", 0, 100),
+				number("excess", "0", "Work that new jobs bring, as a multiple of what this home's backend servers can do, above which a late job is refused at once instead of waiting for free capacity, unless there is some at any home. 0 lets it wait.", 0, 100),
 				number("spare", "0.1", "Share of the total capacity that must be free before a late job starts.", 0, 1),
 				{
 					Name:    "keep",
