--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -71,14 +71,11 @@
 	}
 }
 
-// Pin protects a holder from eviction, or ends that. It reports whether the holder is known:
-// one that was evicted isn't.
-func (b *Budget[K]) Pin(key K, pinned bool) bool {
-	h, ok := b.holders[key]
-	if ok {
+// Pin protects a holder from eviction, or ends that.
+func (b *Budget[K]) Pin(key K, pinned bool) {
+	if h, ok := b.holders[key]; ok {
 		h.pinned = pinned
 	}
-	return ok
 }
 
 // Drop returns all bytes of a holder and forgets it.
--- a/io/entry/state_test.go
+++ b/io/entry/state_test.go
@@ -13,6 +13,7 @@
 
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
+	"rosemarywalk/core/route"
 	"rosemarywalk/io/clock"
 	"rosemarywalk/io/peer"
 	"rosemarywalk/io/roster"
@@ -79,3 +80,40 @@
 	assert.Equal(t, answer.Code, http.StatusGatewayTimeout)
 	assert.Assert(t, peers.until.Sub(arrived) < wait, "waits for %s", peers.until.Sub(arrived))
 }
+
+// TestRefuseUnread checks that a refusal for want of memory says that the job has not run only
+// if it is its caller's first attempt.
+func TestRefuseUnread(t *testing.T) {
+	const first, again = 3 * time.Second, 1500 * time.Millisecond
+	waits := newWaitEstimator(true)
+	for range firstWaits {
+		waits.elapsed("r", first)
+	}
+	for _, test := range []struct {
+		wait   time.Duration
+		status int
+	}{
+		{
+			wait:   first,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			wait:   again,
+			status: http.StatusBadGateway,
+		},
+		{
+			status: http.StatusBadGateway,
+		},
+	} {
+		h := &Handler{
+			format:        waitFormat{wait: test.wait},
+			counters:      telemetry.NewCounters(telemetry.NewRegistry()),
+			log:           logr.Discard(),
+			waitEstimator: newWaitEstimator(true),
+		}
+		h.waitEstimator.routes = waits.routes
+		answer := httptest.NewRecorder()
+		h.refuseUnread(answer, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil), request{route: route.Route{Name: "r"}})
+		assert.Equal(t, answer.Code, test.status, "caller that waits %s", test.wait)
+	}
+}
--- a/io/server/gate.go
+++ b/io/server/gate.go
@@ -130,7 +130,7 @@
 		case !found:
 			g.gate.count(causeConnections, c)
 			return false
-		case victim.phase() == intake.Waiting && victim.unread():
+		case victim.phase() == intake.Waiting && victim.received() > victim.answered.Load():
 			// A request has arrived on it, and would be lost.
 			g.slots.Set(victim, intake.Serving, now)
 		default:
