io/server: connections that are read or handed over don't fill a listener

Found in a review of the limits. What clients could do: each peer link ever opened kept its slot, so that the listener for other hosts refused all links after a fifth of the descriptors; requests whose small bodies stop short of their end counted as served and were never closed, so that ordinary callers were reset for 10 s; unread bytes in the operating system took 128 kB a connection, 100 MB for 800 clients of a host of 96 MB that stood still.

Change: a connection that its handler closes gives back its slot; one whose body is being read, or isn't read by its handler, may be closed for a new one, at once; the callers' listener limits receive buffers, and a connection counts 48 kB of memory, which pays for headers up to 6 kB as well, so that ordinary requests don't take from the budget before their body.

TestConnectionsReturned failed in its three cases before (connection reset). TestCrowd has a further crowd, small bodies; crowds and bounds are as before.

--- a/io/intake/plugin.go
+++ b/io/intake/plugin.go
@@ -120,9 +120,6 @@
 	current  atomic.Pointer[server.Limits] // of callers
 }
 
-// connectionCost is the memory of a connection with a request, in bytes, without the request.
-const connectionCost = 32 << 10
-
 // connectionShare is the share of the memory for the connections of one listener.
 const connectionShare = 0.25
 
@@ -147,11 +144,12 @@
 		}
 		limit := max(1, files*share)
 		if available > 0 {
-			limit = min(limit, available*connectionShare/connectionCost)
+			limit = min(limit, available*connectionShare/server.ConnectionCost)
 		}
 		return int(limit)
 	}
 	i.callers = i.gate.Guard(connections(s.Number(section, "callers")), func() server.Limits { return *i.current.Load() })
+	i.callers.LimitBuffers()
 	i.peers = i.gate.Guard(connections(s.Number(section, "peers")), i.limits)
 	return i
 }
--- a/io/server/body.go
+++ b/io/server/body.go
@@ -71,6 +71,7 @@
 	if !c.guard.pin(c, true) {
 		return nil, ErrMemory
 	}
+	c.complete = true
 	if len(parts) == 1 {
 		return parts[0], nil
 	}
--- a/io/server/client.go
+++ b/io/server/client.go
@@ -36,6 +36,8 @@
 	since time.Time    // of the wait for a request, or of the first byte of its header
 	head  atomic.Int64 // bytes of the header that have been read
 	body  int          // bytes taken for the request's body
+
+	complete bool // the request's body has been read
 }
 
 func newConn(tcp *net.TCPConn, guard *Guard) *conn {
@@ -52,10 +54,20 @@
 	}
 }
 
+// ConnectionCost is the memory of a connection with an ordinary request, in bytes: for the
+// goroutine and the buffers of the process, and unread bytes in those of the operating system.
+const ConnectionCost = 48 << 10
+
+// receiveBuffer limits the unread bytes of a connection in the operating system, which takes
+// twice as much memory.
+const receiveBuffer = 16 << 10
+
 const (
 	// headCost is the memory that a parsed header takes for each byte received, for a header
 	// of many short fields.
 	headCost = 8
+	// headAllowance is that part of it which counts as the cost of the connection.
+	headAllowance = ConnectionCost
 	// arrivedGrace is the time to read bytes that had arrived when a deadline passed, as a
 	// process that was paused reads them late.
 	arrivedGrace = time.Second
@@ -122,6 +134,10 @@
 
 // Close closes the connection, after a while if its client was refused.
 func (c *conn) Close() error {
+	if c.hijacked.Load() {
+		// http.Server doesn't report the end of a connection that it has handed over.
+		c.guard.release(c)
+	}
 	if !c.refused.Load() || !c.guard.linger(1) {
 		return c.TCPConn.Close()
 	}
@@ -174,12 +190,15 @@
 		c.guard.begin(c, c.since)
 	}
 	c.head.Add(int64(n))
-	if !c.guard.take(c, n*headCost) {
+	if cost := headBytes(read+n) - headBytes(read); cost > 0 && !c.guard.take(c, cost) {
 		return 0, errHead
 	}
 	return n, err
 }
 
+// headBytes returns the bytes that a header of n bytes holds of the budget.
+func headBytes(n int) int { return max(0, n*headCost-headAllowance) }
+
 // readBefore reads until a time after since.
 func (c *conn) readBefore(buffer []byte, timeout time.Duration, since time.Time, cause closeCause) (int, error) {
 	deadline := since.Add(timeout)
--- a/io/server/gate.go
+++ b/io/server/gate.go
@@ -81,8 +81,14 @@
 	slots  *intake.Slots[*conn]
 
 	lingering atomic.Int64
+
+	smallBuffers bool
 }
 
+// LimitBuffers limits the unread bytes of each connection, for a listener whose requests are
+// small. It must be called before the listener is started.
+func (g *Guard) LimitBuffers() { g.smallBuffers = true }
+
 // Guard returns a Guard for a listener with at most so many connections; 0 sets no limit.
 // Limits are read at each request.
 func (g *Gate) Guard(connections int, limits func() Limits) *Guard {
@@ -136,6 +142,10 @@
 		default:
 			g.slots.Close(victim)
 			g.evict(victim, causeConnections)
+			if victim.serving.Load() {
+				// A response to an incomplete request would keep the descriptor for a while.
+				_ = victim.TCPConn.Close()
+			}
 		}
 	}
 	g.slots.Add(c, c.address, now)
@@ -192,6 +202,11 @@
 		return false
 	}
 	g.gate.budget.Pin(c, pinned)
+	phase := intake.Reading
+	if pinned {
+		phase = intake.Serving
+	}
+	g.slots.Set(c, phase, time.Now())
 	return true
 }
 
@@ -218,6 +233,13 @@
 	}
 }
 
+// release gives back the slot of a connection.
+func (g *Guard) release(c *conn) {
+	g.gate.mu.Lock()
+	defer g.gate.mu.Unlock()
+	g.slots.Close(c)
+}
+
 // begin records the first byte of a request.
 func (g *Guard) begin(c *conn, now time.Time) {
 	g.gate.mu.Lock()
@@ -225,13 +247,23 @@
 	g.slots.Set(c, intake.Reading, now)
 }
 
-// rejectInterrupted closes the connections of requests whose memory was taken while their
-// header was read.
-func rejectInterrupted(next http.Handler) http.Handler {
+// guarded closes the connections of requests whose memory was taken while their header was
+// read. After a response without the whole body, http.Server reads what follows of it: the
+// connection may be closed for a new one then.
+func guarded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.interrupted.Load() {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if c.interrupted.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		c.complete = r.ContentLength == 0
 		next.ServeHTTP(w, r)
+		if !c.complete && !c.hijacked.Load() {
+			c.guard.pin(c, false)
+		}
 	})
 }
--- a/io/server/listener.go
+++ b/io/server/listener.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +22,9 @@
 func listen(address string, guard *Guard) (listener, error) {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // its sockets can't have a filter
+	if guard.smallBuffers {
+		config.Control = limitBuffer
+	}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return listener{}, err
@@ -31,6 +35,14 @@
 	}, nil
 }
 
+// limitBuffer limits the unread bytes of the connections that a listening socket accepts.
+func limitBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Without it the operating system's own limit holds.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+	})
+}
+
 // refuseNew is a filter of the operating system that drops the packets that open a new
 // connection (SYN without ACK). Their senders repeat them, and are refused once the listener
 // is closed.
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -32,7 +32,7 @@
 		log:     log.WithName(name),
 		http: &http.Server{
 			Addr:           address,
-			Handler:        rejectInterrupted(handler),
+			Handler:        guarded(handler),
 			MaxHeaderBytes: maxHeadBytes,
 			ConnState:      a.track,
 			ConnContext:    withConn,
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -158,6 +158,13 @@
 			clients: crowdClients,
 			send:    withLength(piece),
 		},
+		{
+			name:    "small bodies",
+			clients: crowdClients,
+			send: func(w io.Writer, client int, request string, body []byte) {
+				withLength(piece)(w, client, request, bytes.TrimRight(body, " "))
+			},
+		},
 		{
 			name:    "large chunks at once",
 			clients: crowdClients,
