--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -125,7 +125,7 @@
 				duration("patience", "10ms", "Grace period in which a job that can't start in time may still find capacity for all of its tasks.", 0, time.Minute),
 				{
 					Name:    "former",
-					Default: formerAsked,
+					Default: formerAwaited,
 					Help:    "Whether jobs that may run elsewhere are announced to the homes of before, too, and start once these have answered (ask), or wait until new homes know what was announced before (wait).",
 					Kind:    settings.Choice{Of: []string{formerAsked, formerAwaited}},
 				},
