Need no speed where servers are alike

Cause: a pool with a few servers that were slow for a time, or taken for that, set a minimum speed for its tasks too. Minimum speeds now apply only where the fastest eighth of a pool's capacity is faster than the slowest one; Room leaves the field fast out otherwise. A task that could end in time on the fastest servers only without a margin no longer waits for these.

--- a/core/pool/capacity.go
+++ b/core/pool/capacity.go
@@ -24,10 +24,11 @@
 	TotalCPU    int       // thousandths of a core of all servers that accept tasks
 	ReleaseRate int       // thousandths of a core that runs are predicted to release per second
 	Largest     work.Size // largest capacity of any server, in each dimension
-	Fast        float64   // speed of the fastest servers, by which tasks may be planned; 0 if unknown
+	Fast        float64   // speed of the fastest servers, by which tasks may be planned; 0 if most are alike
 }
 
-// fastShare is the share of the capacity that the fastest servers must have together.
+// fastShare is the share of the capacity that the fastest servers must have together, and so the slowest
+// ones: with fewer that differ, servers are alike.
 const fastShare = 0.125
 
 // Capacity returns the free and the total capacity at the given time.
@@ -57,7 +58,9 @@
 			Suspect: s.suspects > 0,
 		})
 	}
-	capacity.Fast = speeds.Top(fastShare)
+	if fast := speeds.Top(fastShare); fast > speeds.Top(1-fastShare) {
+		capacity.Fast = fast
+	}
 	return capacity
 }
 
--- a/core/schedule/speed.go
+++ b/core/schedule/speed.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -24,14 +23,11 @@
 	return s.Speed
 }
 
-// fastest returns the speed of the fastest servers of all pools. Those of pools that don't report it
-// count as the usual ones.
+// fastest returns the speed of the fastest servers of all pools, 0 if the servers of each are alike.
 func (m *Model) fastest() float64 {
 	fast := 0.0
 	for _, p := range m.pools {
-		if p.total > 0 {
-			fast = max(fast, cmp.Or(p.fast, 1))
-		}
+		fast = max(fast, p.fast)
 	}
 	return fast
 }
@@ -40,16 +36,17 @@
 // 0 if any will do; fast is that of the fastest servers. The load pattern is that of servers of
 // which a part is so slow that long tasks end late there: these wait for a faster server as long
 // as it ends them in time. A task that ends late anywhere still needs a server that ends it while
-// its outcome is of use.
+// its outcome is of use. Where servers are alike, any will do: a few that are slow for a time are
+// used last as it is.
 func (m *Model) minSpeed(now time.Time, j *job, t *task, fast float64) float64 {
-	if m.limits.SpeedFactor <= 0 {
+	if m.limits.SpeedFactor <= 0 || fast == 0 {
 		return 0
 	}
 	for _, end := range []time.Time{j.objective, j.usefulUntil} {
 		if left := end.Sub(now) - j.after[t.step]; left > 0 {
-			need := float64(j.timeOf(t)) / float64(left)
+			need := math.Ceil(m.limits.SpeedFactor*float64(j.timeOf(t))/float64(left)*speedSteps) / speedSteps
 			if need <= fast {
-				return math.Min(fast, math.Ceil(m.limits.SpeedFactor*need*speedSteps)/speedSteps)
+				return need
 			}
 		}
 	}
--- a/io/scheduler/lend.go
+++ b/io/scheduler/lend.go
@@ -128,7 +128,7 @@
 		Left:     int(t.Deadline.Sub(now).Microseconds()),
 		Avoid:    t.AvoidServer,
 		Suspect:  optional(t.Suspect),
-		Least:    leastToWire(t.MinSpeed),
+		Least:    percentToWire(t.MinSpeed),
 	}
 }
 
@@ -147,7 +147,7 @@
 		Deadline:      now.Add(microseconds(l.Left)),
 		AvoidServer:   l.Avoid,
 		Suspect:       isSet(l.Suspect),
-		MinSpeed:      leastFromWire(l.Least),
+		MinSpeed:      percentFromWire(l.Least),
 	}
 }
 
@@ -240,7 +240,7 @@
 		TotalCPU:    r.Total,
 		ReleaseRate: r.Flow,
 		Largest:     sizeFromWire(r.Largest),
-		Fast:        speedFromWire(r.Fast),
+		Fast:        percentFromWire(r.Fast),
 	}
 	for _, slot := range r.Slots {
 		capacity.Slots = append(capacity.Slots, pool.Slot{
@@ -329,7 +329,7 @@
 		Service: s.service,
 		Total:   capacity.TotalCPU,
 		Flow:    capacity.ReleaseRate,
-		Fast:    speedToWire(capacity.Fast),
+		Fast:    percentToWire(capacity.Fast),
 		Largest: sizeToWire(capacity.Largest),
 	}
 	free := 0
--- a/io/scheduler/speed.go
+++ b/io/scheduler/speed.go
@@ -55,16 +55,16 @@
 	return float64(*speed) / percent
 }
 
-// leastToWire returns the minimum speed of a task, which is left out if there is none.
-func leastToWire(speed float64) *int {
+// percentToWire returns a speed for which 0 means none, which is left out.
+func percentToWire(speed float64) *int {
 	if speed == 0 {
 		return nil
 	}
 	return new(int(math.Round(speed * percent)))
 }
 
-// leastFromWire returns the minimum speed of a task, 0 if it is missing or impossible.
-func leastFromWire(speed *int) float64 {
+// percentFromWire returns such a speed, 0 if it is missing or impossible.
+func percentFromWire(speed *int) float64 {
 	if speed == nil || *speed <= 0 || *speed > maxPercent {
 		return 0
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -677,7 +677,7 @@
 	Backlog int `cbor:"backlog" json:"backlog"`
 
 	// Speed of the sender's fastest backend servers, in hundredths of that of the
-	// usual one; 100 if missing.
+	// usual one; missing if they are alike.
 	Fast *int `cbor:"fast,omitempty" json:"fast,omitempty,omitzero"`
 
 	// CPU that the sender's running tasks are predicted to release per second, in
