--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -103,6 +103,8 @@
 		j.provisional = true
 	case float64(estimatedWait) > m.limits.RefuseWaitFactor*float64(j.startSlack()):
 		return m.refuse(now, j, core.ReasonWait)
+	case float64(estimatedWait) > m.limits.AdmitWaitFactor*float64(j.startSlack()) && m.overloaded(now, j):
+		return m.refuse(now, j, core.ReasonWait)
 	case float64(estimatedWait) > m.limits.AdmitWaitFactor*float64(j.startSlack()):
 		j.provisional = true
 	default:
