--- a/io/roster/roster.go
+++ b/io/roster/roster.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/core/evacuation"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/member"
 	"rosemarywalk/core/owner"
@@ -53,6 +54,9 @@
 	payload   func() HeartbeatPayload
 	onChange  []func()
 	onVersion func(address string, version int)
+
+	evacuated   func() evacuation.Domains
+	onEvacuated func(d evacuation.Domains, address string)
 }
 
 // New returns a roster that contains only this host.
@@ -68,18 +72,21 @@
 		model:             model,
 		claims:            owner.Claims{},
 		queues:            map[string][]wire.Queue{},
-		rows: hostRows{
-			staleAfter: staleAfter,
-			forget:     time.Duration(forgetFactor * float64(staleAfter)),
-			unlisted:   unlistedFactor * staleAfter,
-			outdated:   readFactor * staleAfter,
-			byName:     map[string]row{},
-		},
-		payload:   func() HeartbeatPayload { return HeartbeatPayload{} },
-		onVersion: func(string, int) {},
+		rows:              newHostRows(staleAfter, staleAfter),
+		payload:           func() HeartbeatPayload { return HeartbeatPayload{} },
+		onVersion:         func(string, int) {},
+
+		evacuated:   func() evacuation.Domains { return evacuation.Domains{} },
+		onEvacuated: func(evacuation.Domains, string) {},
 	}
 }
 
+// SetMaxReadAge sets how long ago this host may have read the hosts' rows to vote. It must be the
+// same on all hosts, and called before the first read.
+func (r *Roster) SetMaxReadAge(age time.Duration) {
+	r.rows = newHostRows(r.rows.staleAfter, age)
+}
+
 // SetHeartbeatPayload sets the function that returns the payload of each heartbeat.
 func (r *Roster) SetHeartbeatPayload(payload func() HeartbeatPayload) { r.payload = payload }
 
@@ -89,6 +96,13 @@
 // OnVersion calls f with the configuration version in each heartbeat that arrives.
 func (r *Roster) OnVersion(f func(address string, version int)) { r.onVersion = f }
 
+// SetEvacuated sets the function that returns the evacuated failure domains for each heartbeat.
+func (r *Roster) SetEvacuated(f func() evacuation.Domains) { r.evacuated = f }
+
+// OnEvacuated calls f with the evacuated failure domains in a heartbeat that arrives from an
+// address.
+func (r *Roster) OnEvacuated(f func(d evacuation.Domains, address string)) { r.onEvacuated = f }
+
 // Self returns this host's own entry.
 func (r *Roster) Self() member.Host {
 	r.mu.Lock()
@@ -166,7 +180,11 @@
 // SetListedHosts updates the hosts' rows from the store, and uses their addresses as
 // seeds to contact. The first rows cause a heartbeat at once, and so does the first list
 // with this host's own row.
-func (r *Roster) SetListedHosts(hosts []listing.Host) {
+func (r *Roster) SetListedHosts(hosts []listing.Host) { r.setHostsRead(time.Now(), hosts) }
+
+// setHostsRead is SetListedHosts for rows that were read at a time, by this host or another one.
+// It ignores rows that are older than those known.
+func (r *Roster) setHostsRead(readAt time.Time, hosts []listing.Host) {
 	seeds := make([]member.Host, 0, len(hosts))
 	for _, h := range hosts {
 		seeds = append(seeds, member.Host{
@@ -175,9 +193,13 @@
 		})
 	}
 	r.mu.Lock()
+	if readAt.Before(r.rows.readAt) {
+		r.mu.Unlock()
+		return
+	}
 	self := r.model.Self().Address
 	first := len(r.rows.byName) == 0 || !r.rows.contains(self)
-	r.rows.update(time.Now(), hosts)
+	r.rows.update(readAt, hosts)
 	r.model.Update(time.Now(), member.SeedMsg{Hosts: seeds})
 	r.mu.Unlock()
 	if first {
@@ -253,7 +275,7 @@
 
 // heartbeat builds a heartbeat of this host; run adds the entries about other hosts.
 func (r *Roster) heartbeat() wire.Beat {
-	payload := r.payload()
+	payload, evacuated := r.payload(), evacuatedToWire(r.evacuated())
 	r.mu.Lock()
 	self, home := r.model.Self(), r.model.FirstHome()
 	r.mu.Unlock()
@@ -269,6 +291,8 @@
 		Held:     payload.Held,
 		Queues:   payload.Queues,
 		Print:    payload.Version,
+
+		Evacuated: evacuated,
 	}
 }
 
@@ -347,6 +371,7 @@
 			f()
 		}
 	}
+	r.serveEvacuated(b)
 	r.onVersion(b.Address, b.Print)
 	return wire.Frame{}, false
 }
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"rosemarywalk/core/evacuation"
 	"rosemarywalk/core/listing"
 	"rosemarywalk/core/route"
 	"rosemarywalk/io/loop"
@@ -29,6 +30,7 @@
 	address         string // peer address of this host's row
 	config          route.Config
 	raw             []byte
+	evacuated       evacuation.Domains
 	servers         map[string]listing.Server
 	absentSince     map[string]time.Time // when the entry of a server went missing, by server ID
 	hosts           map[string]listing.Host
@@ -36,8 +38,10 @@
 	serversRead     bool                        // the backend servers were read at least once
 	serversFailedAt time.Time                   // when a read of the backend servers last failed
 	onConfig        []func(route.Config)
+	onEvacuated     func(domains int)
+	evacuates       bool // failure domains are evacuated at the operator's request
 	onServers       []func([]listing.Server)
-	onHosts         []func([]listing.Host)
+	onHosts         []func(readAt time.Time, hosts []listing.Host)
 	learnedWaits    func() []listing.RouteWait
 	countRefusedRow func()
 	shouldRead      func() bool // whether this host reads the lists itself
@@ -74,6 +78,8 @@
 		invalid:      map[string]map[string]int64{},
 		learnedWaits: func() []listing.RouteWait { return nil },
 		shouldRead:   func() bool { return true },
+		onEvacuated:  func(int) {},
+		evacuates:    true,
 
 		countRefusedRow: func() {},
 		updates:         newUpdateState(),
@@ -101,7 +107,14 @@
 func (w *Watcher) OnServers(f func([]listing.Server)) { w.onServers = append(w.onServers, f) }
 
 // OnHosts calls f with all hosts when they change.
-func (w *Watcher) OnHosts(f func([]listing.Host)) { w.onHosts = append(w.onHosts, f) }
+func (w *Watcher) OnHosts(f func([]listing.Host)) {
+	w.OnHostsRead(func(_ time.Time, hosts []listing.Host) { f(hosts) })
+}
+
+// OnHostsRead calls f with all hosts when they change, and with the time of the read.
+func (w *Watcher) OnHostsRead(f func(readAt time.Time, hosts []listing.Host)) {
+	w.onHosts = append(w.onHosts, f)
+}
 
 // SetRouteWaits sets the function that returns the learned waiting times, by route, that
 // this host writes to its row in the store.
@@ -250,7 +263,9 @@
 	if err != nil {
 		return 0, err
 	}
-	w.logInvalid(listConfig, page.Invalid, nil, after == 0)
+	w.logInvalid(listConfig, page.Invalid, nil, page.Full)
+	// Before the configuration: a host that starts must not use servers that it may not.
+	w.readEvacuations(page)
 	if page.Config.Version > 0 {
 		w.Offer(page.Config, page.Raw, "store")
 	}
@@ -307,6 +322,9 @@
 		services := servicesOf(w.config)
 		servers = slices.DeleteFunc(servers, func(s listing.Server) bool { return !services[s.Service] })
 	}
+	for i := range servers {
+		servers[i].Evacuated = w.evacuated.Has(servers[i].Domain)
+	}
 	w.mu.Unlock()
 	for _, f := range w.onServers {
 		f(servers)
@@ -401,9 +419,18 @@
 	return w.source.Remove(ctx, h)
 }
 
-// mergeHosts applies a page, and calls the OnHosts functions with all hosts.
+// mergeHosts applies a page, and calls the OnHosts functions with all hosts. A page that another
+// host read earlier is only applied if no hosts are known.
 func (w *Watcher) mergeHosts(page HostsPage) {
 	w.mu.Lock()
+	readAt := page.ReadAt
+	switch {
+	case readAt.IsZero():
+		readAt = time.Now()
+	case len(w.hosts) > 0:
+		w.mu.Unlock() // this host has read the rows meanwhile
+		return
+	}
 	if page.Full {
 		for name := range w.hosts {
 			w.updates.changedHosts[name] = true
@@ -421,6 +448,6 @@
 	hosts := slices.Collect(maps.Values(w.hosts))
 	w.mu.Unlock()
 	for _, f := range w.onHosts {
-		f(hosts)
+		f(readAt, hosts)
 	}
 }
