--- a/io/scheduler/plugin.go
+++ b/io/scheduler/plugin.go
@@ -61,7 +61,7 @@
 				duration("backoffmax", "4s", "Upper bound of the backoff of a failing backend server.", 0, time.Hour),
 				number("slow", "3", "Ratio of actual to predicted run time from which a run is moved to another backend server.", 1, 1000),
 				number("learn", "0.3", "Weight of a new run time in a backend server's moving average.", 0.01, 1),
-				number("speed", "0.04", "Weight of a new run time in the estimated speed of a backend server; 0 takes all for equally fast.", 0, 1),
+				number("speed", "0", "Weight of a new run time in the estimated speed of a backend server, such as 0.04; 0 takes all for equally fast.", 0, 1),
 				number("last", "1.8", "Ratio of average to predicted run time from which a backend server is used only as a last resort.", 1, 1000),
 				{
 					Name:    "failures",
@@ -112,7 +112,7 @@
 				number("hope", "3", "Expected wait of a late job, as a multiple of the time left in which its answer is of use, from which it is refused.", 0, 100),
 				number("excess", "0", "Work that new jobs bring, as a multiple of what this home's backend servers can do, above which a late job is refused at once instead of waiting for free capacity, unless there is some at any home. 0 lets it wait.", 0, 100),
 				number("spare", "0.1", "Share of the total capacity that must be free before a late job starts.", 0, 1),
-				number("haste", "1.3", "Speed that a backend server must have for a task, as a multiple of that at which the task ends in time; 0 takes any.", 0, 10),
+				number("haste", "0", "Speed that a backend server must have for a task, as a multiple of that at which the task ends in time; 0 takes any.", 0, 10),
 				{
 					Name:    "keep",
 					Default: "0",
