--- a/proof/evacuate_test.go
+++ b/proof/evacuate_test.go
@@ -59,6 +59,6 @@
 	assert.Assert(t, s.startsIn(emptied) > before)
 }
 
-// evacuationTime is how long hosts have to learn of a request, and to let go of a start that is
-// under way. The users' bound is 5 s.
+// evacuationTime is how long hosts have to learn of a request, and starts under way to be
+// answered. The users' bound is 5 s.
 const evacuationTime = 2 * time.Second
