--- a/core/evacuation/domains.go
+++ b/core/evacuation/domains.go
@@ -73,7 +73,7 @@
 // Same reports whether the same failure domains are evacuated in both sets.
 func (d Domains) Same(o Domains) bool { return slices.Equal(d.names, o.names) }
 
-// Relevant reports whether hosts have to tell each other of the set: an empty one only if a
+// Relevant reports whether hosts have to send each other the set: an empty one only if a
 // domain was evacuated before, as another host may not have learned that this is over.
 func (d Domains) Relevant() bool { return d.ever }
 
--- a/core/evacuation/domains_test.go
+++ b/core/evacuation/domains_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// TestChanges checks which changes of the store count, and what hosts tell each other.
+// TestChanges checks which changes of the store count, and what hosts send each other.
 func TestChanges(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/core/overload/uneven_test.go
+++ b/core/overload/uneven_test.go
@@ -11,7 +11,7 @@
 	"rosemarywalk/core/schedule"
 )
 
-// Default settings of the speeds of servers.
+// Settings with which speeds are learned and used.
 const (
 	speedWeight = 0.04
 	speedFactor = 1.3
@@ -44,7 +44,7 @@
 	for _, load := range []float64{0.5, 1, 1.2} {
 		t.Run(fmt.Sprint(load), func(t *testing.T) {
 			sum := map[string]verdict{}
-			for seed := range uint64(6) {
+			for seed := range uint64(3) {
 				r := play(conditions{
 					Seed:     seed,
 					Homes:    3,
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -162,7 +162,7 @@
 }
 
 // evacuate passes an operator's request about a failure domain on to the platform, whose list of
-// hosts tells all hosts.
+// hosts carries it to all hosts.
 func (h *Handler) evacuate(w http.ResponseWriter, r *http.Request) {
 	if err := h.client.Evacuate(r.Context(), mux.Vars(r)["domain"], r.Method == http.MethodDelete); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
