--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -29,6 +29,7 @@
 	starts   prometheus.Counter
 	rows     prometheus.Counter
 	store    prometheus.Counter
+	repeated *prometheus.CounterVec
 	kept     prometheus.Counter
 	declined prometheus.Counter
 	jobs     *prometheus.CounterVec
@@ -74,6 +75,10 @@
 			Help:      "Connections opened to the platform's store.",
 		}),
 	}
+	c.repeated = newCounterVec("store_repeats_total", "Calls to the platform's store that were sent more than once.", "answered")
+	for _, answered := range []string{answeredFirst, answeredLater, answeredNone} {
+		c.repeated.WithLabelValues(answered)
+	}
 	c.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace,
 		Name:      "evacuated",
@@ -89,7 +94,7 @@
 		c.retries.WithLabelValues(string(reason))
 		c.failures.WithLabelValues(string(reason))
 	}
-	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.kept, c.declined, c.rows, c.store, c.evacuated, c.evacuationErrors)
+	r.MustRegister(c.refusals, c.retries, c.failures, c.messages, c.bytes, c.jobs, c.joins, c.starts, c.kept, c.declined, c.rows, c.store, c.repeated, c.evacuated, c.evacuationErrors)
 	return c
 }
 
@@ -118,6 +123,27 @@
 // StoreConnected counts a connection that was opened to the platform's store.
 func (c *Counters) StoreConnected() { c.store.Inc() }
 
+// Which attempt at a repeated call was answered.
+const (
+	answeredFirst = "first"
+	answeredLater = "later"
+	answeredNone  = "none"
+)
+
+// StoreCalled counts a call to the platform's store that took a number of attempts, of which
+// the one with the number answered, from 1, was answered, or none if it is 0.
+func (c *Counters) StoreCalled(attempts, answered int) {
+	switch {
+	case attempts <= 1:
+	case answered == 0:
+		c.repeated.WithLabelValues(answeredNone).Inc()
+	case answered == 1:
+		c.repeated.WithLabelValues(answeredFirst).Inc()
+	default:
+		c.repeated.WithLabelValues(answeredLater).Inc()
+	}
+}
+
 // Evacuated sets the number of evacuated failure domains.
 func (c *Counters) Evacuated(domains int) { c.evacuated.Set(float64(domains)) }
 
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -161,16 +162,24 @@
 }
 
 func run(lc fx.Lifecycle, s settings.Settings, w *Watcher) {
-	w.address = local.PeerAddress(s)
-	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, listConfig, fixedPause(0), w.readConfig) })
-	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, listServers, fixedPause(w.periods.Servers), w.readServers) })
-	loop.Append(lc, func(ctx context.Context) { w.follow(ctx, listHosts, w.hostsPause, w.readHosts) })
 	self := listing.Host{
 		Name:    s.Text(sectionSelf, "name"),
-		Address: w.address,
+		Address: local.PeerAddress(s),
 		Domain:  s.Text(sectionSelf, "domain"),
 	}
-	loop.Append(lc, func(ctx context.Context) { w.announce(ctx, self, s.Duration(section, "announce")) })
+	w.address = self.Address
+	loop.Append(lc, func(ctx context.Context) { w.Run(ctx, self, s.Duration(section, "announce")) })
+}
+
+// Run follows the lists of the store, and writes the row of this host, self, to it each period,
+// until ctx is done.
+func (w *Watcher) Run(ctx context.Context, self listing.Host, period time.Duration) {
+	var loops sync.WaitGroup
+	loops.Go(func() { w.follow(ctx, listConfig, fixedPause(0), w.readConfig) })
+	loops.Go(func() { w.follow(ctx, listServers, fixedPause(w.periods.Servers), w.readServers) })
+	loops.Go(func() { w.follow(ctx, listHosts, w.hostsPause, w.readHosts) })
+	loops.Go(func() { w.announce(ctx, self, period) })
+	loops.Wait()
 }
 
 // announce writes this host's row to the store periodically until ctx is done.
