watch: a row without an answer is followed by one without waits

Cause: a row of this host that got no answer was written again as it was. Only a row that the store refuses was made smaller. Where large rows don't get through, the row never moves, and the host gives no votes.

Change: the row after one without an answer has no waits, the one after that has them again. If rows without waits are answered and those with them are not, the waits are halved. An outage of the store leaves their number as it is.

--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -41,14 +41,19 @@
 }
 
 // WaitLimit limits how many waits a host writes to its row, as the store may refuse a large
-// one. The zero value is no limit.
+// one, or a slow link lose it. The zero value is no limit.
 type WaitLimit struct {
-	limited bool
-	waits   int
+	limited  bool
+	waits    int
+	without  bool // the next row has no waits: no answer came to the latest one
+	answered bool // a row without waits was answered after one with waits was not
 }
 
 // MostUsed returns the waits that may be written, those with most samples first.
 func (l WaitLimit) MostUsed(waits []RouteWait) []RouteWait {
+	if l.without {
+		return nil
+	}
 	sorted := slices.SortedStableFunc(slices.Values(waits), func(a, b RouteWait) int { return b.Samples - a.Samples })
 	if l.limited {
 		return sorted[:min(l.waits, len(sorted))]
@@ -64,10 +69,24 @@
 	}
 }
 
+// WithUnanswered returns the limit after a row with so many waits got no answer. The next row has
+// none, as a row that moves matters more than the waits in it. If such rows are answered and those
+// with waits are not, these are halved.
+func (l WaitLimit) WithUnanswered(waits int) WaitLimit {
+	if waits > 0 && l.answered {
+		l = l.WithRefused(waits)
+	}
+	l.without = true
+	return l
+}
+
 // WithAccepted returns the limit after the store has taken a row. It grows slowly, as each
 // step may be refused.
 func (l WaitLimit) WithAccepted() WaitLimit {
-	l.waits += 1 + l.waits/waitLimitGrowth
+	if !l.without {
+		l.waits += 1 + l.waits/waitLimitGrowth
+	}
+	l.answered, l.without = l.without, false
 	return l
 }
 
--- a/io/watch/plugin.go
+++ b/io/watch/plugin.go
@@ -199,7 +199,8 @@
 				pause = w.periods.Retry
 			}
 		case err != nil:
-			w.log.V(1).Info("cannot write host row to store", "error", err.Error())
+			w.log.Info("cannot write the row of this host", "waits", len(self.RouteWaits), "error", err.Error())
+			limit = limit.WithUnanswered(len(self.RouteWaits))
 			pause = w.periods.Retry
 		default:
 			limit = limit.WithAccepted()
