watch: hosts read the configuration in different phases

Cause: a change wakes the long polls of all hosts, so their next ones begin and end together, and hosts that start together begin so. No host is early and tells the others.

Change: the poll that follows a change, or a read of the whole list, may wait for a time drawn from 0 to [watch] poll.

Evidence: TestHostsPollInOnePhase found polls that all wait 1 s before. Now the polls of 8 hosts differ by over half of that after a change, and not at all otherwise: it costs one more call a change and host.

--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -459,3 +461,60 @@
 	assert.DeepEqual(t, listed, [][]string{{"a", "b", "c"}, {"a"}, {"a", "b"}})
 	assert.Equal(t, len(w.Snapshot().Servers), 3)
 }
+
+// pollSource is a Source whose configuration changes with its third read. It records how long
+// reads may wait.
+type pollSource struct {
+	scriptedSource
+
+	waits []time.Duration
+}
+
+func (s *pollSource) Config(_ context.Context, after int64, wait time.Duration) (ConfigPage, error) {
+	s.waits = append(s.waits, wait)
+	page := ConfigPage{
+		Position: after + 1,
+		Full:     after == 0,
+	}
+	if len(s.waits) == 3 {
+		page.Config = route.Config{Version: 2}
+	}
+	return page, nil
+}
+
+// TestHostsPollInOnePhase guards against hosts whose reads of the configuration all end at the same
+// time, as they have read the same change together: a loss of all connections then makes all of
+// them late, or none.
+func TestHostsPollInOnePhase(t *testing.T) {
+	const (
+		hosts = 8
+		reads = 5
+		poll  = time.Second
+	)
+	rng := rand.New(rand.NewPCG(1, 1))
+	waits := [reads][]time.Duration{}
+	for range hosts {
+		source := &pollSource{}
+		w := New(source, Periods{Poll: poll}, logr.Discard())
+		w.draw = rng.Float64
+		position := int64(0)
+		for range reads {
+			var err error
+			position, err = w.readConfig(t.Context(), position)
+			assert.NilError(t, err)
+		}
+		for i, wait := range source.waits {
+			waits[i] = append(waits[i], wait)
+		}
+	}
+	for i, all := range waits {
+		spread := slices.Max(all) - slices.Min(all)
+		switch i {
+		case 1, 3: // after the first read and the change
+			assert.Assert(t, spread > poll/2, "read %d: %s", i, all)
+		default:
+			assert.Equal(t, spread, time.Duration(0), "read %d: %s", i, all)
+		}
+		assert.Assert(t, slices.Max(all) <= poll)
+	}
+}
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +48,9 @@
 	shouldRead      func() bool // whether this host reads the lists itself
 	updates         updateState
 	onUpdate        []func(Update)
+
+	draw       func() float64 // from 0 to 1
+	configPoll time.Duration  // longest wait of the next read of the configuration
 }
 
 // Names of the lists.
@@ -83,6 +87,9 @@
 
 		countRefusedRow: func() {},
 		updates:         newUpdateState(),
+
+		draw:       rand.Float64,
+		configPoll: p.Poll,
 	}
 }
 
@@ -259,10 +266,16 @@
 }
 
 func (w *Watcher) readConfig(ctx context.Context, after int64) (int64, error) {
-	page, err := w.source.Config(ctx, after, w.periods.Poll)
+	page, err := w.source.Config(ctx, after, w.configPoll)
 	if err != nil {
 		return 0, err
 	}
+	w.configPoll = w.periods.Poll
+	if page.Full || page.Config.Version > 0 {
+		// All hosts read a change at the same time. If their next reads ended at the same time, too,
+		// a loss of all connections would leave no host to tell the others of the next change.
+		w.configPoll = time.Duration(w.draw() * float64(w.periods.Poll))
+	}
 	w.logInvalid(listConfig, page.Invalid, nil, page.Full)
 	// Before the configuration: a host that starts must not use servers that it may not.
 	w.readEvacuations(page)
