io/platform: repeat overdue reads on a new connection

A leaving server may not get new work after 3 s.

Change: a read is sent again after a third of the timeout, twice at most, as the users' platform's client does. Writes are not, as they may have been made.

Evidence: TestSilentConnectionDelaysReads failed for the host list, a row and changes before ("context deadline exceeded" after the timeout).

--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +15,8 @@
 
 	"github.com/juju/errors"
 
+	corehedge "rosemarywalk/core/hedge"
+	"rosemarywalk/io/hedge"
 	"rosemarywalk/io/late"
 )
 
@@ -84,19 +87,33 @@
 // maxResponseBytes bounds the body of a response.
 const maxResponseBytes = 64 << 20
 
-// Client calls the platform's service over HTTP.
+// Client calls the platform's service over HTTP. Reads whose answers are overdue are repeated on
+// new connections; writes are not, as they may have been made.
 type Client struct {
-	baseURL    string
-	timeout    time.Duration
-	httpClient *http.Client
+	baseURL string
+	timeout time.Duration
+	reads   *hedge.Client
+	writes  *hedge.Client
 }
 
-// New returns a client for the platform at a base URL. The timeout bounds each call.
-func New(baseURL string, timeout time.Duration, dial late.Dial) *Client {
+// readAttempts is the number of attempts at a read within its timeout.
+const readAttempts = 3
+
+// New returns a client for the platform at a base URL. The timeout bounds each call. It calls
+// settled after each call, as package hedge does.
+func New(baseURL string, timeout time.Duration, dial late.Dial, settled func(attempts, answered int)) *Client {
+	open := func() *http.Transport { return &http.Transport{DialContext: dial} }
+	client := func(attempts int) *hedge.Client {
+		return hedge.New(corehedge.Limits{
+			Answer:   timeout / time.Duration(attempts),
+			Attempts: attempts,
+		}, open, late.New(), settled)
+	}
 	return &Client{
-		baseURL:    baseURL,
-		timeout:    timeout,
-		httpClient: &http.Client{Transport: &http.Transport{DialContext: dial}},
+		baseURL: baseURL,
+		timeout: timeout,
+		reads:   client(readAttempts),
+		writes:  client(1),
 	}
 }
 
@@ -109,23 +126,45 @@
 	longPoll time.Duration // how long the platform may delay its response, on top of the timeout
 }
 
-// do sends a request and returns the status and body of the response. If there is no
-// response, the error is ErrDown or ErrUnknownOutcome, and the idle connections are closed, as
-// they may have gone silent too.
+// response is a complete response of the platform.
+type response struct {
+	status int
+	body   []byte
+}
+
+// do makes a call and returns the status and body of the response. If there is no response, the
+// error is ErrDown or ErrUnknownOutcome.
 func (c *Client) do(ctx context.Context, req call) (int, []byte, error) {
-	status, body, err := c.send(ctx, req)
-	if errors.Is(err, ErrUnknownOutcome) {
-		c.httpClient.CloseIdleConnections()
+	client := c.writes
+	if req.method == http.MethodGet {
+		client = c.reads
+	}
+	answer, err := hedge.Do(ctx, client, req.longPoll, func(ctx context.Context, pool *http.Client, wait time.Duration) (response, error) {
+		return c.send(ctx, pool, req.withWait(wait))
+	})
+	if err != nil && !errors.Is(err, ErrDown) {
+		err = errors.WithType(err, ErrUnknownOutcome)
 	}
-	return status, body, err
+	return answer.status, answer.body, err
 }
 
-func (c *Client) send(ctx context.Context, req call) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+req.longPoll)
-	defer cancel()
+// withWait returns the call of an attempt for which the platform may wait.
+func (r call) withWait(wait time.Duration) call {
+	if r.longPoll > 0 {
+		r.query = maps.Clone(r.query)
+		r.query.Set(queryTimeout, strconv.Itoa(int(wait.Milliseconds())))
+	}
+	return r
+}
+
+// queryTimeout is the parameter with the time for which the platform may wait, in milliseconds.
+const queryTimeout = "timeout"
+
+func (c *Client) send(ctx context.Context, pool *http.Client, req call) (response, error) {
+	var none response
 	reqBody, err := json.Marshal(req.body)
 	if err != nil {
-		return 0, nil, errors.Annotate(err, "encode platform request")
+		return none, errors.Annotate(err, "encode platform request")
 	}
 	target := c.baseURL + req.path
 	if len(req.query) > 0 {
@@ -133,23 +172,26 @@
 	}
 	httpReq, err := http.NewRequestWithContext(ctx, req.method, target, bytes.NewReader(reqBody))
 	if err != nil {
-		return 0, nil, errors.Annotate(err, "build platform request")
+		return none, errors.Annotate(err, "build platform request")
 	}
 	// Without GetBody, net/http can't send a write a second time on its own.
 	httpReq.GetBody = nil
-	httpResp, err := c.httpClient.Do(httpReq)
+	httpResp, err := pool.Do(httpReq)
 	if err != nil {
-		return 0, nil, classifyError(err)
+		return none, classifyError(err)
 	}
 	defer httpResp.Body.Close()
 	respBody, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBytes))
 	if err != nil {
-		return 0, nil, errors.WithType(err, ErrUnknownOutcome)
+		return none, errors.WithType(err, ErrUnknownOutcome)
 	}
 	if httpResp.StatusCode == http.StatusServiceUnavailable {
-		return 0, nil, errors.Trace(ErrDown)
+		return none, errors.Trace(ErrDown)
 	}
-	return httpResp.StatusCode, respBody, nil
+	return response{
+		status: httpResp.StatusCode,
+		body:   respBody,
+	}, nil
 }
 
 // classifyError returns ErrDown if no connection could be opened. Otherwise the request may
@@ -254,9 +296,8 @@
 // none, it waits up to timeout for the first one.
 func (c *Client) Changes(ctx context.Context, prefix string, since int, timeout time.Duration) (Feed, error) {
 	return c.feed(ctx, url.Values{
-		"prefix":  {prefix},
-		"since":   {strconv.Itoa(since)},
-		"timeout": {strconv.Itoa(int(timeout / time.Millisecond))},
+		"prefix": {prefix},
+		"since":  {strconv.Itoa(since)},
 	}, timeout)
 }
 
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -69,7 +69,7 @@
 func newClient(s settings.Settings, counters *telemetry.Counters) *Client {
 	timeout := s.Duration(section, "timeout")
 	dial := redial.ForPool(connections).Dial(local.Dialer(s, timeout).DialContext, counters.StoreConnected)
-	return New(s.Text(section, "url"), timeout, dial)
+	return New(s.Text(section, "url"), timeout, dial, counters.StoreCalled)
 }
 
 // poller reads the host list periodically.
--- a/standin/platform/evacuation_test.go
+++ b/standin/platform/evacuation_test.go
@@ -32,7 +32,7 @@
 	}
 	web := httptest.NewServer(p.Router())
 	defer web.Close()
-	client := platform.New(web.URL, time.Second, (&net.Dialer{}).DialContext)
+	client := platform.New(web.URL, time.Second, (&net.Dialer{}).DialContext, func(int, int) {})
 	services, domains := &listed{}, -1
 	d := platform.NewDirectory(services, func(n int) { domains = n })
 	check := func(want map[string]bool) {
