--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -91,7 +91,6 @@
 // new connections; writes are not, as they may have been made.
 type Client struct {
 	baseURL string
-	timeout time.Duration
 	reads   *hedge.Client
 	writes  *hedge.Client
 }
@@ -111,7 +110,6 @@
 	}
 	return &Client{
 		baseURL: baseURL,
-		timeout: timeout,
 		reads:   client(readAttempts),
 		writes:  client(1),
 	}
@@ -142,7 +140,7 @@
 	answer, err := hedge.Do(ctx, client, req.longPoll, func(ctx context.Context, pool *http.Client, wait time.Duration) (response, error) {
 		return c.send(ctx, pool, req.withWait(wait))
 	})
-	if err != nil && !errors.Is(err, ErrDown) {
+	if errors.Is(err, hedge.ErrOverdue) || (err != nil && ctx.Err() != nil) {
 		err = errors.WithType(err, ErrUnknownOutcome)
 	}
 	return answer.status, answer.body, err
