entry: a host that was paused reads the configuration before it serves

Cause: the requests that came during a pause are handled at once when it ends, by the configuration of before.

Change: after a pause of [schedule] stall or longer a host reads the configuration over a new connection, and holds requests until then, for 0.3 s at most.

--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -48,6 +48,7 @@
 	maxTasks      int // of one job
 	parsing       sync.Mutex
 	startGate     startGate
+	pauseGate     *pauseGate
 	rejecting     atomic.Bool // set once a planned stop rejects new requests
 	aged          atomic.Bool // set once startsAny was true
 	waitEstimator waitEstimator
@@ -99,6 +100,7 @@
 		}
 		arrived := server.Arrived(r.Context())
 		h.startGate.wait(r.Context())
+		h.pauseGate.wait(r.Context())
 		config := h.watcher.Config()
 		if config.Version == 0 {
 			h.refuse(w, http.StatusServiceUnavailable, core.ReasonConfig, "this host has not received a configuration yet", configRetryDelay)
--- a/io/entry/plugin.go
+++ b/io/entry/plugin.go
@@ -19,6 +19,7 @@
 	"rosemarywalk/io/scheduler"
 	"rosemarywalk/io/server"
 	"rosemarywalk/io/settings"
+	"rosemarywalk/io/stall"
 	"rosemarywalk/io/telemetry"
 	"rosemarywalk/io/watch"
 	"rosemarywalk/kernel"
@@ -126,6 +127,7 @@
 	Counters  *telemetry.Counters
 	Latency   *telemetry.Latency
 	Intake    *intake.Intake
+	Stalls    *stall.Detector
 	Log       logr.Logger
 }
 
@@ -133,6 +135,7 @@
 	h := &Handler{
 		maxTasks:      n.Settings.Integer(section, "tasks"),
 		startGate:     newStartGate(n.Settings.Duration(section, "hold")),
+		pauseGate:     newPauseGate(n.Stalls, n.Watcher.RefreshConfig),
 		waitEstimator: newWaitEstimator(n.Settings.Text(section, "waits") == waitsRemaining),
 		format:        n.Format,
 		watcher:       n.Watcher,
--- a/io/hedge/client.go
+++ b/io/hedge/client.go
@@ -43,6 +43,9 @@
 // CloseIdleConnections closes the connections that no call uses.
 func (c *Client) CloseIdleConnections() { c.current().CloseIdleConnections() }
 
+// Renew makes later attempts use new connections.
+func (c *Client) Renew() { c.replace(c.current()) }
+
 func (c *Client) current() *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -68,6 +68,8 @@
 // are no longer kept, and ErrTooManyChanges if there are too many.
 type Source interface {
 	Config(ctx context.Context, after int64, wait time.Duration) (ConfigPage, error)
+	// Refresh returns the configuration as Config does after position 0, over a new connection.
+	Refresh(ctx context.Context) (ConfigPage, error)
 	Servers(ctx context.Context, after int64, wait time.Duration) (ServersPage, error)
 	Hosts(ctx context.Context, after int64, wait time.Duration) (HostsPage, error)
 	// Decode parses a configuration as the operator wrote it.
--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -25,6 +25,8 @@
 	return ConfigPage{}, nil
 }
 
+func (s *scriptedSource) Refresh(context.Context) (ConfigPage, error) { return ConfigPage{}, nil }
+
 func (s *scriptedSource) Servers(context.Context, int64, time.Duration) (ServersPage, error) {
 	page := s.pages[0]
 	s.pages = s.pages[1:]
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -285,6 +285,19 @@
 	return page.Position, nil
 }
 
+// RefreshConfig reads the configuration at once, without the connections that are open.
+func (w *Watcher) RefreshConfig(ctx context.Context) {
+	page, err := w.source.Refresh(ctx)
+	if err != nil {
+		w.log.Info("configuration not refreshed", "error", err.Error())
+		return
+	}
+	w.readEvacuations(page)
+	if page.Config.Version > 0 {
+		w.Offer(page.Config, page.Raw, "store")
+	}
+}
+
 func (w *Watcher) readServers(ctx context.Context, after int64) (int64, error) {
 	page, err := w.source.Servers(ctx, after, w.periods.Poll)
 	if err != nil {
