--- a/io/watch/update_test.go
+++ b/io/watch/update_test.go
@@ -498,7 +498,7 @@
 	for range hosts {
 		source := &pollSource{}
 		w := New(source, Periods{Poll: poll}, logr.Discard())
-		w.draw = rng.Float64
+		w.SetDraw(rng.Float64)
 		position := int64(0)
 		for range reads {
 			var err error
--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -127,6 +127,9 @@
 // this host writes to its row in the store.
 func (w *Watcher) SetRouteWaits(f func() []listing.RouteWait) { w.learnedWaits = f }
 
+// SetDraw sets the function that draws numbers from 0 to 1.
+func (w *Watcher) SetDraw(draw func() float64) { w.draw = draw }
+
 // Offer makes c the current configuration if its version is newer. The source, from,
 // is logged.
 func (w *Watcher) Offer(c route.Config, raw []byte, from string) {
