--- a/core/hedge/plan.go
+++ b/core/hedge/plan.go
@@ -13,7 +13,7 @@
 // an idle machine.
 const minOwnDelay = 5 * time.Millisecond
 
-// Plan is the plan of one call. It is immutable.
+// Plan is the immutable plan of one call.
 type Plan struct {
 	limits   Limits
 	wait     time.Duration // that the first attempt asks for; the others ask for an answer at once
--- a/core/listing/listing.go
+++ b/core/listing/listing.go
@@ -41,7 +41,7 @@
 }
 
 // WaitLimit limits how many waits a host writes to its row, as the store may refuse a large
-// one, or a slow link lose it. The zero value is no limit.
+// one, or a slow link lose it; the zero value is no limit.
 type WaitLimit struct {
 	limited  bool
 	waits    int
@@ -69,14 +69,12 @@
 	}
 }
 
-// WithUnanswered returns the limit after a row with so many waits got no answer. The next row has
-// none, as a row that moves matters more than the waits in it. If such rows are answered and those
-// with waits are not, these are halved.
+// WithUnanswered returns the limit after a row with so many waits got no answer.
 func (l WaitLimit) WithUnanswered(waits int) WaitLimit {
 	if waits > 0 && l.answered {
 		l = l.WithRefused(waits)
 	}
-	l.without = true
+	l.without = true // a row that moves matters more than the waits in it
 	return l
 }
 
--- a/io/hedge/client.go
+++ b/io/hedge/client.go
@@ -12,12 +12,11 @@
 	"rosemarywalk/io/late"
 )
 
-// ErrOverdue means that no attempt was answered in time. Each of them may have been carried out.
+// ErrOverdue means that no attempt was answered in time, though each may have been carried out.
 const ErrOverdue = errors.ConstError("no answer in time")
 
-// Client calls a server over a pool of connections. When an attempt fails or is overdue, it goes
-// on with a new pool: connections that were open at the same time may have gone silent, too.
-// Calls in flight keep theirs.
+// Client calls a server over a pool of connections, and over a new pool once an attempt has failed
+// or is overdue.
 type Client struct {
 	limits  hedge.Limits
 	open    func() *http.Transport
@@ -28,8 +27,8 @@
 	pool *http.Client
 }
 
-// New returns a client that opens pools of connections with open. It calls settled after each
-// call with the number of its attempts, and that of the one that was answered, or 0 if none was.
+// New returns a client that opens pools of connections with open, and after each call passes
+// settled the number of its attempts, and that of the answered one, or 0 if none was.
 func New(l hedge.Limits, open func() *http.Transport, meter *late.Meter, settled func(attempts, answered int)) *Client {
 	return &Client{
 		limits:  l,
@@ -52,7 +51,8 @@
 	return c.pool
 }
 
-// replace makes later attempts use other connections than those of a pool.
+// replace makes later attempts use other connections than those of a pool: these were open at the
+// same time, so they may have gone silent, too. Calls in flight keep theirs.
 func (c *Client) replace(pool *http.Client) {
 	c.mu.Lock()
 	if c.pool == pool {
@@ -62,8 +62,8 @@
 	pool.CloseIdleConnections()
 }
 
-// Attempt sends one attempt of a call over a pool of connections. The server may take a time,
-// wait, before it answers.
+// Attempt sends one attempt of a call over a pool of connections to a server that may wait before
+// it answers.
 type Attempt[T any] func(ctx context.Context, pool *http.Client, wait time.Duration) (T, error)
 
 // result is the outcome of an attempt.
@@ -74,9 +74,8 @@
 	err    error
 }
 
-// Do makes a call, and returns its first answer. Further attempts ask for an answer at once. It
-// returns the error of an attempt if no other one is in flight, and ErrOverdue if all of them
-// are overdue.
+// Do makes a call, and returns its first answer, the error of an attempt if no other one is in
+// flight, or ErrOverdue.
 func Do[T any](ctx context.Context, c *Client, wait time.Duration, attempt Attempt[T]) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -124,7 +123,7 @@
 			switch step.(type) {
 			case hedge.Repeat:
 				c.replace(latest)
-				send(0)
+				send(0) // what the first attempt waits for may have come meanwhile
 			case hedge.GiveUp:
 				c.replace(latest)
 				c.settled(attempts, 0)
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -87,19 +87,18 @@
 // maxResponseBytes bounds the body of a response.
 const maxResponseBytes = 64 << 20
 
-// Client calls the platform's service over HTTP. Reads whose answers are overdue are repeated on
-// new connections; writes are not, as they may have been made.
+// Client calls the platform's service over HTTP.
 type Client struct {
 	baseURL string
 	reads   *hedge.Client
-	writes  *hedge.Client
+	writes  *hedge.Client // sent once, as they may have been made
 }
 
 // readAttempts is the number of attempts at a read within its timeout.
 const readAttempts = 3
 
-// New returns a client for the platform at a base URL. The timeout bounds each call. It calls
-// settled after each call, as package hedge does.
+// New returns a client for the platform at a base URL with a timeout for each call, which calls
+// settled as package hedge does.
 func New(baseURL string, timeout time.Duration, dial late.Dial, settled func(attempts, answered int)) *Client {
 	open := func() *http.Transport { return &http.Transport{DialContext: dial} }
 	client := func(attempts int) *hedge.Client {
