--- a/io/watch/watcher.go
+++ b/io/watch/watcher.go
@@ -275,8 +275,8 @@
 	}
 	w.configPoll = w.periods.Poll
 	if page.Full || page.Config.Version > 0 {
-		// All hosts read a change at the same time. If their next reads ended at the same time, too,
-		// a loss of all connections would leave no host to tell the others of the next change.
+		// All hosts read a change at the same time. Polls of different lengths keep them from
+		// losing the next change together when all connections to the store fail.
 		w.configPoll = time.Duration(w.draw() * float64(w.periods.Poll))
 	}
 	w.logInvalid(listConfig, page.Invalid, nil, page.Full)
