--- a/review/deck/main.go
+++ b/review/deck/main.go
@@ -14,8 +14,7 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"stop":   playStop,
-	"labels": playLabels,
+	"stop": playStop,
 }
 
 func main() {
