--- a/review/deck/fleet.go
+++ b/review/deck/fleet.go
@@ -216,10 +216,12 @@
 
 var errNotReady = errors.New("a front did not become ready")
 
+// leadTime is the time between the start of the machines and that of the traffic.
+const leadTime = 10 * time.Second
+
 // settle waits until all fronts are ready, and leadTime longer, as traffic starts 10 s after the
 // machines do.
 func (f *fleet) settle() error {
-	const leadTime = 10 * time.Second
 	end := time.Now().Add(leadTime)
 	for _, h := range f.fronts {
 		for !h.isReady() {
--- a/review/deck/main.go
+++ b/review/deck/main.go
@@ -14,7 +14,8 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"stop": playStop,
+	"replace": playReplace,
+	"stop":    playStop,
 }
 
 func main() {
